Give peers the version in force through a feed

Cause: daemons that do not watch the store need the configuration from peers. Change: ConfigurationFeed with version, update_since, offer and subscribe, over the whole bundle for now; a stale or damaged update changes nothing.

--- a/currantdyke/bundle/__init__.py
+++ b/currantdyke/bundle/__init__.py
@@ -1,5 +1,6 @@
 """The operators' versioned configuration."""
 
+from currantdyke.bundle.feed import ConfigurationFeed
 from currantdyke.bundle.in_force import BundleInForce
 from currantdyke.bundle.schema import (
     Bundle,
@@ -17,6 +18,7 @@
 __all__ = [
     "Bundle",
     "BundleInForce",
+    "ConfigurationFeed",
     "EndpointSpec",
     "Pipeline",
     "Policy",
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -8,7 +8,7 @@
 import anyio.abc
 import httpx
 
-from currantdyke.bundle import Bundle, BundleInForce, Pipeline
+from currantdyke.bundle import Bundle, BundleInForce, ConfigurationFeed, Pipeline
 from currantdyke.callers import CallersFace
 from currantdyke.core import DaemonIdentity, Failure, FailureKind, new_incarnation
 from currantdyke.endpoints import EndpointTable
@@ -64,6 +64,7 @@
         self.timers = TimerService(random_source=self.random_source)
         self.timeline = Timeline(daemon=settings.name)
         self.in_force = BundleInForce()
+        self.configuration = ConfigurationFeed(in_force=self.in_force)
         self.endpoints = EndpointTable()
         self.in_force.subscribe(self.endpoints.follow)
         self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
