Judge every attempt by its hand-off, and bound engine streams

Cause: an attempt ended by its caller, the deadline or a sibling left no report, so its request was called unknown even where nothing had been handed to a connection. An error of our own code ended the daemon's task group and left the caller waiting. A status 502 to 504 was taken for the endpoint's word that the call had failed. A silent engine kept its request to the deadline. A request whose service left the bundle in mid run found no endpoint.

Change: OpenAttempt is registered before the call, with its hand-off mark; decide_outcome reads these alone. Errors of our own settle the request (internal), are logged and counted. Bodies of endpoints are bounded in bytes, tokens and silence; statuses that leave open whether the call ran are unknown. Whole failures carry the same body as the stream's last event.

--- a/currantdyke/callers/app.py
+++ b/currantdyke/callers/app.py
@@ -12,8 +12,8 @@
 
 from currantdyke.bundle import Bundle, BundleInForce, Pipeline, Stage, StageKind
 from currantdyke.callers.answers import (
+    exchange_response,
     failure_response,
-    json_response,
     streamed_events,
 )
 from currantdyke.callers.parse import (
@@ -74,10 +74,9 @@
         if found.is_error():
             return failure_response(found.error)
         exchange = found.ok
-        if exchange.cancel_scope is not None:
-            exchange.cancel_scope.cancel()
+        exchange.cancel()
         await exchange.wait_end()
-        return json_response(exchange.final(), 200, exchange.request_id)
+        return exchange_response(exchange, status=200)
 
     return Starlette(
         routes=[
@@ -171,6 +170,4 @@
             headers={"x-request-id": exchange.request_id, "cache-control": "no-store"},
         )
     await exchange.wait_end()
-    if exchange.failure is not None:
-        return failure_response(exchange.failure, exchange.request_id)
-    return json_response(exchange.final(), 200, exchange.request_id)
+    return exchange_response(exchange)
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -7,10 +7,17 @@
 import anyio
 import anyio.abc
 import httpx
+from absl import logging
 
 from currantdyke.bundle import Bundle, BundleInForce, ConfigurationFeed, Pipeline
 from currantdyke.callers import CallersFace
-from currantdyke.core import DaemonIdentity, Failure, FailureKind, new_incarnation
+from currantdyke.core import (
+    DaemonIdentity,
+    Failure,
+    FailureKind,
+    Outcome,
+    new_incarnation,
+)
 from currantdyke.endpoints import EndpointTable
 from currantdyke.events import Timeline
 from currantdyke.metrics import Metrics
@@ -131,10 +138,22 @@
     ) -> None:
         try:
             await run_request(self.run_parts, bundle, pipeline, exchange)
+        except Exception as error:
+            self._settle_broken(exchange, error)
         finally:
             self.requests.close()
             self.metrics.in_flight.set(self.requests.in_flight)
 
+    def _settle_broken(self, exchange: Exchange, error: Exception) -> None:
+        """End a request whose run raised, so that its caller never waits."""
+        self.metrics.internal_errors.labels("daemon").inc()
+        logging.error("request %s: %r", exchange.request_id, error, exc_info=error)
+        detail = f"an error of the daemon itself ({type(error).__name__})"
+        failure = Failure(
+            kind=FailureKind.INTERNAL, detail=detail, outcome=Outcome.UNKNOWN
+        )
+        exchange.settle(failure=failure, now=anyio.current_time())
+
     def _attempt_ids(self):
         prefix = f"{self.identity.name}.{self.identity.incarnation}"
         return (f"{prefix}.a{number}" for number in itertools.count(1))
--- a/currantdyke/metrics/registry.py
+++ b/currantdyke/metrics/registry.py
@@ -57,6 +57,9 @@
             "Stage answers dropped because they did not match their call",
             ("service", "reason"),
         )
+        self.internal_errors = self.counter(
+            "internal_errors", "Errors of the daemon's own code", ("duty",)
+        )
         self.stage_seconds = self.histogram(
             "stage_seconds", "Time of a stage", ("pipeline", "stage")
         )
--- a/currantdyke/pipelines/run.py
+++ b/currantdyke/pipelines/run.py
@@ -5,6 +5,7 @@
 
 import anyio
 import attrs
+from absl import logging
 from expression import Result
 
 from currantdyke.bundle import Bundle, Pipeline, Stage
@@ -12,7 +13,7 @@
 from currantdyke.pipelines.parts import RunParts
 from currantdyke.pipelines.stage import StageRun, run_stage
 from currantdyke.requests import Exchange, decide_outcome
-from currantdyke.stagecalls import AttemptReport
+from currantdyke.stagecalls import OpenAttempt
 
 __all__ = ["RequestRun", "RunParts", "run_request"]
 
@@ -25,10 +26,8 @@
     ----------
     outputs : dict
         Outputs of the stages that ended; None for a stage left out.
-    reports : list of AttemptReport
-        Every attempt that ended.
-    begun : int
-        Attempts begun.
+    attempts : list of OpenAttempt
+        Every attempt, from before its call.
     failure : Failure or None
         The first failure of a stage that is not optional.
     """
@@ -38,8 +37,7 @@
     pipeline: Pipeline
     exchange: Exchange
     outputs: dict[str, Any] = attrs.field(factory=dict)
-    reports: list[AttemptReport] = attrs.field(factory=list)
-    begun: int = 0
+    attempts: list[OpenAttempt] = attrs.field(factory=list)
     failure: Failure | None = None
 
 
@@ -63,12 +61,24 @@
     exchange.append("accepted", {"request_id": exchange.request_id})
     parts.timeline.record("requests", "accepted", request_id=exchange.request_id)
     remaining = exchange.deadline - anyio.current_time()
-    with anyio.move_on_after(remaining) as scope:
-        exchange.cancel_scope = scope
-        await _run_stages(run)
+    try:
+        with anyio.move_on_after(remaining) as scope:
+            exchange.run_within(scope)
+            await _run_stages(run)
+    except Exception as error:
+        run.failure = _internal(run, error)
     _settle(run)
 
 
+def _internal(run: RequestRun, error: Exception) -> Failure:
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    run.parts.metrics.internal_errors.labels("pipelines").inc()
+    logging.error("request %s: %r", run.exchange.request_id, error, exc_info=error)
+    detail = f"an error of the daemon itself ({type(error).__name__})"
+    return Failure(kind=FailureKind.INTERNAL, detail=detail)
+
+
 def _settle(run: RequestRun) -> None:
     exchange = run.exchange
     now = anyio.current_time()
@@ -77,14 +87,13 @@
         exchange.settle(output=run.outputs[last], now=now)
     else:
         failure = run.failure or _interrupted(exchange, now)
-        unreported = run.begun - len(run.reports)
-        outcome = decide_outcome(run.reports, unreported)
+        outcome = decide_outcome(run.attempts)
         exchange.settle(failure=attrs.evolve(failure, outcome=outcome), now=now)
     _account(run, now)
 
 
 def _interrupted(exchange: Exchange, now: float) -> Failure:
-    if now >= exchange.deadline:
+    if now >= exchange.deadline and not exchange.cancelled:
         return Failure(
             kind=FailureKind.DEADLINE_PASSED,
             detail=f"no whole answer within {exchange.deadline - exchange.started:g} s",
@@ -132,10 +141,12 @@
     for earlier in stage.after:
         await ended[earlier].wait()
     answer = await _call_stage(run, stage)
+    is_last = stage is run.pipeline.stages[-1]
     if answer.is_ok():
         run.outputs[stage.name] = answer.ok
-    elif stage.optional:
+    elif stage.optional and not is_last:
         run.outputs[stage.name] = None
+        run.exchange.left_out.append(stage.name)
     elif run.failure is None:
         run.failure = answer.error
         scope.cancel()
@@ -153,16 +164,11 @@
         exchange=run.exchange,
         body={"input": run.exchange.input, "previous": previous},
         deliver=_token_sink(run.exchange) if is_last else _drop_token,
-        reports=run.reports,
-        note_begun=functools.partial(_note_begun, run),
+        attempts=run.attempts,
     )
     return await run_stage(stage_run)
 
 
-def _note_begun(run: RequestRun) -> None:
-    run.begun += 1
-
-
 def _drop_token(text: str) -> None:
     """Leave out the tokens of a stage that is not the last."""
 
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -17,6 +17,7 @@
     Attempt,
     AttemptEnd,
     AttemptReport,
+    OpenAttempt,
     call_engine,
     call_plain,
 )
@@ -26,6 +27,9 @@
 
 COMPLETIONS_PATH = "/v1/completions"
 NO_ENDPOINT_RETRY_SECONDS = 1.0
+MIN_IDLE_SECONDS = 0.25
+MAX_IDLE_SECONDS = 2.0
+IDLE_SHARE_OF_REST = 0.25
 SAFE_TO_REPEAT = frozenset((AttemptEnd.NOT_HANDED, AttemptEnd.REFUSED))
 
 
@@ -40,8 +44,7 @@
     exchange: Exchange
     body: dict[str, Any]
     deliver: Callable[[str], None]
-    reports: list[AttemptReport]
-    note_begun: Callable[[], None]
+    attempts: list[OpenAttempt]
     tried: list[str] = attrs.field(factory=list)
     cost_seconds: float = 0.0
 
@@ -53,11 +56,11 @@
     idempotent.
     """
     started = anyio.current_time()
-    delivered = DeliveredTokens(deliver=run.deliver)
+    delivered = DeliveredTokens(deliver=run.deliver, most=run.stage.max_tokens)
     failure = _no_endpoint(run)
     for _ in range(run.policy.max_attempts):
         endpoint = choose_endpoint(
-            run.parts.endpoints.of_service(run.stage.service),
+            _candidates(run),
             tried=run.tried,
             random_source=run.parts.random_source,
         )
@@ -74,29 +77,65 @@
     return Error(failure)
 
 
+def _candidates(run: StageRun) -> list[Endpoint]:
+    """Return the service's endpoints.
+
+    A request keeps the bundle that it started with: where the one in force has
+    since dropped the whole service, its own names the endpoints.
+    """
+    table = run.parts.endpoints
+    if run.stage.service in table.by_service:
+        return table.of_service(run.stage.service)
+    specs = run.service.endpoints
+    return [Endpoint(service=run.stage.service, spec=spec) for spec in specs]
+
+
 async def _attempt(
     run: StageRun, endpoint: Endpoint, delivered: DeliveredTokens
 ) -> AttemptReport:
     attempt = _new_attempt(run, endpoint, len(delivered.texts))
+    open_attempt = OpenAttempt(attempt=attempt)
+    run.attempts.append(open_attempt)
     run.tried.append(endpoint.name)
-    run.note_begun()
     endpoint.in_flight += 1
     _note(run, attempt, "dispatched")
     started = anyio.current_time()
     try:
         if run.service.kind == StageKind.GENERATE:
-            report = await call_engine(run.parts.client, attempt, delivered)
+            report = await call_engine(run.parts.client, open_attempt, delivered)
         else:
-            report = await call_plain(run.parts.client, attempt)
+            report = await call_plain(run.parts.client, open_attempt)
+    except BaseException:
+        _abandon(run, open_attempt)
+        raise
     finally:
         endpoint.in_flight -= 1
         run.cost_seconds += anyio.current_time() - started
-    run.reports.append(report)
+    if not open_attempt.settle(report):
+        _count_dropped(run, "settled")
     _learn(run, endpoint, report)
     _note(run, attempt, report.end.value, report.detail, report.seconds)
     return report
 
 
+def _abandon(run: StageRun, open_attempt: OpenAttempt) -> None:
+    open_attempt.abandon()
+    report = open_attempt.report
+    assert report is not None
+    run.parts.metrics.attempts.labels(run.stage.service, report.end.value).inc()
+    _note(run, open_attempt.attempt, report.end.value, report.detail)
+
+
+def _count_dropped(run: StageRun, reason: str) -> None:
+    run.parts.metrics.dropped.labels(run.stage.service, reason).inc()
+
+
+def _idle_limit(seconds: float) -> float:
+    """Return the longest silence in mid stream that still leaves time elsewhere."""
+    most = max(MIN_IDLE_SECONDS, IDLE_SHARE_OF_REST * seconds)
+    return min(most, MAX_IDLE_SECONDS)
+
+
 def _new_attempt(run: StageRun, endpoint: Endpoint, delivered: int) -> Attempt:
     path, body = run.service.path, run.body
     if run.service.kind == StageKind.GENERATE:
@@ -109,6 +148,7 @@
             "priority": run.exchange.priority,
             "resume_from": delivered,
         }
+    seconds = run.exchange.deadline - anyio.current_time()
     return Attempt(
         request_id=run.exchange.request_id,
         stage=run.stage.name,
@@ -118,7 +158,8 @@
         url=endpoint.spec.url,
         path=path,
         body=body,
-        seconds=run.exchange.deadline - anyio.current_time(),
+        seconds=seconds,
+        idle_seconds=_idle_limit(seconds),
         priority=run.exchange.priority,
     )
 
@@ -131,8 +172,9 @@
         return
     endpoint.failures_in_row += 1
     if report.end is AttemptEnd.MISMATCHED:
-        labels = (run.stage.service, "identity")
-        run.parts.metrics.dropped.labels(*labels).inc()
+        known = {attempt.attempt.attempt_id for attempt in run.attempts}
+        late = report.claimed_attempt in known
+        _count_dropped(run, "settled" if late else "identity")
 
 
 def _note(
--- /dev/null
+++ b/currantdyke/pipelines/tests/test_outcomes.py
@@ -0,0 +1,181 @@
+import unittest
+from unittest import mock
+
+import anyio
+
+from currantdyke.pipelines import run as run_module
+from currantdyke.testing import fleet_in_memory, run_virtual
+from currantdyke.testing.builders import build_bundle
+
+DESK = "/v1/services/entry-desk"
+NOTES = "/v1/pipelines/notes"
+
+
+async def submit(fleet, path=NOTES, **headers):
+    async with fleet.caller("entry-1") as client:
+        return await client.post(path, json={"input": "flight 12"}, headers=headers)
+
+
+async def submit_with(prepare, path=DESK, **headers):
+    services = {"entry-desk": {"idempotent": False}}
+    async with fleet_in_memory(endpoints=2, bundle={"services": services}) as fleet:
+        prepare(fleet)
+        response = await submit(fleet, path, **headers)
+        ran = sum(len(s.calls) for s in fleet.standins.values())
+        return response.json(), ran
+
+
+def on_every(attribute, value, where="standin"):
+    def prepare(fleet):
+        for name, standin in fleet.standins.items():
+            target = standin if where == "standin" else fleet.network.link(f"{name}:1")
+            setattr(target, attribute, value)
+
+    return prepare
+
+
+def on_link(attribute, value):
+    return on_every(attribute, value, where="link")
+
+
+PATHS = (
+    ("done", "done", 1, on_every("seconds", 0.1)),
+    ("refused connections", "not_run", 0, on_link("refuse", True)),
+    ("refused by all", "not_run", 0, on_every("refuse", True)),
+    ("never connected", "not_run", 0, on_link("unreachable", True)),
+    ("failed by its word", "failed", 1, on_every("status", 500)),
+    ("unclear status", "unknown", 1, on_every("status", 504)),
+    ("lost answer", "unknown", 1, on_link("lose_answer", True)),
+    ("crossed answer", "unknown", 1, on_every("cross", "another")),
+    ("slower than the deadline", "unknown", 1, on_every("seconds", 60.0)),
+    ("garbage", "unknown", 1, on_every("answer", lambda call: b"{")),
+)
+
+
+class TestOutcomes(unittest.TestCase):
+    def test_every_path_to_an_outcome_of_a_charge(self):
+        for name, outcome, ran, prepare in PATHS:
+            with self.subTest(name):
+                headers = {"x-deadline-seconds": "2.5"}
+                body, seen = run_virtual(submit_with, prepare, **headers)
+                self.assertEqual(body["outcome"], outcome, body)
+                self.assertEqual(seen, ran)
+
+    def test_deadline_before_any_hand_off_is_not_run(self):
+        headers = {"x-deadline-seconds": "0.5"}
+        prepare = on_link("unreachable", True)
+        body, _ = run_virtual(submit_with, prepare, **headers)
+        self.assertEqual(body["error"]["code"], "deadline_passed")
+        self.assertEqual(body["outcome"], "not_run")
+
+    def test_outcome_after_a_later_stage_was_never_reached_is_failed(self):
+        def prepare(fleet):
+            for name in ("generator-1", "generator-2"):
+                fleet.network.link(f"{name}:1").refuse = True
+
+        body, _ = run_virtual(submit_with, prepare, NOTES)
+        self.assertEqual(body["outcome"], "failed")
+
+    def test_error_of_our_own_settles_the_request_and_the_daemon_lives_on(self):
+        async def scenario():
+            async with fleet_in_memory() as fleet:
+                with (
+                    mock.patch.object(run_module, "run_stage", side_effect=KeyError),
+                    self.assertLogs("absl"),
+                ):
+                    broken = await submit(fleet)
+                again = await submit(fleet)
+                return broken, again, fleet.daemons["entry-1"].requests.in_flight
+
+        broken, again, in_flight = run_virtual(scenario)
+        self.assertEqual(broken.status_code, 500)
+        self.assertEqual(broken.json()["error"]["code"], "internal")
+        self.assertEqual(broken.json()["outcome"], "not_run")
+        self.assertEqual(again.status_code, 200)
+        self.assertEqual(in_flight, 0)
+
+    def test_error_while_settling_still_answers(self):
+        async def scenario():
+            async with fleet_in_memory() as fleet:
+                with (
+                    mock.patch.object(run_module, "_account", side_effect=KeyError),
+                    self.assertLogs("absl"),
+                ):
+                    first = await submit(fleet)
+                with (
+                    mock.patch.object(run_module, "_settle", side_effect=KeyError),
+                    self.assertLogs("absl"),
+                ):
+                    second = await submit(fleet)
+                return first, second, await submit(fleet)
+
+        first, second, third = run_virtual(scenario)
+        self.assertEqual(first.json()["outcome"], "done")
+        self.assertEqual(second.json()["outcome"], "unknown")
+        self.assertEqual(third.json()["outcome"], "done")
+
+    def test_late_answer_of_a_settled_attempt_is_dropped_and_counted(self):
+        async def scenario():
+            async with fleet_in_memory(endpoints=2) as fleet:
+                for name in ("encoder-1", "encoder-2"):
+                    fleet.standins[name].status = 500
+                first, second = fleet.standins["encoder-1"], fleet.standins["encoder-2"]
+
+                def late(attempt_id):
+                    for standin in (first, second):
+                        standin.status = 200
+                        standin.cross = attempt_id
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(watch_first_call, (first, second), late)
+                    response = await submit(fleet)
+                daemon = fleet.daemons["entry-1"]
+                dropped = daemon.metrics.dropped.labels("encoder", "settled")
+                return response.json(), dropped._value.get()
+
+        body, dropped = run_virtual(scenario)
+        self.assertEqual(body["outcome"], "unknown")
+        self.assertGreaterEqual(dropped, 1)
+
+    def test_silent_engine_is_given_up_and_resumed_elsewhere_within_deadline(self):
+        async def scenario():
+            async with fleet_in_memory(endpoints=2) as fleet:
+                fleet.standins["generator-1"].silent_after = 5
+                answers = [await submit(fleet) for _ in range(6)]
+                return answers, len(fleet.standins["generator-1"].calls)
+
+        answers, silent_calls = run_virtual(scenario)
+        self.assertGreater(silent_calls, 0)
+        for answer in answers:
+            words = answer.json()["output"]["text"].split()
+            self.assertEqual([int(w.rpartition(":")[2]) for w in words], [*range(16)])
+
+    def test_bundle_change_in_mid_request_changes_nothing_for_it(self):
+        async def scenario():
+            async with fleet_in_memory() as fleet:
+                fleet.standins["encoder-1"].seconds = 1.0
+                async with anyio.create_task_group() as tasks:
+                    answers = []
+
+                    async def ask():
+                        answers.append(await submit(fleet))
+
+                    tasks.start_soon(ask)
+                    await anyio.sleep(0.5)
+                    desk = {"entry-desk": fleet.urls["entry-desk"]}
+                    fleet.put_in_force(build_bundle(desk), version=2)
+                return answers[0].json(), (await submit(fleet)).json()
+
+        kept, refused = run_virtual(scenario)
+        self.assertEqual(refused["error"]["code"], "unknown_pipeline")
+        self.assertEqual(kept["outcome"], "done", kept)
+
+
+async def watch_first_call(standins, then):
+    while not any(standin.calls for standin in standins):
+        await anyio.sleep(0)
+    then(next(s.calls[0].attempt_id for s in standins if s.calls))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/requests/exchange.py
+++ b/currantdyke/requests/exchange.py
@@ -53,6 +53,10 @@
         Monotonic time at which the answer is worth nothing.
     failure : Failure or None
         Why it did not end well.
+    left_out : list of str
+        Optional stages that failed or were dropped.
+    cancelled : bool
+        The caller has cancelled it, perhaps before it began to run.
     """
 
     request_id: str
@@ -65,23 +69,33 @@
     idempotency_key: str = ""
     events: list[ExchangeEvent] = attrs.field(factory=list)
     records: list[StageRecord] = attrs.field(factory=list)
+    left_out: list[str] = attrs.field(factory=list)
     outcome: Outcome | None = None
     failure: Failure | None = None
     output: Any = None
     first_token: float | None = None
     ended: float | None = None
     grown: anyio.Event | None = None
+    cancelled: bool = False
     cancel_scope: anyio.CancelScope | None = None
 
+    def run_within(self, scope: anyio.CancelScope) -> None:
+        """Name the scope that ends the run, and end it if it was cancelled."""
+        self.cancel_scope = scope
+        if self.cancelled:
+            scope.cancel()
+
+    def cancel(self) -> None:
+        """End the run as soon as can be; a request that has ended stays as it is."""
+        if self.outcome is not None:
+            return
+        self.cancelled = True
+        if self.cancel_scope is not None:
+            self.cancel_scope.cancel()
+
     def append(self, name: str, data: Any) -> None:
         """Add an event and wake the readers."""
-        event = ExchangeEvent(
-            sequence=len(self.events), name=name, data=msgspec.json.encode(data)
-        )
-        self.events.append(event)
-        if self.grown is not None:
-            self.grown.set()
-            self.grown = None
+        self._add(self._event(name, data))
 
     def settle(
         self, *, output: Any = None, failure: Failure | None = None, now: float
@@ -89,26 +103,46 @@
         """End the request once; return whether this call did."""
         if self.outcome is not None:
             return False
+        outcome = failure.outcome if failure else Outcome.DONE
+        body = self._final(outcome, output, failure)
+        event = self._event("error" if failure else "answer", body)
         self.ended = now
         self.output = output
         self.failure = failure
-        self.outcome = failure.outcome if failure else Outcome.DONE
-        self.append("error" if failure else "answer", self.final())
+        self.outcome = outcome
+        self._add(event)
         return True
 
-    def final(self) -> dict[str, Any]:
-        """Return the last event's data: the answer or the failure."""
+    def _event(self, name: str, data: Any) -> ExchangeEvent:
+        encoded = msgspec.json.encode(data)
+        return ExchangeEvent(sequence=len(self.events), name=name, data=encoded)
+
+    def _add(self, event: ExchangeEvent) -> None:
+        self.events.append(event)
+        if self.grown is not None:
+            self.grown.set()
+            self.grown = None
+
+    def _final(
+        self, outcome: Outcome, output: Any, failure: Failure | None
+    ) -> dict[str, Any]:
         body: dict[str, Any] = {
             "request_id": self.request_id,
-            "outcome": self.outcome.value if self.outcome else None,
+            "outcome": outcome.value,
             "stages": [attrs.asdict(record) for record in self.records],
+            "left_out": list(self.left_out),
         }
-        if self.failure is None:
-            body["output"] = self.output
-            return body
-        body["error"] = failure_body(self.failure)
+        if failure is None:
+            body["output"] = output
+        else:
+            body["error"] = failure_body(failure)
         return body
 
+    def final_body(self) -> bytes:
+        """Return the last event's data: the answer or the failure, as JSON."""
+        assert self.outcome is not None
+        return self.events[-1].data
+
     async def read(self, first: int = 0) -> AsyncIterator[ExchangeEvent]:
         """Yield the events from ``first`` on until the last."""
         position = first
--- a/currantdyke/stagecalls/__init__.py
+++ b/currantdyke/stagecalls/__init__.py
@@ -1,7 +1,21 @@
 """One call of a stage to one endpoint."""
 
-from currantdyke.stagecalls.attempt import Attempt, AttemptEnd, AttemptReport
+from currantdyke.stagecalls.attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptReport,
+    HandOff,
+    OpenAttempt,
+)
 from currantdyke.stagecalls.engine import call_engine
 from currantdyke.stagecalls.plain import call_plain
 
-__all__ = ["Attempt", "AttemptEnd", "AttemptReport", "call_engine", "call_plain"]
+__all__ = [
+    "Attempt",
+    "AttemptEnd",
+    "AttemptReport",
+    "HandOff",
+    "OpenAttempt",
+    "call_engine",
+    "call_plain",
+]
--- a/currantdyke/stagecalls/attempt.py
+++ b/currantdyke/stagecalls/attempt.py
@@ -1,6 +1,7 @@
 """What a stage call carries, and how it ended."""
 
 import enum
+import math
 from typing import Any
 
 import attrs
@@ -11,13 +12,17 @@
     "AttemptEnd",
     "AttemptReport",
     "HandOff",
+    "OpenAttempt",
     "check_answer_headers",
+    "read_load",
 ]
 
 NOT_RUN_HEADER = "x-not-run"
 LEAVING_HEADER = "x-endpoint-leaving"
 LOAD_HEADER = "x-endpoint-load"
 REFUSING_STATUSES = frozenset((429, 503))
+UNCLEAR_STATUSES = frozenset((408, 425, 429, 502, 503, 504))
+MAX_LOAD_DIGITS = 9
 
 
 class AttemptEnd(enum.Enum):
@@ -25,7 +30,7 @@
 
     ``NOT_HANDED`` and ``REFUSED`` are proofs that nothing ran.  ``FAILED`` is the
     endpoint's own word that the call ran and failed.  After ``CUT``,
-    ``MISMATCHED`` and ``TIMED_OUT`` nobody knows.
+    ``MISMATCHED``, ``TIMED_OUT`` and ``ABANDONED`` nobody knows.
     """
 
     DONE = "done"
@@ -35,6 +40,7 @@
     CUT = "cut"
     MISMATCHED = "mismatched"
     TIMED_OUT = "timed_out"
+    ABANDONED = "abandoned"
 
 
 @attrs.frozen(kw_only=True)
@@ -51,6 +57,8 @@
         The JSON body.
     seconds : float
         Time left for it.
+    idle_seconds : float
+        Longest silence within a streamed answer, after its first token.
     """
 
     request_id: str
@@ -62,6 +70,7 @@
     path: str
     body: dict[str, Any]
     seconds: float
+    idle_seconds: float = math.inf
     priority: int = 0
 
     def headers(self) -> dict[str, str]:
@@ -71,6 +80,7 @@
             "x-stage": self.stage,
             "x-attempt-id": self.attempt_id,
             "x-priority": str(self.priority),
+            "accept-encoding": "identity",
         }
 
 
@@ -84,6 +94,8 @@
         Whether any byte of it may have reached a connection.
     load : float or None
         The load that the endpoint's answer told.
+    claimed_attempt : str
+        The attempt that a mismatched answer said it belongs to.
     """
 
     attempt: Attempt
@@ -94,6 +106,7 @@
     seconds: float = 0.0
     leaving: bool = False
     load: float | None = None
+    claimed_attempt: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -116,6 +129,47 @@
         return {"trace": self.trace}
 
 
+@attrs.define(kw_only=True, eq=False)
+class OpenAttempt:
+    """An attempt from before its call until it is settled, once.
+
+    It is registered with the request before the call begins, so that an attempt
+    cut short by its caller, the deadline or a sibling still proves what it can.
+
+    Attributes
+    ----------
+    report : AttemptReport or None
+        How it ended; None while it is open.
+    """
+
+    attempt: Attempt
+    hand_off: HandOff = attrs.field(factory=HandOff)
+    report: AttemptReport | None = None
+
+    def settle(self, report: AttemptReport) -> bool:
+        """Take the first report; return False for any later one, which is dropped."""
+        if self.report is not None:
+            return False
+        self.report = report
+        return True
+
+    def abandon(self) -> bool:
+        """Settle an attempt that was ended from outside; return whether it was open.
+
+        One that was never handed to a connection is proved not to have run.
+        """
+        handed = self.hand_off.handed
+        end = AttemptEnd.ABANDONED if handed else AttemptEnd.NOT_HANDED
+        return self.settle(
+            AttemptReport(
+                attempt=self.attempt,
+                end=end,
+                handed=handed,
+                detail="ended before its answer",
+            )
+        )
+
+
 def check_answer_headers(
     attempt: Attempt, response: httpx.Response
 ) -> AttemptReport | None:
@@ -124,13 +178,12 @@
     An answer counts only if it echoes request id, stage and attempt id; even a
     refusal is believed only then.
     """
-    load_text = response.headers.get(LOAD_HEADER, "")
     report = AttemptReport(
         attempt=attempt,
         end=AttemptEnd.FAILED,
         detail=f"status {response.status_code}",
         leaving=response.headers.get(LEAVING_HEADER) == "1",
-        load=float(load_text) if load_text.isdecimal() else None,
+        load=read_load(response),
     )
     sent = attempt.headers()
     for name in ("x-request-id", "x-stage", "x-attempt-id"):
@@ -138,10 +191,27 @@
         if seen != sent[name]:
             report.end = AttemptEnd.MISMATCHED
             report.detail = f"{name} is {seen!r:.80}, not {sent[name]!r}"
+            report.claimed_attempt = response.headers.get("x-attempt-id", "")
             return report
     if response.status_code == 200:
         return None
-    refused = response.headers.get(NOT_RUN_HEADER) == attempt.attempt_id
-    if refused and response.status_code in REFUSING_STATUSES:
-        report.end = AttemptEnd.REFUSED
+    report.end = _end_by_status(attempt, response)
     return report
+
+
+def _end_by_status(attempt: Attempt, response: httpx.Response) -> AttemptEnd:
+    status = response.status_code
+    refused = response.headers.get(NOT_RUN_HEADER) == attempt.attempt_id
+    if refused and status in REFUSING_STATUSES:
+        return AttemptEnd.REFUSED
+    if status < 400 or status in UNCLEAR_STATUSES:
+        return AttemptEnd.CUT
+    return AttemptEnd.FAILED
+
+
+def read_load(response: httpx.Response) -> float | None:
+    """Return the load that an answer tells, if it tells one."""
+    text = response.headers.get(LOAD_HEADER, "")
+    if not text.isdecimal() or len(text) > MAX_LOAD_DIGITS:
+        return None
+    return float(text)
--- a/currantdyke/stagecalls/plain.py
+++ b/currantdyke/stagecalls/plain.py
@@ -3,7 +3,8 @@
 import httpx
 import msgspec
 
-from currantdyke.stagecalls.attempt import Attempt, AttemptEnd, AttemptReport
+from currantdyke.stagecalls.attempt import AttemptEnd, AttemptReport, OpenAttempt
+from currantdyke.stagecalls.limited import limit_body
 from currantdyke.stagecalls.transport import exchange_call
 
 __all__ = ["call_plain"]
@@ -11,25 +12,27 @@
 MAX_ANSWER_BYTES = 4_000_000
 
 
-async def call_plain(client: httpx.AsyncClient, attempt: Attempt) -> AttemptReport:
+async def call_plain(
+    client: httpx.AsyncClient, open_attempt: OpenAttempt
+) -> AttemptReport:
     """Call an endpoint and return its JSON output whole."""
 
     async def read_answer(response: httpx.Response) -> AttemptReport:
-        body = await _bounded_body(response)
-        answer = msgspec.json.decode(body)
-        if not isinstance(answer, dict) or "output" not in answer:
-            raise ValueError("the answer has no output")
+        limit_body(response, MAX_ANSWER_BYTES)
         return AttemptReport(
-            attempt=attempt, end=AttemptEnd.DONE, output=answer["output"]
+            attempt=open_attempt.attempt,
+            end=AttemptEnd.DONE,
+            output=_output(await response.aread()),
         )
 
-    return await exchange_call(client, attempt, read_answer)
+    return await exchange_call(client, open_attempt, read_answer)
 
 
-async def _bounded_body(response: httpx.Response) -> bytes:
-    body = bytearray()
-    async for chunk in response.aiter_bytes():
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
-            raise ValueError(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
-    return bytes(body)
+def _output(body: bytes):
+    try:
+        answer = msgspec.json.decode(body)
+    except RecursionError:
+        raise ValueError("the answer is nested too deep") from None
+    if not isinstance(answer, dict) or "output" not in answer:
+        raise ValueError("the answer has no output")
+    return answer["output"]
--- a/currantdyke/stagecalls/transport.py
+++ b/currantdyke/stagecalls/transport.py
@@ -10,8 +10,9 @@
     Attempt,
     AttemptEnd,
     AttemptReport,
-    HandOff,
+    OpenAttempt,
     check_answer_headers,
+    read_load,
 )
 
 __all__ = ["exchange_call"]
@@ -23,7 +24,7 @@
 
 
 async def exchange_call(
-    client: httpx.AsyncClient, attempt: Attempt, read_answer: ReadAnswer
+    client: httpx.AsyncClient, open_attempt: OpenAttempt, read_answer: ReadAnswer
 ) -> AttemptReport:
     """Send an attempt and read its answer within its time.
 
@@ -31,8 +32,9 @@
     ----------
     client : httpx.AsyncClient
         The client with its bounded pool.
-    attempt : Attempt
-        What to send.
+    open_attempt : OpenAttempt
+        What to send, registered by its owner; its hand-off mark is kept true
+        also when this call is cancelled.
     read_answer : callable
         Reads the body of an answer that echoes the attempt; raises
         ``ValueError`` on garbage.
@@ -42,11 +44,15 @@
     AttemptReport
         How it ended; never raises for what an endpoint does.
     """
-    hand_off = HandOff()
+    attempt, hand_off = open_attempt.attempt, open_attempt.hand_off
     started = anyio.current_time()
-    report = AttemptReport(attempt=attempt, end=AttemptEnd.TIMED_OUT)
+    report = AttemptReport(
+        attempt=attempt,
+        end=AttemptEnd.TIMED_OUT,
+        detail=f"no whole answer in {attempt.seconds:.3f} s",
+    )
     with anyio.move_on_after(attempt.seconds):
-        report = await _send(client, attempt, hand_off, read_answer)
+        report = await _send(client, open_attempt, read_answer)
     report.seconds = anyio.current_time() - started
     report.handed = hand_off.handed
     if not hand_off.handed:
@@ -55,27 +61,45 @@
 
 
 async def _send(
-    client: httpx.AsyncClient,
-    attempt: Attempt,
-    hand_off: HandOff,
-    read_answer: ReadAnswer,
+    client: httpx.AsyncClient, open_attempt: OpenAttempt, read_answer: ReadAnswer
 ) -> AttemptReport:
+    attempt = open_attempt.attempt
     try:
         async with client.stream(
             "POST",
             attempt.url + attempt.path,
             json=attempt.body,
             headers=attempt.headers(),
-            extensions=hand_off.extensions(),
+            extensions=open_attempt.hand_off.extensions(),
             timeout=TIMEOUT,
         ) as response:
-            unusable = check_answer_headers(attempt, response)
-            if unusable is not None:
-                return unusable
-            report = await read_answer(response)
-            report.leaving = response.headers.get(LEAVING_HEADER) == "1"
-            return report
-    except (httpx.HTTPError, httpx.StreamError, ValueError) as error:
+            return await _read(attempt, response, read_answer)
+    except TimeoutError as error:
+        return AttemptReport(
+            attempt=attempt, end=AttemptEnd.TIMED_OUT, detail=f"{error!s:.200}"
+        )
+    except (
+        httpx.HTTPError,
+        httpx.StreamError,
+        httpx.InvalidURL,
+        OSError,
+        ValueError,
+    ) as error:
         return AttemptReport(
             attempt=attempt, end=AttemptEnd.CUT, detail=f"{error!r:.200}"
         )
+
+
+async def _read(
+    attempt: Attempt, response: httpx.Response, read_answer: ReadAnswer
+) -> AttemptReport:
+    unusable = check_answer_headers(attempt, response)
+    if unusable is not None:
+        return unusable
+    encoding = response.headers.get("content-encoding", "identity")
+    if encoding != "identity":
+        raise ValueError(f"the answer is encoded as {encoding!r:.40}")
+    report = await read_answer(response)
+    report.leaving = response.headers.get(LEAVING_HEADER) == "1"
+    report.load = read_load(response)
+    return report
--- a/currantdyke/testing/builders.py
+++ b/currantdyke/testing/builders.py
@@ -16,7 +16,7 @@
 )
 from currantdyke.requests import Exchange
 from currantdyke.settings import DaemonSettings
-from currantdyke.stagecalls import Attempt, AttemptEnd, AttemptReport
+from currantdyke.stagecalls import Attempt, AttemptEnd, AttemptReport, OpenAttempt
 
 __all__ = [
     "CHAIN",
@@ -24,6 +24,7 @@
     "build_attempt",
     "build_bundle",
     "build_exchange",
+    "build_open_attempt",
     "build_pipeline",
     "build_report",
     "build_settings",
@@ -123,6 +124,17 @@
     return Attempt(**(values | changes))
 
 
+def build_open_attempt(
+    end: AttemptEnd | None = None, handed: bool = False
+) -> OpenAttempt:
+    """Return an attempt, settled if ``end`` is given."""
+    attempt = OpenAttempt(attempt=build_attempt())
+    attempt.hand_off.handed = handed
+    if end is not None:
+        attempt.settle(build_report(end))
+    return attempt
+
+
 def build_report(end: AttemptEnd = AttemptEnd.DONE, **changes: Any) -> AttemptReport:
     """Return the report of an attempt."""
     values: dict[str, Any] = {"attempt": build_attempt(), "end": end}
