Settle writes with unknown outcome in one place, budget store calls by duty

Cause: each writer treated a lost answer in its own way; publishing took an unknown write for a failed one. No duty was held to a rate, and the stand-in had no rates, no late writes, no skipped events and no early or late leases.

Change: settled_swap reads back and sends the same swap again until it knows; typed Unsettled where the store stays silent. BudgetedStore holds each duty to a token bucket and lets background duties yield to claims. The port gets delete; the adapter ends every call within 2 s whatever the transport does. The stand-in gets rates, late writes, skipped events, stretched leases.

Conclusion: writers can rely on written, not written or unsettled.

--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -16,7 +16,7 @@
 from currantdyke.metrics import Metrics
 from currantdyke.operators import operators_app
 from currantdyke.settings import DaemonSettings
-from currantdyke.store import EtcdStore
+from currantdyke.store import BudgetedStore, EtcdStore
 
 __all__ = ["Ports", "drain", "serve", "start_parts"]
 
@@ -61,7 +61,12 @@
             url=settings.store_url,
             count=lambda *labels: metrics.store_calls.labels(*labels).inc(),
         )
-        daemon = Daemon(settings=settings, store=store, client=client, metrics=metrics)
+        daemon = Daemon(
+            settings=settings,
+            store=BudgetedStore(store=store),
+            client=client,
+            metrics=metrics,
+        )
         await _run(daemon, stop, started)
 
 
--- a/currantdyke/standins/key_value.py
+++ b/currantdyke/standins/key_value.py
@@ -13,35 +13,15 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from currantdyke.standins.key_value_faults import (
+    KeyValueFaults,
+    LateWrite,
+    Window,
+)
 from currantdyke.store.etcd import decode, encode
 from currantdyke.store.port import Entry
 
-__all__ = ["KeyValueFaults", "KeyValueStandIn"]
-
-
-@attrs.define(kw_only=True)
-class KeyValueFaults:
-    """Switches that make the service misbehave.
-
-    Attributes
-    ----------
-    down : bool
-        Refuse every call before it takes effect.
-    delay : float
-        Seconds that each call waits first.
-    lose_answers : int
-        So many of the next writes take effect and answer with an error.
-    lose_writes : int
-        So many of the next writes answer with the same error and take no effect.
-    break_watches : bool
-        End watches at their next event.
-    """
-
-    down: bool = False
-    delay: float = 0.0
-    lose_answers: int = 0
-    lose_writes: int = 0
-    break_watches: bool = False
+__all__ = ["KeyValueStandIn"]
 
 
 @attrs.define(kw_only=True)
@@ -64,6 +44,11 @@
         self.faults = KeyValueFaults()
         self.calls = 0
         self.writes = 0
+        self.refused = 0
+        self.waiting_watches = 0
+        self.late: list[LateWrite] = []
+        self.read_window = Window()
+        self.write_window = Window()
         self.changed = anyio.Event()
 
     def app(self) -> Starlette:
@@ -99,15 +84,35 @@
         self.changed = anyio.Event()
         return entry
 
-    async def _question(self, request: Request) -> dict[str, Any] | None:
+    def arrive_late(self) -> None:
+        """Let the late writes that are due take effect."""
+        now = anyio.current_time()
+        due = [write for write in self.late if write.due <= now]
+        self.late = [write for write in self.late if write.due > now]
+        for write in due:
+            self._txn_answer(write.question)
+
+    async def _question(
+        self, request: Request, writes: bool = False
+    ) -> dict[str, Any] | None:
         self.calls += 1
         if self.faults.delay:
             await anyio.sleep(self.faults.delay)
         if self.faults.down:
             return None
+        if not self._within_rate(writes):
+            self.refused += 1
+            return None
         self.lapse()
+        self.arrive_late()
         return await request.json()
 
+    def _within_rate(self, writes: bool) -> bool:
+        if writes:
+            return self.write_window.admits(self.faults.writes_per_second)
+        left = self.faults.reads_per_second - self.waiting_watches
+        return self.read_window.admits(left)
+
     async def _range(self, request: Request) -> Response:
         question = await self._question(request)
         if question is None:
@@ -125,12 +130,17 @@
         return {"header": header, "kvs": [pair_of(entry) for entry in found]}
 
     async def _txn(self, request: Request) -> Response:
-        question = await self._question(request)
+        question = await self._question(request, writes=True)
         if question is None:
             return Response(status_code=503)
         if self.faults.lose_writes > 0:
             self.faults.lose_writes -= 1
             return Response(status_code=504)
+        if self.faults.late_writes > 0:
+            self.faults.late_writes -= 1
+            due = anyio.current_time() + self.faults.late_by
+            self.late.append(LateWrite(due=due, question=question))
+            return Response(status_code=504)
         answer = self._txn_answer(question)
         if answer["succeeded"] and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -160,31 +170,38 @@
                 int(put.get("lease", 0)),
             )
             return {"response_put": {}}
+        if "request_delete_range" in operation:
+            deleted = decode(operation["request_delete_range"]["key"]).decode()
+            self.entries.pop(deleted, None)
+            self.revision += 1
+            self.writes += 1
+            return {"response_delete_range": {}}
         return {"response_range": self._range_answer(operation["request_range"])}
 
     async def _grant(self, request: Request) -> Response:
-        question = await self._question(request)
+        question = await self._question(request, writes=True)
         if question is None:
             return Response(status_code=503)
         seconds = float(question["TTL"])
         lease_id = self.next_lease
         self.next_lease += 1
-        self.leases[lease_id] = Lease(
-            seconds=seconds, expires=anyio.current_time() + seconds
-        )
+        self.leases[lease_id] = Lease(seconds=seconds, expires=self._lapses_at(seconds))
         return JSONResponse({"ID": str(lease_id), "TTL": question["TTL"]})
 
     async def _keep_alive(self, request: Request) -> Response:
-        question = await self._question(request)
+        question = await self._question(request, writes=True)
         if question is None:
             return Response(status_code=503)
         lease = self.leases.get(int(question["ID"]))
         if lease is None:
             return JSONResponse({"result": {"ID": question["ID"], "TTL": "0"}})
-        lease.expires = anyio.current_time() + lease.seconds
+        lease.expires = self._lapses_at(lease.seconds)
         seconds = str(int(lease.seconds))
         return JSONResponse({"result": {"ID": question["ID"], "TTL": seconds}})
 
+    def _lapses_at(self, seconds: float) -> float:
+        return anyio.current_time() + seconds * self.faults.lease_stretch
+
     async def _watch(self, request: Request) -> Response:
         question = await self._question(request)
         if question is None:
@@ -194,6 +211,14 @@
     async def _watched(self, create: dict[str, Any]):
         start, end = (decode(create[name]).decode() for name in ("key", "range_end"))
         seen = int(create["start_revision"]) - 1
+        self.waiting_watches += 1
+        try:
+            async for line in self._events(start, end, seen):
+                yield line
+        finally:
+            self.waiting_watches -= 1
+
+    async def _events(self, start: str, end: str, seen: int):
         yield json.dumps({"result": {"created": True}}) + "\n"
         while not self.faults.down:
             changed = self.changed
@@ -205,9 +230,12 @@
             if fresh and self.faults.break_watches:
                 return
             for entry in fresh:
+                seen = entry.revision
+                if self.faults.skip_events > 0:
+                    self.faults.skip_events -= 1
+                    continue
                 event = {"type": "PUT", "kv": pair_of(entry)}
                 yield json.dumps({"result": {"events": [event]}}) + "\n"
-                seen = entry.revision
             await changed.wait()
 
 
--- a/currantdyke/store/etcd.py
+++ b/currantdyke/store/etcd.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+import anyio
 import attrs
 import httpx
 from expression import Error, Ok, Result
@@ -88,26 +89,16 @@
         put: dict[str, Any] = {"key": encode(key), "value": encode(value)}
         if lease:
             put["lease"] = str(lease)
-        compare = {
-            "key": encode(key),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(expected),
-        }
-        question = {
-            "compare": [compare],
-            "success": [{"request_put": put}],
-            "failure": [{"request_range": {"key": encode(key)}}],
-        }
-        answer = await self._post("/v3/kv/txn", question)
-        self.count(duty, "compare_and_swap", _result_label(answer))
-        if answer.is_error():
-            return Error(answer.error)
-        body = answer.ok
-        if body.get("succeeded"):
-            return Ok(int(body["header"]["revision"]))
-        pairs = body["responses"][0]["response_range"].get("kvs", ())
-        return Error(Conflict(current=next(map(entry_of, pairs), None)))
+        return await self._transact(
+            "compare_and_swap", key, expected, {"request_put": put}, duty
+        )
+
+    async def delete(
+        self, key: str, expected: int, *, duty: str
+    ) -> Result[int, StoreError]:
+        """Delete a key that is at revision ``expected``."""
+        operation = {"request_delete_range": {"key": encode(key)}}
+        return await self._transact("delete", key, expected, operation, duty)
 
     async def grant_lease(self, seconds: int, *, duty: str) -> Result[int, Unavailable]:
         """Return the id of a new lease."""
@@ -147,6 +138,37 @@
         except (httpx.HTTPError, ValueError, KeyError):
             self.count(duty, "watch", "broken")
 
+    async def _transact(
+        self,
+        call: str,
+        key: str,
+        expected: int,
+        operation: dict[str, Any],
+        duty: str,
+    ) -> Result[int, StoreError]:
+        compare = {
+            "key": encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected),
+        }
+        question = {
+            "compare": [compare],
+            "success": [operation],
+            "failure": [{"request_range": {"key": encode(key)}}],
+        }
+        answer = await self._post("/v3/kv/txn", question)
+        if answer.is_error():
+            self.count(duty, call, _result_label(answer))
+            return Error(answer.error)
+        body = answer.ok
+        if body.get("succeeded"):
+            self.count(duty, call, "ok")
+            return Ok(int(body["header"]["revision"]))
+        self.count(duty, call, "conflict")
+        pairs = body["responses"][0]["response_range"].get("kvs", ())
+        return Error(Conflict(current=next(map(entry_of, pairs), None)))
+
     async def _read(
         self, duty: str, call: str, path: str, question: dict[str, Any]
     ) -> Result[dict[str, Any], Unavailable]:
@@ -158,9 +180,12 @@
         self, path: str, question: dict[str, Any]
     ) -> Result[dict[str, Any], Unavailable | Unknown]:
         try:
-            response = await self.client.post(
-                self.url + path, json=question, timeout=CALL_TIMEOUT_SECONDS
-            )
+            with anyio.fail_after(CALL_TIMEOUT_SECONDS):
+                response = await self.client.post(
+                    self.url + path, json=question, timeout=CALL_TIMEOUT_SECONDS
+                )
+        except TimeoutError:
+            return Error(Unknown(detail=f"no answer in {CALL_TIMEOUT_SECONDS:g} s"))
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return Error(Unavailable(detail=repr(error)))
         except httpx.HTTPError as error:
--- a/currantdyke/store/port.py
+++ b/currantdyke/store/port.py
@@ -76,6 +76,18 @@
         """
         ...
 
+    async def delete(
+        self, key: str, expected: int, *, duty: str
+    ) -> Result[int, StoreError]:
+        """Delete a key that is at revision ``expected``.
+
+        Returns
+        -------
+        Result[int, StoreError]
+            The store's revision after it.
+        """
+        ...
+
     async def grant_lease(self, seconds: int, *, duty: str) -> Result[int, Unavailable]:
         """Return the id of a new lease."""
         ...
