Hold the configuration as signed changes over content-addressed parts

Cause: the head named one text; a change rewrote and moved all of it, nobody signed it, and a lost answer could not be told from a lost race. A test that flips every seventh byte found that a record with a misspelt field was taken under another hash; records are now refused unless they read back to the same bytes.

--- a/currantdyke/bundle/__init__.py
+++ b/currantdyke/bundle/__init__.py
@@ -1,10 +1,12 @@
 """The operators' versioned configuration."""
 
 from currantdyke.bundle.feed import ConfigurationFeed
+from currantdyke.bundle.follow import Follower
 from currantdyke.bundle.in_force import BundleInForce
 from currantdyke.bundle.schema import (
     Bundle,
     EndpointSpec,
+    Operator,
     Pipeline,
     Policy,
     Service,
@@ -20,6 +22,8 @@
     "BundleInForce",
     "ConfigurationFeed",
     "EndpointSpec",
+    "Follower",
+    "Operator",
     "Pipeline",
     "Policy",
     "Service",
--- a/currantdyke/bundle/schema.py
+++ b/currantdyke/bundle/schema.py
@@ -1,9 +1,10 @@
 """What a bundle holds, and what makes it valid."""
 
+import collections
 import hashlib
 
 import attrs
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from currantdyke.documents import Problem, check_document
 from currantdyke.documents.validators import between, name_text, one_of
@@ -11,17 +12,21 @@
 __all__ = [
     "Bundle",
     "EndpointSpec",
+    "Operator",
     "Pipeline",
     "Policy",
     "Service",
     "Stage",
     "StageKind",
     "Workspace",
+    "bundle_problems",
     "check_bundle",
     "hash_key",
 ]
 
 MAX_STAGES = 12
+MIN_OPERATORS = 2
+PUBLIC_KEY_HEX_DIGITS = 64
 
 
 class StageKind:
@@ -111,6 +116,22 @@
     retry_budget_share: float = attrs.field(default=0.1, validator=between(0.0, 1.0))
 
 
+def _public_key(_, attribute: attrs.Attribute, value: str) -> None:
+    digits = set("0123456789abcdef")
+    if len(value) != PUBLIC_KEY_HEX_DIGITS or not set(value) <= digits:
+        raise ValueError(
+            f"{attribute.name} is {value[:80]!r}; "
+            f"use the {PUBLIC_KEY_HEX_DIGITS} hexadecimal digits of an Ed25519 key"
+        )
+
+
+@attrs.frozen(kw_only=True)
+class Operator:
+    """A person who may propose, sign off and roll changes."""
+
+    public_key: str = attrs.field(validator=_public_key)
+
+
 @attrs.frozen(kw_only=True)
 class Bundle:
     """One version of the configuration, whole."""
@@ -119,6 +140,7 @@
     pipelines: dict[str, Pipeline] = attrs.field(factory=dict)
     workspaces: dict[str, Workspace] = attrs.field(factory=dict)
     policy: Policy = attrs.field(factory=Policy)
+    operators: dict[str, Operator] = attrs.field(factory=dict)
 
 
 def hash_key(key: str) -> str:
@@ -137,13 +159,38 @@
     checked = check_document(text, Bundle)
     if checked.is_error():
         return checked
-    bundle = checked.ok
-    problems = [
-        Problem(path=f"$.pipelines.{name}", line=1, detail=detail, remedy=remedy)
+    problems = bundle_problems(checked.ok)
+    return Error(problems) if problems else checked
+
+
+def bundle_problems(bundle: Bundle) -> list[Problem]:
+    """Return what does not fit together in a bundle of checked parts."""
+    found = [
+        (f"$.pipelines.{name}", detail, remedy)
         for name, pipeline in bundle.pipelines.items()
         for detail, remedy in _pipeline_problems(pipeline, bundle)
     ]
-    return Error(problems) if problems else Ok(bundle)
+    found += [
+        (f"$.services.{name}", detail, "give each endpoint a name of its own")
+        for name, service in bundle.services.items()
+        for detail in _endpoint_problems(service)
+    ]
+    if 0 < len(bundle.operators) < MIN_OPERATORS:
+        found.append(
+            (
+                "$.operators",
+                f"{len(bundle.operators)} operator cannot have a change signed off",
+                f"name at least {MIN_OPERATORS} operators",
+            )
+        )
+    return [Problem(path=p, line=1, detail=d, remedy=r) for p, d, r in found]
+
+
+def _endpoint_problems(service: Service):
+    counts = collections.Counter(endpoint.name for endpoint in service.endpoints)
+    for name, count in counts.items():
+        if count > 1:
+            yield f"{count} endpoints are named {name!r}"
 
 
 def _pipeline_problems(pipeline: Pipeline, bundle: Bundle):
--- a/currantdyke/cli/demo.py
+++ b/currantdyke/cli/demo.py
@@ -9,9 +9,12 @@
 import httpx_sse
 import msgspec
 import yaml
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from currantdyke.bundle import hash_key
-from currantdyke.bundle.published import follow_bundle, publish_bundle
+from currantdyke.bundle import check_bundle, hash_key
+from currantdyke.bundle.change import Signer
+from currantdyke.bundle.lifecycle import propose, sign_off
+from currantdyke.bundle.roll import roll
 from currantdyke.daemon import Ports, open_listener, serve, serve_http
 from currantdyke.settings import DaemonSettings
 from currantdyke.standins import KeyValueStandIn, StageStandIn, stage_app
@@ -32,7 +35,7 @@
 TOKEN_SECONDS = 0.02
 
 
-def demo_bundle(urls: dict[str, str]) -> str:
+def demo_bundle(urls: dict[str, str], public_keys: dict[str, str]) -> str:
     """Return the YAML of a bundle over one endpoint a service."""
     services = {
         name: {
@@ -53,6 +56,7 @@
             "services": services,
             "pipelines": {"tasting-notes": {"deadline": 6.0, "stages": stages}},
             "workspaces": {"jos-presses": workspace},
+            "operators": {n: {"public_key": k} for n, k in public_keys.items()},
         },
         sort_keys=False,
     )
@@ -100,9 +104,21 @@
     client: httpx.AsyncClient, store_url: str, urls: dict[str, str], ports: Ports
 ) -> None:
     store = EtcdStore(client=client, url=store_url)
-    published = await publish_bundle(store, demo_bundle(urls))
-    click.echo(f"bundle version {published.ok.version} accepted")
-    await follow_bundle(ports.daemon.store, ports.daemon.in_force)
+    adaeze, bola = (
+        Signer(name=name, private_key=Ed25519PrivateKey.generate())
+        for name in ("adaeze", "bola")
+    )
+    keys = {adaeze.name: adaeze.public_key, bola.name: bola.public_key}
+    bundle = check_bundle(demo_bundle(urls, keys)).ok
+    proposal = (await propose(store, bundle, adaeze, bootstrap=keys)).ok
+    change_id = proposal.change.change_id
+    await sign_off(store, change_id, bola, bootstrap=keys)
+    head = (await roll(store, change_id, adaeze, bootstrap=keys)).ok
+    click.echo(
+        f"bundle version {head.version} accepted: proposed by {head.proposer}, "
+        f"signed off by {head.signed_off_by}"
+    )
+    await ports.daemon.follower.look()
 
 
 async def _request(client: httpx.AsyncClient, ports: Ports) -> str:
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -9,7 +9,13 @@
 import httpx
 from absl import logging
 
-from currantdyke.bundle import Bundle, BundleInForce, ConfigurationFeed, Pipeline
+from currantdyke.bundle import (
+    Bundle,
+    BundleInForce,
+    ConfigurationFeed,
+    Follower,
+    Pipeline,
+)
 from currantdyke.callers import CallersFace
 from currantdyke.core import (
     DaemonIdentity,
@@ -22,6 +28,7 @@
 from currantdyke.events import Timeline
 from currantdyke.metrics import Metrics
 from currantdyke.operators import OperatorsFace
+from currantdyke.operators.configuration import configuration_routes
 from currantdyke.pipelines import RunParts, run_request
 from currantdyke.requests import Exchange, RequestTable
 from currantdyke.settings import DaemonSettings
@@ -71,7 +78,16 @@
         self.timers = TimerService(random_source=self.random_source)
         self.timeline = Timeline(daemon=settings.name)
         self.in_force = BundleInForce()
-        self.configuration = ConfigurationFeed(in_force=self.in_force)
+        self.configuration = ConfigurationFeed(
+            in_force=self.in_force, random_source=self.random_source
+        )
+        self.follower = Follower(
+            store=store,
+            feed=self.configuration,
+            name=settings.name,
+            region=settings.region,
+            random_source=self.random_source,
+        )
         self.endpoints = EndpointTable()
         self.in_force.subscribe(self.endpoints.follow)
         self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
@@ -105,11 +121,12 @@
             timeline=self.timeline,
             in_force=self.in_force,
             is_ready=self.is_ready,
+            routes=configuration_routes(self.configuration, self.follower),
         )
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new requests here."""
-        return self.in_force.bundle is not None and not self.draining
+        return self.follower.is_ready() and not self.draining
 
     def submit(
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -1,6 +1,5 @@
 """Run a daemon until it is told to stop, then shut it down whole."""
 
-import functools
 from collections.abc import Callable
 
 import anyio
@@ -9,7 +8,7 @@
 import httpx
 from absl import logging
 
-from currantdyke.bundle.published import POLL_SECONDS, follow_bundle
+from currantdyke.bundle.follow import POLL_JITTER, POLL_SECONDS
 from currantdyke.callers import callers_app
 from currantdyke.daemon.daemon import Daemon
 from currantdyke.daemon.listen import open_listener, serve_http
@@ -99,13 +98,15 @@
     daemon.tasks = tasks
     daemon.timers.every(
         POLL_SECONDS,
-        functools.partial(follow_bundle, daemon.store, daemon.in_force),
-        name="bundle poll",
+        daemon.follower.poll,
+        name="configuration poll",
+        jitter=POLL_JITTER,
         first_after=FIRST_LOOK_SECONDS,
     )
     daemon.timers.every(
         FORGET_SECONDS, daemon.requests.forget_old, name="forget old requests"
     )
+    tasks.start_soon(daemon.follower.run)
     tasks.start_soon(daemon.timers.run)
 
 
--- a/currantdyke/operators/app.py
+++ b/currantdyke/operators/app.py
@@ -24,6 +24,7 @@
     timeline: Timeline
     in_force: BundleInForce
     is_ready: Callable[[], bool]
+    routes: list[Route] = attrs.field(factory=list)
 
 
 def operators_app(face: OperatorsFace) -> Starlette:
@@ -50,6 +51,7 @@
             Route("/ready", ready),
             Route("/metrics", metrics),
             Route("/timeline", timeline),
+            *face.routes,
         ]
     )
 
