Measure what one daemon carries on one core

Cause: the target of 68 requests/s with 13,500 tokens/s on one core had no measurement. Change: a bench with stand-ins, one daemon and callers in processes of their own (python -m currantdyke.benches.serve).

--- /dev/null
+++ b/currantdyke/benches/serve/__main__.py
@@ -0,0 +1,168 @@
+"""Measure one daemon: ``python -m currantdyke.benches.serve``."""
+
+import json
+import pathlib
+import time
+
+import click
+import numpy as np
+import psutil
+
+from currantdyke.benches.serve.callers import StreamTimes, run_callers
+from currantdyke.benches.serve.processes import (
+    bench_bundle,
+    run_daemon,
+    run_standins,
+    spawned,
+)
+
+STANDIN_PROCESSES = 3
+CALLER_PROCESSES = 3
+TARGET_REQUESTS_PER_SECOND = 68
+TARGET_TOKENS_PER_SECOND = 13_500
+MEBIBYTE = 1024 * 1024
+
+
+def measure(
+    url: str, body: dict, streams: int, seconds: float, pid: int | None
+) -> dict[str, float]:
+    """Keep streams open and return the figures of the run.
+
+    Parameters
+    ----------
+    url : str
+        Where to send requests.
+    body : dict
+        The JSON body of each.
+    streams : int
+        Streams open at once.
+    seconds : float
+        How long new requests are sent.
+    pid : int or None
+        The process whose processor time and memory count.
+    """
+    shares = [streams // CALLER_PROCESSES] * CALLER_PROCESSES
+    shares[0] += streams - sum(shares)
+    callers = [
+        spawned(run_callers, url, body, share, seconds) for share in shares if share
+    ]
+    watched = psutil.Process(pid) if pid else None
+    before = watched.cpu_times() if watched else None
+    resident_before = watched.memory_info().rss if watched else 0
+    started = time.monotonic()
+    for _, pipe, _ in callers:
+        pipe.send("go")
+    time.sleep(seconds * 0.8)
+    resident = watched.memory_info().rss if watched else 0
+    seen = [pipe.recv() for _, pipe, _ in callers]
+    elapsed = time.monotonic() - started
+    for process, _, _ in callers:
+        process.join()
+    row = summarise(seen, elapsed)
+    if watched and before:
+        after = watched.cpu_times()
+        row["cpu_s"] = after.user + after.system - before.user - before.system
+        row["cores"] = row["cpu_s"] / elapsed
+        row["kib_per_stream"] = (resident - resident_before) / streams / 1024
+        row["resident_mib"] = resident / MEBIBYTE
+    return row
+
+
+def summarise(seen: list[StreamTimes], elapsed: float) -> dict[str, float]:
+    """Fold the reports of all caller processes into one row."""
+    first = [value for times in seen for value in times.first_token]
+    gaps = [value for times in seen for value in times.gaps]
+    return {
+        "seconds": elapsed,
+        "whole": sum(times.whole for times in seen),
+        "broken": sum(times.broken for times in seen),
+        "requests_per_s": sum(times.whole for times in seen) / elapsed,
+        "tokens_per_s": sum(times.tokens for times in seen) / elapsed,
+        "events_per_s": sum(times.events for times in seen) / elapsed,
+        "first_token_p50_ms": percentile(first, 50),
+        "first_token_p95_ms": percentile(first, 95),
+        "first_token_p99_ms": percentile(first, 99),
+        "gap_p95_ms": percentile(gaps, 95),
+    }
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile in milliseconds, 0 where there are no values."""
+    return float(np.percentile(values, share)) * 1000 if values else 0.0
+
+
+@click.command()
+@click.option("--streams", default="1,50,300,1000", show_default=True)
+@click.option("--tokens", default=100, show_default=True)
+@click.option("--token-seconds", default=0.02, show_default=True)
+@click.option("--stage-seconds", default=0.02, show_default=True)
+@click.option("--seconds", default=8.0, show_default=True)
+@click.option("--output", type=click.Path(), default=None)
+def main(
+    streams: str,
+    tokens: int,
+    token_seconds: float,
+    stage_seconds: float,
+    seconds: float,
+    output: str | None,
+) -> None:
+    """Measure one daemon against calling the stand-in engine directly."""
+    standins = [
+        spawned(run_standins, tokens, stage_seconds, token_seconds)
+        for _ in range(STANDIN_PROCESSES)
+    ]
+    urls = [found for _, _, found in standins]
+    rows = []
+    for count in map(int, streams.split(",")):
+        direct_body = {"stream": True, "max_tokens": tokens}
+        direct_url = urls[0]["generate"] + "/v1/completions"
+        direct = measure(direct_url, direct_body, min(count, 50), seconds / 2, None)
+        daemon, pipe, url = spawned(run_daemon, urls[0]["store"], bench_bundle(urls))
+        row = measure(
+            f"{url}/v1/pipelines/notes", {"input": 1}, count, seconds, daemon.pid
+        )
+        pipe.send("stop")
+        daemon.join()
+        fakes_ms = (4 * stage_seconds) * 1000
+        row["streams"] = count
+        row["added_p50_ms"] = row["first_token_p50_ms"] - fakes_ms
+        row["added_p95_ms"] = row["first_token_p95_ms"] - fakes_ms
+        row["direct_first_token_p50_ms"] = direct["first_token_p50_ms"]
+        row["direct_first_token_p99_ms"] = direct["first_token_p99_ms"]
+        rows.append(row)
+        click.echo(json.dumps({k: round(v, 2) for k, v in row.items()}))
+    for process, pipe, _ in standins:
+        pipe.send("stop")
+        process.join()
+    show(rows)
+    if output:
+        pathlib.Path(output).write_text(json.dumps(rows, indent=1) + "\n")
+
+
+def show(rows: list[dict[str, float]]) -> None:
+    """Print the summary as a table."""
+    names = (
+        "streams",
+        "requests_per_s",
+        "tokens_per_s",
+        "events_per_s",
+        "cores",
+        "added_p50_ms",
+        "added_p95_ms",
+        "gap_p95_ms",
+        "kib_per_stream",
+        "resident_mib",
+        "broken",
+    )
+    click.echo(" ".join(f"{name:>15}" for name in names))
+    for row in rows:
+        click.echo(" ".join(f"{row[name]:>15.1f}" for name in names))
+    click.echo(
+        f"target: {TARGET_REQUESTS_PER_SECOND} requests/s with "
+        f"{TARGET_TOKENS_PER_SECOND} tokens/s under one core, "
+        "added first-token time under 10 ms at the 95th percentile"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/currantdyke/benches/serve/callers.py
@@ -0,0 +1,116 @@
+"""Callers that keep a number of streams open, each in a loop of its own."""
+
+import time
+from typing import Any
+
+import anyio
+import attrs
+import httpx
+import httpx_sse
+
+from currantdyke.benches.serve.processes import WORKSPACE_KEY, Pipe
+
+__all__ = ["StreamTimes", "run_callers"]
+
+MAX_CONNECTIONS = 2_000
+
+
+@attrs.define(kw_only=True)
+class StreamTimes:
+    """What one process of callers saw.
+
+    Attributes
+    ----------
+    first_token : list of float
+        Seconds from sending to the first token, a request each.
+    gaps : list of float
+        Seconds between events that carry tokens.
+    whole : int
+        Requests answered whole.
+    events : int
+        Events that carried tokens.
+    tokens : int
+        Tokens in them.
+    broken : int
+        Requests that ended in any other way.
+    """
+
+    first_token: list[float] = attrs.field(factory=list)
+    gaps: list[float] = attrs.field(factory=list)
+    whole: int = 0
+    events: int = 0
+    tokens: int = 0
+    broken: int = 0
+
+
+def run_callers(
+    pipe: Pipe, url: str, body: dict[str, Any], streams: int, seconds: float
+) -> None:
+    """Keep ``streams`` requests open for ``seconds``, then report the times."""
+    times = StreamTimes()
+
+    async def main() -> None:
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_CONNECTIONS
+        )
+        ends = time.monotonic() + seconds
+        async with (
+            httpx.AsyncClient(timeout=120.0, limits=limits) as client,
+            anyio.create_task_group() as tasks,
+        ):
+            for number in range(streams):
+                delay = number / streams * min(1.0, seconds / 4)
+                tasks.start_soon(_caller, client, url, body, times, ends, delay)
+
+    pipe.send("started")
+    pipe.recv()
+    anyio.run(main)
+    pipe.send(times)
+
+
+async def _caller(
+    client: httpx.AsyncClient,
+    url: str,
+    body: dict[str, Any],
+    times: StreamTimes,
+    ends: float,
+    delay: float,
+) -> None:
+    await anyio.sleep(delay)
+    while time.monotonic() < ends:
+        try:
+            await _one(client, url, body, times)
+        except httpx.HTTPError:
+            times.broken += 1
+
+
+async def _one(
+    client: httpx.AsyncClient, url: str, body: dict[str, Any], times: StreamTimes
+) -> None:
+    started = time.monotonic()
+    last = 0.0
+    whole = False
+    headers = {
+        "authorization": f"Bearer {WORKSPACE_KEY}",
+        "accept": "text/event-stream",
+        "x-request-id": "direct",
+        "x-stage": "generate",
+        "x-attempt-id": "direct",
+    }
+    async with httpx_sse.aconnect_sse(
+        client, "POST", url, json=body, headers=headers
+    ) as source:
+        async for event in source.aiter_sse():
+            if event.event not in ("token", "message") or event.data == "[DONE]":
+                whole = event.event == "answer" or event.data == "[DONE]"
+                continue
+            now = time.monotonic()
+            if last:
+                times.gaps.append(now - last)
+            else:
+                times.first_token.append(now - started)
+            last = now
+            times.events += 1
+            times.tokens += event.data.count(":", event.data.find("text") + 6)
+    times.whole += whole
+    times.broken += not whole
--- /dev/null
+++ b/currantdyke/benches/serve/processes.py
@@ -0,0 +1,124 @@
+"""The processes of the bench: stand-ins, one daemon and callers."""
+
+import multiprocessing
+import multiprocessing.connection
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import yaml
+from absl import logging
+
+from currantdyke.bundle import hash_key
+from currantdyke.bundle.schema import check_bundle
+from currantdyke.daemon import Ports, open_listener, serve, serve_http
+from currantdyke.settings import DaemonSettings
+from currantdyke.standins import KeyValueStandIn, StageStandIn, stage_app
+
+__all__ = ["WORKSPACE_KEY", "bench_bundle", "run_daemon", "run_standins", "spawned"]
+
+LOOPBACK = "127.0.0.1"
+WORKSPACE_KEY = "bench-key"
+STAGES = ("encode", "retrieve", "rerank", "generate")
+ENGINE_SLOTS = 1000
+
+Pipe = multiprocessing.connection.Connection
+
+
+def spawned(function: Callable[..., None], *arguments: Any):
+    """Start ``function`` in a process of its own; return process and pipe.
+
+    The function gets its end of the pipe first; what it sends first is waited
+    for and returned too.
+    """
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    process = context.Process(target=function, args=(theirs, *arguments), daemon=True)
+    process.start()
+    return process, ours, ours.recv()
+
+
+async def _stopped_by(pipe: Pipe, stop: anyio.Event) -> None:
+    """Set ``stop`` once the parent says so."""
+    await anyio.to_thread.run_sync(pipe.recv, abandon_on_cancel=True)
+    stop.set()
+
+
+def run_standins(pipe: Pipe, tokens: int, seconds: float, token_seconds: float) -> None:
+    """Serve one endpoint a stage, and a key-value service."""
+
+    async def main() -> None:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            urls = {}
+            for stage in STAGES:
+                listener = open_listener(LOOPBACK, 0)
+                standin = StageStandIn(
+                    name=stage,
+                    tokens=tokens,
+                    seconds=seconds,
+                    token_seconds=token_seconds,
+                )
+                urls[stage] = listener.url
+                tasks.start_soon(serve_http, stage_app(standin), listener, stop)
+            listener = open_listener(LOOPBACK, 0)
+            urls["store"] = listener.url
+            tasks.start_soon(serve_http, KeyValueStandIn().app(), listener, stop)
+            pipe.send(urls)
+            await _stopped_by(pipe, stop)
+
+    anyio.run(main)
+
+
+def bench_bundle(urls: list[dict[str, str]]) -> str:
+    """Return a bundle over the stand-ins of several processes."""
+    services = {
+        stage: {
+            "kind": stage,
+            "endpoints": [
+                {"name": f"{stage}-{i}", "url": found[stage], "slots": ENGINE_SLOTS}
+                for i, found in enumerate(urls)
+            ],
+        }
+        for stage in STAGES
+    }
+    stages: list[dict[str, Any]] = [
+        {"name": stage, "service": stage, "after": list(STAGES[max(0, i - 1) : i])}
+        for i, stage in enumerate(STAGES)
+    ]
+    stages[-1]["max_tokens"] = 100_000
+    pipeline = {"deadline": 60.0, "stages": stages}
+    return yaml.safe_dump(
+        {
+            "services": services,
+            "pipelines": {"notes": pipeline},
+            "workspaces": {"bench": {"key_hashes": [hash_key(WORKSPACE_KEY)]}},
+        }
+    )
+
+
+def run_daemon(pipe: Pipe, store_url: str, bundle: str) -> None:
+    """Run a daemon with a bundle in force until the parent says stop."""
+    logging.set_verbosity(logging.WARNING)
+
+    async def main() -> None:
+        stop = anyio.Event()
+
+        def started(ports: Ports) -> None:
+            ports.daemon.in_force.accept(1, check_bundle(bundle).ok)
+            pipe.send(ports.callers_url)
+
+        settings = DaemonSettings(
+            name="entry-1",
+            availability_zone="bench",
+            callers_port=0,
+            operators_port=0,
+            store_url=store_url,
+            max_requests_in_flight=5_000,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_stopped_by, pipe, stop)
+            await serve(settings, stop, started=started)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
