--- a/currantdyke/bundle/lifecycle.py
+++ b/currantdyke/bundle/lifecycle.py
@@ -24,6 +24,7 @@
     EDITS_PREFIX,
     proposal_key,
     read_content,
+    read_edits,
     read_head,
     read_proposal,
     read_records,
@@ -40,7 +41,14 @@
 from currantdyke.bundle.versions import Version, applied
 from currantdyke.store import Conflict, Store
 
-__all__ = ["current_version", "history", "propose", "propose_roll_back", "sign_off"]
+__all__ = [
+    "current_version",
+    "history",
+    "propose",
+    "propose_roll_back",
+    "proposed_edits",
+    "sign_off",
+]
 
 MAX_INLINE_BYTES = 48_000
 EDIT_PART_EDITS = 2_000
@@ -186,6 +194,20 @@
     return Ok(attrs.evolve(change, edit_parts=tuple(digests)))
 
 
+async def proposed_edits(
+    store: Store, change_id: str
+) -> Result[tuple[tuple[Edit, ...], Content], Refused]:
+    """Return a proposal's edits and the content at the head, to be looked over."""
+    found = await read_proposal(store, change_id)
+    if found.is_error():
+        return Error(found.error)
+    edits = await read_edits(store, found.ok[0].change)
+    if edits.is_error():
+        return Error(refused_by_store(edits.error))
+    base = await current_version(store)
+    return base.map(lambda version: (edits.ok, version.content))
+
+
 async def sign_off(
     store: Store,
     change_id: str,
--- a/currantdyke/bundle/roll.py
+++ b/currantdyke/bundle/roll.py
@@ -16,12 +16,11 @@
     wall_seconds,
 )
 from currantdyke.bundle.stored import (
-    EDITS_PREFIX,
     HEAD_KEY,
     RECORD_PREFIX,
     head_bytes,
+    read_edits,
     read_head,
-    read_part,
     read_proposal,
     read_records,
     read_version,
@@ -87,7 +86,7 @@
     problem = may_not_sign(base.ok, signer, bootstrap)
     if problem:
         return Error(problem)
-    edits = await _edits_of(store, proposal.change)
+    edits = await read_edits(store, proposal.change)
     if edits.is_error():
         return Error(refused_by_store(edits.error))
     if head is not None and head.version != proposal.change.base_version:
@@ -119,16 +118,6 @@
     return Ok(None)
 
 
-async def _edits_of(store: Store, change: Change) -> Result[tuple[Edit, ...], str]:
-    edits = list(change.edits)
-    for digest in change.edit_parts:
-        part = await read_part(store, EDITS_PREFIX, digest)
-        if part.is_error():
-            return Error(part.error)
-        edits += decode(part.ok, list[Edit])
-    return Ok(tuple(edits))
-
-
 async def _move_head(
     store: Store,
     base: Version,
--- a/currantdyke/bundle/stored.py
+++ b/currantdyke/bundle/stored.py
@@ -4,7 +4,15 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from currantdyke.bundle.change import Head, Proposal, Record, decode, encode
+from currantdyke.bundle.change import (
+    Change,
+    Edit,
+    Head,
+    Proposal,
+    Record,
+    decode,
+    encode,
+)
 from currantdyke.bundle.content import Content, content_hash, decode_part
 from currantdyke.bundle.trouble import Refused, refused_by_store
 from currantdyke.bundle.versions import Version, verified_whole
@@ -13,7 +21,9 @@
 __all__ = [
     "DUTY",
     "HEAD_KEY",
+    "decode_head",
     "read_content",
+    "read_edits",
     "read_head",
     "read_proposal",
     "read_record",
@@ -203,6 +213,17 @@
     return Ok((decode(answer.ok.value, Proposal), answer.ok))
 
 
+async def read_edits(store: Store, change: Change) -> Result[tuple[Edit, ...], str]:
+    """Return all edits of a change, those that are kept in parts too."""
+    edits = list(change.edits)
+    for digest in change.edit_parts:
+        part = await read_part(store, EDITS_PREFIX, digest)
+        if part.is_error():
+            return Error(part.error)
+        edits += decode(part.ok, list[Edit])
+    return Ok(tuple(edits))
+
+
 def proposal_key(change_id: str) -> str:
     """Return the key that holds a proposal."""
     return PROPOSAL_PREFIX + change_id
--- a/currantdyke/cli/main.py
+++ b/currantdyke/cli/main.py
@@ -9,6 +9,7 @@
 
 import currantdyke
 from currantdyke.bundle import check_bundle
+from currantdyke.cli.config import config
 from currantdyke.cli.demo import run_demo
 from currantdyke.daemon import Ports, serve
 from currantdyke.documents import check_document
@@ -27,6 +28,9 @@
     logging.set_verbosity(logging.INFO)
 
 
+main.add_command(config)
+
+
 @main.command("serve")
 @click.argument("settings_file", type=click.Path(exists=True, dir_okay=False))
 def serve_command(settings_file: str) -> None:
