Make one binary, and gather the time line over daemons

Cause: the product must ship as one file that runs as one process, and the time line stood on each daemon alone. Change: `make binary` builds one executable archive (shiv) and shows by the process table that it has no children; `timeline` gathers events from operators' faces in hybrid-time order, as a table, JSON or a Chrome trace; `request` sends one request from the command line; the trio server is imported only where it is used.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: setup lock format lint test demo clean
+.PHONY: setup lock format lint test demo binary bench-serve clean
 
 setup: .venv/installed
 
@@ -33,5 +33,12 @@
 demo: setup
 	$(BIN)/python -m currantdyke demo
 
+binary: setup
+	bash build_tools/make_binary.sh
+	$(BIN)/python build_tools/check_binary.py
+
+bench-serve: setup
+	$(BIN)/python -m currantdyke.benches.serve --output docs/results/serve.json
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/build_tools/check_binary.py
@@ -0,0 +1,73 @@
+"""Start the binary as a daemon and show that it is a single process.
+
+Prints the seconds until it listens (first start, which unpacks, and second), its
+resident memory and the processes below it; exits 1 if there are any.
+"""
+
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import psutil
+
+BINARY = pathlib.Path(__file__).resolve().parent.parent / "dist" / "currantdyke"
+START_LIMIT_SECONDS = 60.0
+SETTINGS = """\
+name: entry-1
+availability_zone: jos-a
+callers_port: {callers}
+operators_port: {operators}
+store_url: http://127.0.0.1:9
+"""
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def start(settings: pathlib.Path, port: int, root: str):
+    """Start the binary; return its process and the seconds until it listens."""
+    started = time.monotonic()
+    environment = {**os.environ, "SHIV_ROOT": root}
+    process = subprocess.Popen([BINARY, "serve", settings], env=environment)
+    while time.monotonic() - started < START_LIMIT_SECONDS:
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) == 0:
+                return process, time.monotonic() - started
+        time.sleep(0.01)
+    process.kill()
+    raise SystemExit("the binary did not listen in time")
+
+
+def main() -> int:
+    """Start twice; the first start unpacks."""
+    root = tempfile.mkdtemp(prefix="currantdyke-")
+    callers, operators = free_port(), free_port()
+    settings = pathlib.Path(root) / "settings.yaml"
+    settings.write_text(SETTINGS.format(callers=callers, operators=operators))
+    below = 0
+    for label in ("first start", "second start"):
+        process, seconds = start(settings, operators, root)
+        seen = psutil.Process(process.pid)
+        below += len(seen.children(recursive=True))
+        resident = seen.memory_info().rss / 1024 / 1024
+        print(f"{label}: {seconds:.2f} s, {resident:.0f} MiB resident, ", end="")
+        print(f"process {process.pid} with {below} processes below it")
+        process.send_signal(signal.SIGTERM)
+        if process.wait(timeout=30) != 0:
+            raise SystemExit(f"the binary ended with {process.returncode}, not 0")
+    shutil.rmtree(root)
+    return 1 if below else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/currantdyke/cli/main.py
+++ b/currantdyke/cli/main.py
@@ -11,6 +11,8 @@
 from currantdyke.bundle import check_bundle
 from currantdyke.cli.config import config
 from currantdyke.cli.demo import run_demo
+from currantdyke.cli.request import request_command
+from currantdyke.cli.timeline import timeline_command
 from currantdyke.daemon import Ports, serve
 from currantdyke.documents import check_document
 from currantdyke.settings import DaemonSettings
@@ -29,6 +31,8 @@
 
 
 main.add_command(config)
+main.add_command(request_command)
+main.add_command(timeline_command)
 
 
 @main.command("serve")
--- a/currantdyke/daemon/listen.py
+++ b/currantdyke/daemon/listen.py
@@ -6,8 +6,6 @@
 
 import anyio
 import attrs
-import hypercorn.asyncio
-import hypercorn.trio
 import sniffio
 from hypercorn.config import Config
 
@@ -60,5 +58,8 @@
 
 def _hypercorn_serve() -> Callable[..., Any]:
     if sniffio.current_async_library() == "trio":
-        return hypercorn.trio.serve
+        # Imported only where it is used: a daemon in service saves its memory.
+        from hypercorn import trio as hypercorn_trio
+
+        return hypercorn_trio.serve
     return hypercorn.asyncio.serve
