--- a/currantdyke/daemon/listen.py
+++ b/currantdyke/daemon/listen.py
@@ -6,6 +6,7 @@
 
 import anyio
 import attrs
+import hypercorn.asyncio
 import sniffio
 from hypercorn.config import Config
 
