Collect parts that no version uses, settle writes in the shared place

Cause: every change left a part and a manifest of 56 KB behind for ever; writes of this slice were settled by code of its own. Change: records name the revisions of the parts written for them; one daemon deletes a retired part at that revision an hour later, so that a roll-back that writes it again wins over the delete; records go after 50,000 versions. Writes go through settled_swap.

--- a/currantdyke/bundle/change.py
+++ b/currantdyke/bundle/change.py
@@ -133,6 +133,9 @@
         Hash of the record of the version before; empty for the first.
     root : str
         Hash of the manifest of the content after the change.
+    written : dict
+        The store's revision of each part that was written for the version, by
+        hash; what the collector deletes it at, later.
     rolled : Signature or None
         Signature of the operator who rolled it, under all other fields.
     """
@@ -144,6 +147,7 @@
     proposed: Signature
     signed_off: Signature
     rolled_at: float
+    written: dict[str, int] = attrs.field(factory=dict)
     rolled: Signature | None = None
 
     def signed_by(self, signer: Signer) -> "Record":
--- a/currantdyke/bundle/follow.py
+++ b/currantdyke/bundle/follow.py
@@ -19,7 +19,7 @@
 )
 from currantdyke.store import Store
 
-__all__ = ["Follower", "choose_watchers"]
+__all__ = ["Follower", "choose_collector", "choose_watchers"]
 
 POLL_SECONDS = 5.0
 POLL_JITTER = 0.3
@@ -54,6 +54,12 @@
     return ranked[:count]
 
 
+def choose_collector(members: Iterable[tuple[str, str]]) -> str:
+    """Return the one daemon that collects what is no longer used."""
+    names = {name for name, _ in members}
+    return min(names, key=lambda n: xxhash.xxh64_intdigest(f"collect/{n}".encode()))
+
+
 class Follower:
     """Keeps a daemon's feed up with the head in the store.
 
@@ -97,6 +103,10 @@
         """Return whether this daemon is one of those that watch the store."""
         return self.name in choose_watchers(self.live_members(), self.region)
 
+    def is_collector(self) -> bool:
+        """Return whether this daemon collects parts that are no longer used."""
+        return self.name == choose_collector(self.live_members())
+
     def is_ready(self) -> bool:
         """Return whether traffic may come.
 
--- a/currantdyke/bundle/lifecycle.py
+++ b/currantdyke/bundle/lifecycle.py
@@ -190,7 +190,7 @@
         written = await write_part(store, part, prefix=EDITS_PREFIX, lease=lease)
         if written.is_error():
             return Error(written.error)
-        digests.append(written.ok)
+        digests.append(written.ok[0])
     return Ok(attrs.evolve(change, edit_parts=tuple(digests)))
 
 
--- a/currantdyke/bundle/roll.py
+++ b/currantdyke/bundle/roll.py
@@ -17,13 +17,13 @@
 )
 from currantdyke.bundle.stored import (
     HEAD_KEY,
-    RECORD_PREFIX,
     head_bytes,
     read_edits,
     read_head,
     read_proposal,
     read_records,
     read_version,
+    record_prefix,
     settled_write,
     write_content,
     write_part,
@@ -36,7 +36,7 @@
     refused_by_store,
 )
 from currantdyke.bundle.versions import Version, applied, overlapping
-from currantdyke.store import Conflict, Store, StoreError
+from currantdyke.store import Conflict, Store, SwapError
 
 __all__ = ["roll"]
 
@@ -131,6 +131,9 @@
     if made.is_error():
         return Error(Refused(detail=made.error, remedy="propose it anew"))
     content, _ = made.ok
+    parts = await write_content(store, content, base.content)
+    if parts.is_error():
+        return Error(refused_by_store(parts.error))
     assert proposal.signed_off is not None
     record = Record(
         version=base.number + 1,
@@ -140,14 +143,13 @@
         proposed=proposal.proposed,
         signed_off=proposal.signed_off,
         rolled_at=wall_seconds(),
+        written=parts.ok,
     ).signed_by(signer)
     problem = record.signature_problem(base.operators if base.number else bootstrap)
     if problem:
         return Error(Refused(detail=problem, remedy="propose and sign it off anew"))
-    parts = await write_content(store, content, base.content)
-    if parts.is_error():
-        return Error(refused_by_store(parts.error))
-    written = await write_part(store, encode(record), prefix=RECORD_PREFIX)
+    prefix = record_prefix(record.version)
+    written = await write_part(store, encode(record), prefix=prefix)
     if written.is_error():
         return Error(refused_by_store(written.error))
     moved = await settled_write(store, HEAD_KEY, revision, head_bytes(record))
@@ -158,7 +160,7 @@
 
 async def _lost_or_superseded(
     store: Store,
-    error: StoreError,
+    error: SwapError,
     record: Record,
     base: Version,
     edits: tuple[Edit, ...],
--- a/currantdyke/bundle/stored.py
+++ b/currantdyke/bundle/stored.py
@@ -16,7 +16,7 @@
 from currantdyke.bundle.content import Content, content_hash, decode_part
 from currantdyke.bundle.trouble import Refused, refused_by_store
 from currantdyke.bundle.versions import Version, verified_whole
-from currantdyke.store import Conflict, Entry, Store, Unavailable, Unknown
+from currantdyke.store import Conflict, Entry, Store, SwapError, settled_swap
 
 __all__ = [
     "DUTY",
@@ -29,6 +29,7 @@
     "read_record",
     "read_records",
     "read_version",
+    "record_prefix",
     "settled_write",
     "write_part",
 ]
@@ -39,59 +40,49 @@
 RECORD_PREFIX = "currantdyke/bundle/record/"
 PROPOSAL_PREFIX = "currantdyke/bundle/proposal/"
 EDITS_PREFIX = "currantdyke/bundle/edits/"
-SETTLE_ATTEMPTS = 4
-SETTLE_PAUSE_SECONDS = 0.25
+SETTLE_SECONDS = 10.0
+WRITE_ATTEMPTS = 4
 
 
 async def settled_write(
     store: Store, key: str, expected: int, value: bytes, *, lease: int = 0
-) -> Result[int, Conflict | Unavailable]:
-    """Write by compare-and-swap; an unknown outcome is settled by reading back.
+) -> Result[int, SwapError]:
+    """Write bytes that no other writer writes with another meaning.
 
-    The value must be the writer's own: no other writer would write the same bytes
-    with another meaning. A write that may still be on its way is sent again with
-    the same compare, so that it takes effect once at most.
+    Every value here names its change or is named by its own hash.
     """
-    detail = ""
-    for _ in range(SETTLE_ATTEMPTS):
-        written = await store.compare_and_swap(
-            key, expected, value, duty=DUTY, lease=lease
-        )
-        if written.is_ok():
-            return Ok(written.ok)
-        if isinstance(written.error, Conflict):
-            current = written.error.current
-            if current is not None and current.value == value:
-                return Ok(current.revision)
-            return Error(written.error)
-        detail = written.error.detail
-        await anyio.sleep(SETTLE_PAUSE_SECONDS)
-        if isinstance(written.error, Unknown):
-            seen = await store.get(key, duty=DUTY)
-            if seen.is_ok() and seen.ok is not None and seen.ok.value == value:
-                return Ok(seen.ok.revision)
-    return Error(Unavailable(detail=f"{key}: {detail}"))
+    written = await settled_swap(
+        store,
+        key,
+        expected,
+        value,
+        is_mine=lambda found: found == value,
+        duty=DUTY,
+        deadline=anyio.current_time() + SETTLE_SECONDS,
+        lease=lease,
+    )
+    return written.map(lambda entry: entry.revision)
 
 
 async def write_part(
     store: Store, value: bytes, *, prefix: str = PART_PREFIX, lease: int = 0
-) -> Result[str, str]:
-    """Write content-addressed bytes; return their hash.
+) -> Result[tuple[str, int], str]:
+    """Write content-addressed bytes; return their hash and revision.
 
     A part that stands already is written again, so that a collector that saw it
     unused does not take it away.
     """
     digest = content_hash(value)
     key = prefix + digest
-    for _ in range(SETTLE_ATTEMPTS):
+    for _ in range(WRITE_ATTEMPTS):
         stands = await store.get(key, duty=DUTY)
         if stands.is_error():
             return Error(stands.error.message)
         expected = stands.ok.revision if stands.ok else 0
         written = await settled_write(store, key, expected, value, lease=lease)
         if written.is_ok():
-            return Ok(digest)
-        if isinstance(written.error, Unavailable):
+            return Ok((digest, written.ok))
+        if not isinstance(written.error, Conflict):
             return Error(written.error.message)
     return Error("another writer keeps changing the same part")
 
@@ -125,9 +116,20 @@
     return Ok(answer.ok.value)
 
 
-async def read_record(store: Store, digest: str) -> Result[bytes, str]:
-    """Return the bytes of a record, verified against its hash."""
-    return await read_part(store, RECORD_PREFIX, digest)
+def record_prefix(version: int) -> str:
+    """Return the prefix of the keys of all records written for a version.
+
+    Examples
+    --------
+    >>> record_prefix(12)
+    'currantdyke/bundle/record/000000000012-'
+    """
+    return f"{RECORD_PREFIX}{version:012}-"
+
+
+async def read_record(store: Store, version: int, digest: str) -> Result[bytes, str]:
+    """Return the bytes of a version's record, verified against its hash."""
+    return await read_part(store, record_prefix(version), digest)
 
 
 async def read_records(
@@ -140,7 +142,7 @@
     found: list[bytes] = []
     digest, version = head.record, head.version
     while version > down_to and digest and len(found) < limit:
-        raw = await read_record(store, digest)
+        raw = await read_record(store, version, digest)
         if raw.is_error():
             return Error(raw.error)
         found.append(raw.ok)
@@ -173,7 +175,7 @@
     store: Store, head: Head, known: Version | None = None
 ) -> Result[Version, str]:
     """Return the version that the head names, whole and verified."""
-    raw = await read_record(store, head.record)
+    raw = await read_record(store, head.version, head.record)
     if raw.is_error():
         return Error(raw.error)
     known = known or Version()
@@ -185,15 +187,27 @@
 
 async def write_content(
     store: Store, content: Content, standing: Content
-) -> Result[str, str]:
-    """Write the parts and the manifest of a content that do not stand yet."""
-    for name, digest in content.hashes.items():
-        if standing.hashes.get(name) == digest:
-            continue
-        written = await write_part(store, content.part(name))
+) -> Result[dict[str, int], str]:
+    """Write the parts and the manifest of a content that do not stand yet.
+
+    Returns
+    -------
+    Result[dict, str]
+        The revision that each was written at, by its hash.
+    """
+    parts = [
+        content.part(name)
+        for name, digest in content.hashes.items()
+        if standing.hashes.get(name) != digest
+    ]
+    revisions: dict[str, int] = {}
+    for part in (*parts, content.manifest):
+        written = await write_part(store, part)
         if written.is_error():
-            return written
-    return await write_part(store, content.manifest)
+            return Error(written.error)
+        digest, revision = written.ok
+        revisions[digest] = revision
+    return Ok(revisions)
 
 
 async def read_proposal(
--- a/currantdyke/bundle/tests/test_lifecycle.py
+++ b/currantdyke/bundle/tests/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 import anyio
 import attrs
+from expression import Error
 
 from currantdyke.bundle import Workspace
 from currantdyke.bundle.change import decode, encode
@@ -13,7 +14,7 @@
     sign_off,
 )
 from currantdyke.bundle.roll import roll
-from currantdyke.bundle.stored import PROPOSAL_PREFIX
+from currantdyke.bundle.stored import HEAD_KEY, PROPOSAL_PREFIX
 from currantdyke.bundle.tests.builders import (
     accept,
     build_keys,
@@ -24,6 +25,7 @@
     with_share,
 )
 from currantdyke.bundle.trouble import LostRace, Refused
+from currantdyke.store import Unknown
 from currantdyke.testing import run_virtual
 
 KEYS = build_keys()
@@ -162,16 +164,39 @@
                 self.assertEqual(result.error.winner, winners[0])
 
 
+@attrs.define(kw_only=True)
+class OvertakenStore:
+    """Loses the answer of the first swap of the head, and lets another go on."""
+
+    store: object
+    overtake: object
+    is_done: bool = False
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def compare_and_swap(self, key, expected, value, *, duty, lease=0):
+        answer = await self.store.compare_and_swap(
+            key, expected, value, duty=duty, lease=lease
+        )
+        if key != HEAD_KEY or self.is_done:
+            return answer
+        self.is_done = True
+        await self.overtake()
+        return Error(Unknown(detail="answer lost"))
+
+
 class TestUnknownWrites(unittest.TestCase):
     def test_lost_answers_and_lost_writes_never_apply_a_change_twice(self):
         async def scenario(found, store, fault, count):
             change_id = await signed_off_change(store, with_share(FIRST, 2.0))
             setattr(found.key_value.faults, fault, count)
+            found.key_value.faults.late_by = 0.3
             first = await roll(store, change_id, ADAEZE)
             second = await roll(store, change_id, BOLA)
             return first, second, await history(store, 10)
 
-        for fault in ("lose_answers", "lose_writes"):
+        for fault in ("lose_answers", "lose_writes", "late_writes"):
             for count in range(1, 6):
                 with self.subTest(fault=fault, count=count):
                     first, second, records = with_first_version(
@@ -194,6 +219,19 @@
         rolled, again = with_first_version(scenario)
         self.assertEqual(rolled.ok, again.ok)
 
+    def test_lost_answer_of_the_head_is_settled_though_another_was_faster_since(self):
+        async def scenario(found, store):
+            async def overtake():
+                await accept(found.store(), with_share(FIRST, 5.0), "bola", "ciara")
+
+            change_id = await signed_off_change(store, with_share(FIRST, 2.0))
+            overtaken = OvertakenStore(store=store, overtake=overtake)
+            return await roll(overtaken, change_id, ADAEZE), await history(store, 9)
+
+        rolled, records = with_first_version(scenario)
+        self.assertEqual(rolled.ok.version, 2)
+        self.assertEqual([r.version for r in records.ok], [3, 2, 1])
+
     def test_store_down_refuses_every_step_and_changes_nothing(self):
         async def scenario(found, store):
             change_id = await signed_off_change(store, with_share(FIRST, 2.0))
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -16,6 +16,7 @@
     Follower,
     Pipeline,
 )
+from currantdyke.bundle.collect import Collector
 from currantdyke.callers import CallersFace
 from currantdyke.core import (
     DaemonIdentity,
@@ -88,6 +89,11 @@
             region=settings.region,
             random_source=self.random_source,
         )
+        self.collector = Collector(
+            store=store,
+            feed=self.configuration,
+            is_collector=self.follower.is_collector,
+        )
         self.endpoints = EndpointTable()
         self.in_force.subscribe(self.endpoints.follow)
         self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -8,6 +8,7 @@
 import httpx
 from absl import logging
 
+from currantdyke.bundle.collect import COLLECT_SECONDS
 from currantdyke.bundle.follow import POLL_JITTER, POLL_SECONDS
 from currantdyke.callers import callers_app
 from currantdyke.daemon.daemon import Daemon
@@ -107,6 +108,9 @@
     daemon.timers.every(
         FORGET_SECONDS, daemon.requests.forget_old, name="forget old requests"
     )
+    daemon.timers.every(
+        COLLECT_SECONDS, daemon.collector.collect, name="collect old parts"
+    )
     tasks.start_soon(daemon.follower.run)
     tasks.start_soon(daemon.timers.run)
 
