Claim idempotency keys in the store before a charge runs

Cause: an idempotency key was read and ignored. A resend through another daemon ran a charge again.

Change: new slice currantdyke/claims. A request with a key and a call that must not be repeated is claimed before anything of it is dispatched. Keys are cut into 32 slices; a slice's claims are appended in groups by one compare-and-swap of its head, which fences every other writer. Full heads are sealed into segments. The end is recorded; a resend through any daemon gets it, joins the run here, or is told when to come back. Claims that could not be settled in time are released in the background; nothing of them is dispatched.

Before: every resend ran again (no code).

Not there: forwarding to a slice's owner over the peers' transport; a resend to another daemon while the first runs is told to come back, not relayed.

--- a/currantdyke/core/failure.py
+++ b/currantdyke/core/failure.py
@@ -70,6 +70,11 @@
         409,
         "the idempotency key was used before: ask for that request's result",
     )
+    CLAIM_MISMATCH = (
+        "claim_mismatch",
+        422,
+        "use a new idempotency key for a request that differs",
+    )
     STORE_UNAVAILABLE = (
         "store_unavailable",
         503,
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -3,6 +3,8 @@
 import functools
 import itertools
 import random
+import time
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -18,6 +20,7 @@
 )
 from currantdyke.bundle.collect import Collector
 from currantdyke.callers import CallersFace
+from currantdyke.claims import ClaimGate, Claims
 from currantdyke.core import (
     DaemonIdentity,
     Failure,
@@ -56,6 +59,8 @@
         Source of random choices.
     metrics : Metrics
         Its counters.
+    wall_clock : callable
+        Returns the wall clock's time in seconds.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         client: httpx.AsyncClient,
         random_source: random.Random | None = None,
         metrics: Metrics | None = None,
+        wall_clock: Callable[[], float] = time.time,
     ):
         self.settings = settings
         self.store = store
@@ -100,8 +106,17 @@
         self.request_ids = self.identity.request_ids()
         self.draining = False
         self.tasks: anyio.abc.TaskGroup | None = None
+        self.claims = Claims(
+            store=store,
+            daemon=settings.name,
+            wall_clock=wall_clock,
+            random_source=self.random_source,
+        )
         self.run_parts = RunParts(
             client=client,
+            claims=ClaimGate(
+                claims=self.claims, requests=self.requests, metrics=self.metrics
+            ),
             endpoints=self.endpoints,
             metrics=self.metrics,
             timeline=self.timeline,
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -23,6 +23,7 @@
 
 FIRST_LOOK_SECONDS = 0.0
 FORGET_SECONDS = 5.0
+TRIM_SECONDS = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -98,6 +99,8 @@
 def start_parts(daemon: Daemon, tasks: anyio.abc.TaskGroup) -> None:
     """Start what a daemon does on its own, in a task group."""
     daemon.tasks = tasks
+    daemon.claims.tasks = tasks
+    daemon.timers.every(TRIM_SECONDS, daemon.claims.trim, name="trim claims")
     daemon.timers.every(
         POLL_SECONDS,
         daemon.follower.poll,
--- a/currantdyke/metrics/registry.py
+++ b/currantdyke/metrics/registry.py
@@ -75,6 +75,13 @@
             "store_calls", "Calls to the platform's store", ("duty", "call", "result")
         )
 
+        self.claims = self.counter(
+            "claims", "Claims of idempotency keys, by their answer", ("result",)
+        )
+        self.claim_seconds = self.histogram(
+            "claim_seconds", "Time that a claim adds to its request"
+        )
+
     def counter(self, name: str, text: str, labels: tuple[str, ...] = ()):
         """Return a new counter in this registry."""
         return prometheus_client.Counter(
--- a/currantdyke/pipelines/parts.py
+++ b/currantdyke/pipelines/parts.py
@@ -6,6 +6,7 @@
 import attrs
 import httpx
 
+from currantdyke.claims import ClaimGate
 from currantdyke.endpoints import EndpointTable
 from currantdyke.events import Timeline
 from currantdyke.metrics import Metrics
@@ -18,6 +19,7 @@
     """The shared state and services that a run needs."""
 
     client: httpx.AsyncClient
+    claims: ClaimGate
     endpoints: EndpointTable
     metrics: Metrics
     timeline: Timeline
--- a/currantdyke/pipelines/run.py
+++ b/currantdyke/pipelines/run.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from currantdyke.bundle import Bundle, Pipeline, Stage
-from currantdyke.core import Failure, FailureKind
+from currantdyke.core import Failure, FailureKind, Outcome
 from currantdyke.pipelines.parts import RunParts
 from currantdyke.pipelines.stage import StageRun, run_stage
 from currantdyke.requests import Exchange, decide_outcome
@@ -64,10 +64,12 @@
     try:
         with anyio.move_on_after(remaining) as scope:
             exchange.run_within(scope)
-            await _run_stages(run)
+            if await parts.claims.begin(bundle, pipeline, exchange):
+                await _run_stages(run)
     except Exception as error:
         run.failure = _internal(run, error)
     _settle(run)
+    await parts.claims.finish(exchange, _outcome_of_charges(run))
 
 
 def _internal(run: RequestRun, error: Exception) -> Failure:
@@ -92,6 +94,16 @@
     _account(run, now)
 
 
+def _outcome_of_charges(run: RequestRun) -> Outcome:
+    """Return what became of the calls that must not be repeated."""
+    services = run.bundle.services
+    return decide_outcome(
+        attempt
+        for attempt in run.attempts
+        if not services[attempt.attempt.service].idempotent
+    )
+
+
 def _interrupted(exchange: Exchange, now: float) -> Failure:
     if now >= exchange.deadline and not exchange.cancelled:
         return Failure(
--- a/currantdyke/testing/fleet.py
+++ b/currantdyke/testing/fleet.py
@@ -74,6 +74,7 @@
             store=self.store(),
             client=self.network.client(),
             random_source=random.Random(self.seed * 1000 + number),
+            wall_clock=anyio.current_time,
         )
         self.daemons[name] = daemon
         running = anyio.Event()
