Run every fault at every step of a request, and judge what was seen

Cause: the promises had single tests, not the grid that the users asked for. Change: a matrix over the real code in virtual time: twelve steps by seventeen faults, and pairs of the hardest; callers drop off, rejoin and send again; the promises are judged from what callers were told and endpoints ran. `make matrix` prints the grid. The time line can be subscribed to; the in-memory network can break the calls under way at an address.

Every red cell is one fault: a charge sent again through another daemon runs twice, because nothing is claimed before dispatch.

Conclusion: the matrix fails where it must; claims have to turn it.

--- a/currantdyke/events/timeline.py
+++ b/currantdyke/events/timeline.py
@@ -1,7 +1,7 @@
 """A ring of the latest events of one process."""
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -41,6 +41,7 @@
         self.daemon = daemon
         self.clock = clock or HybridClock()
         self.ring: collections.deque[Event] = collections.deque(maxlen=capacity)
+        self.listeners: list[Callable[[Event], None]] = []
 
     def record(self, duty: str, name: str, **fields) -> Event:
         """Append an event; ``fields`` are further attributes of `Event`."""
@@ -48,8 +49,14 @@
             time=self.clock.tick(), daemon=self.daemon, duty=duty, name=name, **fields
         )
         self.ring.append(event)
+        for listener in self.listeners:
+            listener(event)
         return event
 
+    def subscribe(self, listener: Callable[[Event], None]) -> None:
+        """Call ``listener`` with each event when it is recorded."""
+        self.listeners.append(listener)
+
     def of_request(self, request_id: str) -> Iterator[Event]:
         """Yield the events of one request, oldest first."""
         return (event for event in self.ring if event.request_id == request_id)
--- /dev/null
+++ b/currantdyke/matrix/__main__.py
@@ -0,0 +1,99 @@
+"""Run the matrix and print its grid: ``python -m currantdyke.matrix``."""
+
+import concurrent.futures
+import itertools
+import multiprocessing
+import pathlib
+
+import click
+
+from currantdyke.matrix.cells import CellResult, run_cell
+from currantdyke.matrix.faults import FAULTS
+from currantdyke.matrix.steps import STEPS
+
+WORKERS = 4
+PAIRED_FAULTS = ("endpoint dead", "daemon killed", "store answer lost", "answer lost")
+
+
+def single_cells() -> list[tuple[tuple[str, ...], tuple[str, ...]]]:
+    """Return every fault at every step."""
+    return [((fault,), (step,)) for step in STEPS for fault in FAULTS]
+
+
+def paired_cells() -> list[tuple[tuple[str, ...], tuple[str, ...]]]:
+    """Return pairs of the hardest faults at every two steps, in order."""
+    steps = list(itertools.combinations_with_replacement(STEPS, 2))
+    faults = list(itertools.product(PAIRED_FAULTS, repeat=2))
+    return [(pair, step) for step in steps for pair in faults]
+
+
+def run_all(cells, seed: int) -> list[CellResult]:
+    """Run cells over a few processes, in order."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(WORKERS, context) as pool:
+        futures = [pool.submit(run_cell, *cell, seed=seed) for cell in cells]
+        return [future.result() for future in futures]
+
+
+def sign(result: CellResult) -> str:
+    """Return a cell's sign: held, held with an answer, red, or not reached."""
+    if result.broken:
+        return "RED"
+    if not result.struck:
+        return "n/r"
+    return "whole" if result.answered else "held"
+
+
+def grid(results: list[CellResult]) -> str:
+    """Return the grid of single faults as a Markdown table."""
+    by_cell = {(r.steps[0], r.faults[0]): sign(r) for r in results}
+    head = "| fault | " + " | ".join(STEPS) + " |"
+    rule = "| --- |" + " --- |" * len(STEPS)
+    rows = [
+        f"| {fault} | " + " | ".join(by_cell[step, fault] for step in STEPS) + " |"
+        for fault in FAULTS
+    ]
+    return "\n".join((head, rule, *rows))
+
+
+def counted(results: list[CellResult]) -> str:
+    """Return how many cells ran, held, were not reached and are red."""
+    signs = [sign(result) for result in results]
+    reached = len(signs) - signs.count("n/r")
+    red = signs.count("RED")
+    return (
+        f"{len(signs)} cells run, {reached} reached, {reached - red} held "
+        f"({signs.count('whole')} with the whole answer), {red} red"
+    )
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--output", type=click.Path(), help="Write the page there too.")
+def main(seed: int, output: str | None) -> None:
+    """Run every single fault and the pairs; exit 1 where a cell is red."""
+    singles = run_all(single_cells(), seed)
+    pairs = run_all(paired_cells(), seed)
+    red = [result for result in singles + pairs if result.broken]
+    lines = [
+        f"Seed {seed}. Single faults: {counted(singles)}.",
+        f"Pairs of faults: {counted(pairs)}.",
+        "",
+        "whole: every promise held and the caller got its whole answer; held: every",
+        "promise held and the caller got a typed failure; n/r: the step is not",
+        "reached, as a summary that is answered is never rejoined.",
+        "",
+        grid(singles),
+        "",
+        *(f"- RED {r.faults} at {r.steps}: {'; '.join(r.broken)}" for r in red),
+    ]
+    text = "\n".join(lines).rstrip() + "\n"
+    click.echo(text)
+    if output:
+        title = "# Fault matrix of a request\n\nMade by `make matrix`.\n\n"
+        pathlib.Path(output).write_text(title + text)
+    raise SystemExit(1 if red else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/currantdyke/matrix/steps.py
@@ -0,0 +1,62 @@
+"""The steps of a request at which a fault is brought in."""
+
+import attrs
+
+from currantdyke.events import Event
+
+__all__ = ["STEPS", "Step"]
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """A step, recognised by an event of the time line or by its caller.
+
+    Attributes
+    ----------
+    duty, event, stage : str
+        The event that marks it; empty where the caller marks it.
+    mark : str
+        The caller's mark: ``submit``, ``first_token``, ``mid_stream``,
+        ``answered`` or ``rejoin``.
+    service : str
+        The service whose endpoints a fault of an endpoint strikes.
+    """
+
+    duty: str = ""
+    event: str = ""
+    stage: str = ""
+    mark: str = ""
+    service: str = "generator"
+
+    def matches(self, event: Event) -> bool:
+        """Return whether an event of the time line marks this step."""
+        return (
+            bool(self.event)
+            and event.duty == self.duty
+            and event.name == self.event
+            and event.stage == self.stage
+        )
+
+
+STEPS = {
+    "submit": Step(mark="submit", service="encoder"),
+    "accept": Step(duty="requests", event="accepted", service="encoder"),
+    "dispatch encode": Step(
+        duty="stages", event="dispatched", stage="encode", service="encoder"
+    ),
+    "settle encode": Step(
+        duty="stages", event="done", stage="encode", service="retriever"
+    ),
+    "join rerank": Step(
+        duty="stages", event="dispatched", stage="rerank", service="reranker"
+    ),
+    "dispatch generate": Step(duty="stages", event="dispatched", stage="generate"),
+    "dispatch charge": Step(
+        duty="stages", event="dispatched", stage="call", service="entry-desk"
+    ),
+    "first token": Step(mark="first_token"),
+    "mid stream": Step(mark="mid_stream"),
+    "settle": Step(duty="requests", event="settled"),
+    "answer": Step(mark="answered"),
+    "rejoin": Step(mark="rejoin"),
+}
--- a/currantdyke/testing/fleet.py
+++ b/currantdyke/testing/fleet.py
@@ -86,9 +86,9 @@
 
     def kill_daemon(self, name: str) -> None:
         """End a daemon at once, with all that it runs."""
-        self.network.detach(f"{name}:8080")
-        self.network.detach(f"{name}:8081")
         self.scopes.pop(name).cancel()
+        self.network.kill(f"{name}:8080")
+        self.network.kill(f"{name}:8081")
 
     def put_in_force(self, bundle: Bundle, version: int = 1) -> None:
         """Put a bundle in force on every daemon, without the store."""
--- a/currantdyke/testing/network.py
+++ b/currantdyke/testing/network.py
@@ -60,6 +60,7 @@
         self.apps: dict[str, Callable[..., Any]] = {}
         self.faults: dict[str, LinkFaults] = {}
         self.calls = 0
+        self.under_way: dict[str, set[_Call]] = {}
 
     def attach(self, address: str, app: Callable[..., Any]) -> str:
         """Put an application at an address; return its base URL."""
@@ -70,6 +71,12 @@
         """Take an application away: its address refuses connections."""
         self.apps.pop(address, None)
 
+    def kill(self, address: str) -> None:
+        """Take an application away and break the calls that it was answering."""
+        self.detach(address)
+        for call in list(self.under_way.get(address, ())):
+            call.break_off()
+
     def link(self, address: str) -> LinkFaults:
         """Return the faults on the way to an address, to be set."""
         return self.faults.setdefault(address, LinkFaults())
@@ -90,13 +97,22 @@
         body = await request.aread()
         await anyio.sleep(faults.delay)
         call = _Call(request=request, body=body, faults=faults)
-        self.tasks.start_soon(call.run, self.apps[address])
+        if address not in self.apps:
+            raise httpx.ReadError("connection reset", request=request)
+        self.under_way.setdefault(address, set()).add(call)
+        self.tasks.start_soon(self._run, call, address)
         try:
             return await call.response()
         except BaseException:
             call.scope.cancel()
             raise
 
+    async def _run(self, call: "_Call", address: str) -> None:
+        try:
+            await call.run(self.apps[address])
+        finally:
+            self.under_way[address].discard(call)
+
     async def _connect(
         self, request: httpx.Request, address: str, faults: LinkFaults
     ) -> None:
@@ -163,6 +179,11 @@
             if not message.get("more_body", False):
                 return
 
+    def break_off(self) -> None:
+        """End the application; the client sees its connection break."""
+        self.scope.cancel()
+        self.send_stream.close()
+
     def close(self) -> None:
         """Disconnect: the application is told and ended."""
         self.gone.set()
