--- a/currantdyke/metrics/registry.py
+++ b/currantdyke/metrics/registry.py
@@ -81,6 +81,18 @@
         self.claim_seconds = self.histogram(
             "claim_seconds", "Time that a claim adds to its request"
         )
+        self.peer_messages = self.counter(
+            "peer_messages", "Messages between daemons", ("kind", "direction")
+        )
+        self.peer_bytes = self.counter(
+            "peer_bytes", "Bytes of messages between daemons", ("kind", "direction")
+        )
+        self.peer_dropped = self.counter(
+            "peer_dropped", "Peer messages dropped unread", ("reason",)
+        )
+        self.member_changes = self.counter(
+            "member_changes", "Members that changed to a status", ("status",)
+        )
 
     def counter(self, name: str, text: str, labels: tuple[str, ...] = ()):
         """Return a new counter in this registry."""
--- a/currantdyke/peers/sockets.py
+++ b/currantdyke/peers/sockets.py
@@ -33,11 +33,12 @@
         with contextlib.suppress(OSError, ValueError):
             await self.udp.sendto(data, host, int(port))
 
-    async def receive(self) -> bytes:
-        """Wait for the next datagram."""
+    async def receive(self) -> tuple[bytes, str]:
+        """Wait for the next datagram; return it with its sender's address."""
         while True:
             with contextlib.suppress(OSError):
-                return (await self.udp.receive())[0]
+                data, (host, port) = await self.udp.receive()
+                return data, f"{host}:{port}"
 
     async def call(self, address: str, data: bytes, max_bytes: int) -> bytes:
         """Ask a peer over a connection of its own."""
--- a/currantdyke/peers/tests/test_messages.py
+++ b/currantdyke/peers/tests/test_messages.py
@@ -86,7 +86,8 @@
                 tasks.start_soon(two.serve_calls, answer)
                 await one.send(two.address, b"datagram")
                 with anyio.fail_after(5):
-                    received = await two.receive()
+                    received, sender = await two.receive()
+                self.assertEqual(sender, one.address)
                 called = await one.call(two.address, b"abc", 10_000)
                 with self.assertRaises(OSError):
                     await one.call(two.address, b"abc", 100)
--- a/currantdyke/peers/transport.py
+++ b/currantdyke/peers/transport.py
@@ -24,8 +24,8 @@
     async def send(self, address: str, data: bytes) -> None:
         """Send a datagram; it may be lost without notice."""
 
-    async def receive(self) -> bytes:
-        """Wait for the next datagram."""
+    async def receive(self) -> tuple[bytes, str]:
+        """Wait for the next datagram; return it with its sender's address."""
 
     async def call(self, address: str, data: bytes, max_bytes: int) -> bytes:
         """Ask a peer; raise ``OSError`` or ``TimeoutError`` where it fails."""
