Make each daemon a member, with its peers' settings and the members route

Cause: membership stood by itself. Change: settings for port, seeds and keys, sockets opened with the daemon, the follower told of the live members, find_daemon for relays, the operators' route /members, leaving at the end of a drain, and a fleet in memory with peers.

--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -30,9 +30,12 @@
 )
 from currantdyke.endpoints import EndpointTable
 from currantdyke.events import Timeline
+from currantdyke.membership import Membership
 from currantdyke.metrics import Metrics
 from currantdyke.operators import OperatorsFace
 from currantdyke.operators.configuration import configuration_routes
+from currantdyke.operators.members import members_routes
+from currantdyke.peers import Member
 from currantdyke.pipelines import RunParts, run_request
 from currantdyke.requests import Exchange, RequestTable
 from currantdyke.settings import DaemonSettings
@@ -106,6 +109,7 @@
         self.request_ids = self.identity.request_ids()
         self.draining = False
         self.tasks: anyio.abc.TaskGroup | None = None
+        self.membership: Membership | None = None
         self.claims = Claims(
             store=store,
             daemon=settings.name,
@@ -142,13 +146,20 @@
             timeline=self.timeline,
             in_force=self.in_force,
             is_ready=self.is_ready,
-            routes=configuration_routes(self.configuration, self.follower),
+            routes=[
+                *configuration_routes(self.configuration, self.follower),
+                *members_routes(lambda: self.membership),
+            ],
         )
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new requests here."""
         return self.follower.is_ready() and not self.draining
 
+    def find_daemon(self, name: str) -> Member | None:
+        """Return the daemon of a name, with the URL that relays go to."""
+        return self.membership.find_daemon(name) if self.membership else None
+
     def submit(
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
     ) -> Failure | None:
--- /dev/null
+++ b/currantdyke/daemon/peers.py
@@ -0,0 +1,72 @@
+"""A daemon's place among the others."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import anyio.abc
+
+from currantdyke.daemon.daemon import Daemon
+from currantdyke.membership import Membership
+from currantdyke.peers import Member, MessageSeal, PeerTransport, open_peer_sockets
+from currantdyke.settings import DaemonSettings
+
+__all__ = ["open_transport", "start_peers"]
+
+
+@contextlib.asynccontextmanager
+async def open_transport(
+    settings: DaemonSettings,
+) -> AsyncIterator[PeerTransport | None]:
+    """Open the sockets towards peers, where the settings give keys."""
+    if not settings.peer_keys:
+        yield None
+        return
+    async with open_peer_sockets(settings.address, settings.peer_port) as transport:
+        yield transport
+
+
+def start_peers(
+    daemon: Daemon,
+    transport: PeerTransport,
+    callers_url: str,
+    tasks: anyio.abc.TaskGroup,
+) -> Membership:
+    """Make a daemon a member and start that, in a task group.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon, whose parts are told of the others.
+    transport : PeerTransport
+        The network between daemons.
+    callers_url : str
+        The base URL of its callers' face, for relays.
+    tasks : TaskGroup
+        Runs the membership.
+    """
+    settings = daemon.settings
+    membership = Membership(
+        me=Member(
+            name=settings.name,
+            counter=daemon.timeline.clock.wall(),
+            incarnation=daemon.identity.incarnation,
+            address=transport.address,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+            url=callers_url,
+        ),
+        transport=transport,
+        seal=MessageSeal(keys=settings.peer_keys),
+        feed=daemon.configuration,
+        timers=daemon.timers,
+        metrics=daemon.metrics,
+        timeline=daemon.timeline,
+        random_source=daemon.random_source,
+        seeds=settings.peer_seeds,
+    )
+    daemon.membership = membership
+    daemon.follower.live_members = lambda: [
+        (member.name, member.region) for member in membership.live_members()
+    ]
+    membership.start(tasks)
+    return membership
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -13,6 +13,7 @@
 from currantdyke.callers import callers_app
 from currantdyke.daemon.daemon import Daemon
 from currantdyke.daemon.listen import open_listener, serve_http
+from currantdyke.daemon.peers import open_transport, start_peers
 from currantdyke.metrics import Metrics
 from currantdyke.operators import operators_app
 from currantdyke.settings import DaemonSettings
@@ -79,8 +80,13 @@
     callers = open_listener(settings.address, settings.callers_port)
     operators = open_listener(settings.address, settings.operators_port)
     drained = anyio.Event()
-    async with anyio.create_task_group() as tasks:
+    async with (
+        open_transport(settings) as transport,
+        anyio.create_task_group() as tasks,
+    ):
         start_parts(daemon, tasks)
+        if transport is not None:
+            start_peers(daemon, transport, callers.url, tasks)
         async with anyio.create_task_group() as faces:
             caller_app = callers_app(daemon.callers_face())
             operator_app = operators_app(daemon.operators_face())
@@ -92,6 +98,8 @@
             started(ports)
             await stop.wait()
             await drain(daemon)
+            if daemon.membership is not None:
+                await daemon.membership.leave()
             drained.set()
         tasks.cancel_scope.cancel()
 
--- a/currantdyke/membership/configuration.py
+++ b/currantdyke/membership/configuration.py
@@ -12,7 +12,8 @@
 
 __all__ = ["Feed", "UpdatePuller"]
 
-MAX_UPDATE_BYTES = 16_000_000
+MAX_UPDATE_BYTES = 1_000_000
+MAX_ANSWER_BYTES = 1_100_000
 MAX_SOURCES = 8
 
 
@@ -23,12 +24,21 @@
     def version(self) -> int:
         """Return the version in force; 0 where there is none."""
 
-    def update_since(self, version: int, max_bytes: int) -> bytes:
-        """Return an update from ``version``, or nothing."""
+    @property
+    def next_chunk(self) -> int:
+        """Return the first chunk still missing of an update in parts."""
+
+    def update_since(
+        self, version: int, max_bytes: int, chunk: int | None = None
+    ) -> bytes:
+        """Return an update from ``version``, or a chunk of it, or nothing."""
 
     def offer(self, update: bytes) -> bool:
         """Verify an update; return whether a higher version came into force."""
 
+    def heard(self) -> None:
+        """Note that a peer spoke of the configuration just now."""
+
     def subscribe(self, callback: Callable[[int], None]) -> None:
         """Call ``callback`` with each version that comes into force."""
 
@@ -56,6 +66,8 @@
 
     def hear(self, version: int, address: str) -> None:
         """Note a peer's version; start a pull if it is higher."""
+        if version:
+            self.feed.heard()
         if version <= self.feed.version or not address:
             return
         self.sources.pop(address, None)
@@ -68,7 +80,9 @@
 
     def answer_pull(self, question: Message) -> bytes:
         """Return the update since the version that a peer has."""
-        update = self.feed.update_since(question.version, MAX_UPDATE_BYTES)
+        update = self.feed.update_since(
+            question.version, MAX_UPDATE_BYTES, question.sequence
+        )
         return self.link.answer(MessageKind.UPDATE, content=update)
 
     async def _pull_all(self) -> None:
@@ -89,11 +103,14 @@
         return self.random_source.choice([a for a, v in higher.items() if v == best])
 
     async def _pull(self, address: str) -> bool:
+        chunk = self.feed.next_chunk
         try:
-            answer = await self.link.ask(MessageKind.PULL, address, MAX_UPDATE_BYTES)
+            answer = await self.link.ask(
+                MessageKind.PULL, address, MAX_ANSWER_BYTES, sequence=chunk
+            )
         except (OSError, TimeoutError):
             return False
-        if not (answer.content and self.feed.offer(answer.content)):
-            return False
-        self.pulled += 1
-        return True
+        if answer.content and self.feed.offer(answer.content):
+            self.pulled += 1
+            return True
+        return self.feed.next_chunk > chunk
--- a/currantdyke/membership/tests/test_configuration.py
+++ b/currantdyke/membership/tests/test_configuration.py
@@ -61,7 +61,7 @@
             async with member_fleet(3) as fleet:
                 await fleet.until(fleet.agree, 20.0)
                 liar = fleet.nodes["entry-1"].feed
-                liar.update_since = lambda version, max_bytes: b""
+                liar.update_since = lambda version, max_bytes, chunk: b""
                 liar.put(1)
                 await anyio.sleep(10.0)
                 asker = fleet.nodes["entry-2"].membership.puller
--- a/currantdyke/settings/daemon.py
+++ b/currantdyke/settings/daemon.py
@@ -3,6 +3,7 @@
 import attrs
 
 from currantdyke.documents.validators import between, name_text
+from currantdyke.settings.peers import peer_addresses, peer_keys
 
 __all__ = ["DaemonSettings"]
 
@@ -23,6 +24,15 @@
         Ports of the two HTTP faces; 0 takes any free port.
     store_url : str
         The platform's key-value service.
+    peer_port : int
+        UDP and TCP port for other daemons; 0 takes any free one.
+    peer_seeds : tuple of str
+        Addresses ``host:port`` of some daemons to join by.
+    peer_keys : tuple of str
+        Keys that peers authenticate with; the first one seals. Without any, the
+        daemon runs alone. Read again on SIGHUP.
+    platform_list_url : str
+        Where the platform tells its live and leaving VMs; may be left out.
     max_requests_in_flight : int
         Requests run at once; more are refused.
     max_body_bytes : int
@@ -40,6 +50,12 @@
     callers_port: int = attrs.field(default=8080, validator=between(0, 65535))
     operators_port: int = attrs.field(default=8081, validator=between(0, 65535))
     store_url: str
+    peer_port: int = attrs.field(default=7946, validator=between(0, 65535))
+    peer_seeds: tuple[str, ...] = attrs.field(default=(), validator=peer_addresses)
+    peer_keys: tuple[str, ...] = attrs.field(
+        default=(), validator=peer_keys, repr=False
+    )
+    platform_list_url: str = ""
     max_requests_in_flight: int = attrs.field(
         default=1500, validator=between(1, 100_000)
     )
--- a/currantdyke/testing/fleet.py
+++ b/currantdyke/testing/fleet.py
@@ -13,6 +13,7 @@
 from currantdyke.bundle import Bundle
 from currantdyke.callers import callers_app
 from currantdyke.daemon import Daemon
+from currantdyke.daemon.peers import start_peers
 from currantdyke.daemon.serve import start_parts
 from currantdyke.operators import operators_app
 from currantdyke.standins import KeyValueStandIn, StageStandIn, stage_app
@@ -24,10 +25,13 @@
     build_settings,
 )
 from currantdyke.testing.network import MemoryNetwork
+from currantdyke.testing.peers import MemoryPeers
 
 __all__ = ["FleetInMemory", "fleet_in_memory"]
 
 STORE_ADDRESS = "store:1"
+PEER_SEEDS = ("entry-1:7946", "entry-2:7946", "entry-3:7946")
+PEER_KEYS = ("key-between-daemons",)
 SERVICES = (*(name for name, _ in CHAIN), "entry-desk")
 
 
@@ -53,6 +57,7 @@
     urls: dict[str, list[str]] = attrs.field(factory=dict)
     daemons: dict[str, Daemon] = attrs.field(factory=dict)
     scopes: dict[str, anyio.CancelScope] = attrs.field(factory=dict)
+    peers: MemoryPeers | None = None
 
     def add_endpoint(self, service: str, **behaviour: Any) -> StageStandIn:
         """Attach one more endpoint of a service."""
@@ -70,7 +75,7 @@
         """Start a daemon; its life ends with ``kill_daemon`` or the fleet."""
         number = len(self.daemons) + 1
         daemon = Daemon(
-            settings=build_settings(name=name, **settings),
+            settings=build_settings(name=name, **(self._peer_settings() | settings)),
             store=self.store(),
             client=self.network.client(),
             random_source=random.Random(self.seed * 1000 + number),
@@ -86,6 +91,8 @@
 
     def kill_daemon(self, name: str) -> None:
         """End a daemon at once, with all that it runs."""
+        if self.peers is not None:
+            self.peers.close(f"{name}:7946")
         self.scopes.pop(name).cancel()
         self.network.kill(f"{name}:8080")
         self.network.kill(f"{name}:8081")
@@ -102,13 +109,26 @@
             headers={"authorization": f"Bearer {key}"},
         )
 
+    def _peer_settings(self) -> dict[str, Any]:
+        if self.peers is None:
+            return {}
+        return {"peer_seeds": PEER_SEEDS, "peer_keys": PEER_KEYS}
+
     async def _live(self, daemon: Daemon, running: anyio.Event) -> None:
         with anyio.CancelScope() as scope:
             self.scopes[daemon.settings.name] = scope
             async with anyio.create_task_group() as tasks:
                 start_parts(daemon, tasks)
+                self._start_peers(daemon, tasks)
                 running.set()
 
+    def _start_peers(self, daemon: Daemon, tasks: anyio.abc.TaskGroup) -> None:
+        if self.peers is None:
+            return
+        name = daemon.settings.name
+        transport = self.peers.open(f"{name}:7946")
+        start_peers(daemon, transport, f"http://{name}:8080", tasks)
+
 
 @contextlib.asynccontextmanager
 async def fleet_in_memory(
@@ -117,6 +137,7 @@
     endpoints: int = 1,
     seed: int = 1,
     bundle: dict[str, Any] | None = None,
+    peers: bool = False,
 ) -> AsyncIterator[FleetInMemory]:
     """Run a fleet with a bundle in force; everything ends with the block.
 
@@ -128,6 +149,8 @@
         Seed of every random choice.
     bundle : dict, optional
         Arguments of `build_bundle`.
+    peers : bool
+        Whether the daemons know each other, over a network in memory.
     """
     async with anyio.create_task_group() as tasks:
         network = MemoryNetwork(tasks=tasks)
@@ -136,6 +159,8 @@
         fleet = FleetInMemory(
             network=network, key_value=key_value, tasks=tasks, seed=seed
         )
+        if peers:
+            fleet.peers = MemoryPeers(tasks=tasks, seed=seed)
         for service in SERVICES:
             for _ in range(endpoints):
                 fleet.add_endpoint(service)
--- a/currantdyke/testing/members.py
+++ b/currantdyke/testing/members.py
@@ -34,7 +34,17 @@
         """Call ``callback`` with each version that comes into force."""
         self.listeners.append(callback)
 
-    def update_since(self, version: int, max_bytes: int) -> bytes:
+    @property
+    def next_chunk(self) -> int:
+        """Return 0: updates come whole."""
+        return 0
+
+    def heard(self) -> None:
+        """Note nothing."""
+
+    def update_since(
+        self, version: int, max_bytes: int, chunk: int | None = None
+    ) -> bytes:
         """Return an update, or nothing."""
         if version >= self.version:
             return b""
