Check settings as well as bundles, and write logs as text or JSON

Figures: the test of the line fails before ("line 1: $") and passes after ("line 4: $.callers_port").

--- a/currantdyke/documents/check.py
+++ b/currantdyke/documents/check.py
@@ -9,10 +9,15 @@
 import yaml
 from expression import Error, Ok, Result
 
+from currantdyke.documents.validators import InvalidFieldError
+
 __all__ = ["Problem", "check_document"]
 
 T = TypeVar("T")
 
+# Stands between a field's name and its message while problems are collected: a
+# validator runs on the whole object, so that the path ends a step too early.
+FIELD_MARK = "\x1f"
 PATH_STEP = re.compile(r"\.([^.\[\]]+)|\[(?:'([^']*)'|\"([^\"]*)\"|(\d+))\]")
 
 
@@ -109,6 +114,8 @@
     if isinstance(error, cattrs.ForbiddenExtraKeysError):
         names = ", ".join(sorted(error.extra_fields))
         return f"unknown keys {names}; remove or correct them"
+    if isinstance(error, InvalidFieldError):
+        return f"{error.field}{FIELD_MARK}{error}"
     if isinstance(error, TypeError | ValueError):
         return str(error)
     return cattrs.v.format_exception(error, kind)
@@ -116,6 +123,9 @@
 
 def _problem(line_text: str, root: yaml.Node | None) -> Problem:
     message, _, path = line_text.rpartition(" @ ")
+    field, marked, rest = message.partition(FIELD_MARK)
+    if marked:
+        path, message = f"{path}.{field}", rest
     detail, _, remedy = message.partition("; ")
     return Problem(
         path=path or "$",
--- a/currantdyke/documents/validators.py
+++ b/currantdyke/documents/validators.py
@@ -5,20 +5,29 @@
 
 import attrs
 
-__all__ = ["between", "name_text", "one_of"]
+__all__ = ["InvalidFieldError", "between", "name_text", "one_of"]
 
 NAME_CHARACTERS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-_")
 MAX_NAME_LENGTH = 64
 
 
+class InvalidFieldError(ValueError):
+    """A value that a validator refused, with the name of its field."""
+
+    def __init__(self, field: str, message: str):
+        super().__init__(message)
+        self.field = field
+
+
 def between(low: float, high: float, unit: str = "") -> Callable:
     """Return a validator for numbers from ``low`` to ``high`` inclusive."""
 
     def validate(_: Any, attribute: attrs.Attribute, value: float) -> None:
         if not low <= value <= high:
-            raise ValueError(
+            raise InvalidFieldError(
+                attribute.name,
                 f"{attribute.name} is {value!r}; "
-                f"use a value from {low} to {high} {unit}".rstrip()
+                f"use a value from {low} to {high} {unit}".rstrip(),
             )
 
     return validate
@@ -30,7 +39,9 @@
     def validate(_: Any, attribute: attrs.Attribute, value: str) -> None:
         if value not in allowed:
             words = ", ".join(sorted(allowed))
-            raise ValueError(f"{attribute.name} is {value!r}; use one of {words}")
+            raise InvalidFieldError(
+                attribute.name, f"{attribute.name} is {value!r}; use one of {words}"
+            )
 
     return validate
 
@@ -38,7 +49,8 @@
 def name_text(_: Any, attribute: attrs.Attribute, value: str) -> None:
     """Check a name: lower case letters, digits, ``-`` and ``_``."""
     if not value or len(value) > MAX_NAME_LENGTH or not set(value) <= NAME_CHARACTERS:
-        raise ValueError(
+        raise InvalidFieldError(
+            attribute.name,
             f"{attribute.name} is {value[:80]!r}; use 1 to {MAX_NAME_LENGTH} "
-            "lower case letters, digits, '-' and '_'"
+            "lower case letters, digits, '-' and '_'",
         )
--- a/currantdyke/settings/__init__.py
+++ b/currantdyke/settings/__init__.py
@@ -1,5 +1,5 @@
 """The settings of one daemon."""
 
-from currantdyke.settings.daemon import DaemonSettings
+from currantdyke.settings.daemon import DaemonSettings, check_settings
 
-__all__ = ["DaemonSettings"]
+__all__ = ["DaemonSettings", "check_settings"]
--- a/currantdyke/settings/daemon.py
+++ b/currantdyke/settings/daemon.py
@@ -1,11 +1,14 @@
 """What a daemon learns from its own YAML file."""
 
 import attrs
+from expression import Result
 
-from currantdyke.documents.validators import between, name_text
+from currantdyke.documents import Problem, check_document
+from currantdyke.documents.validators import between, name_text, one_of
+from currantdyke.logs.setup import LOG_FORMATS
 from currantdyke.settings.peers import peer_addresses, peer_keys
 
-__all__ = ["DaemonSettings"]
+__all__ = ["DaemonSettings", "check_settings"]
 
 
 @attrs.frozen(kw_only=True)
@@ -39,6 +42,8 @@
         The longest body a caller may send.
     endpoint_connections : int
         Connections kept to all endpoints together.
+    log_format : str
+        ``text`` or ``json``.
     answer_keep_seconds : float
         How long a finished answer can be rejoined.
     """
@@ -50,6 +55,7 @@
     callers_port: int = attrs.field(default=8080, validator=between(0, 65535))
     operators_port: int = attrs.field(default=8081, validator=between(0, 65535))
     store_url: str
+    log_format: str = attrs.field(default="text", validator=one_of(LOG_FORMATS))
     peer_port: int = attrs.field(default=7946, validator=between(0, 65535))
     peer_seeds: tuple[str, ...] = attrs.field(default=(), validator=peer_addresses)
     peer_keys: tuple[str, ...] = attrs.field(
@@ -68,3 +74,15 @@
     answer_keep_seconds: float = attrs.field(
         default=60.0, validator=between(1.0, 3600.0, "seconds")
     )
+
+
+def check_settings(text: str) -> Result[DaemonSettings, list[Problem]]:
+    """Check the YAML text of a daemon's settings.
+
+    Examples
+    --------
+    >>> found = check_settings("{name: entry-1, availability_zone: a}")
+    >>> print(found.error[0])
+    line 1: $.store_url: the required key 'store_url' is missing; add it
+    """
+    return check_document(text, DaemonSettings)
