Tell every daemon of a leaving endpoint, whoever hears it

Cause: the mark was one daemon's own, came only with a whole answer, and stayed for ever at an address. Change: the endpoint's word is taken from the head of each answer; the platform's lagging list is read in turns over the fleet; both go round as facts. Marks hold for one incarnation, a late 'live' does not undo them, and a changed incarnation at an address is a new endpoint. A fresh daemon takes its first version from peers while the store is down.

--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -28,7 +28,7 @@
     Outcome,
     new_incarnation,
 )
-from currantdyke.endpoints import EndpointTable
+from currantdyke.endpoints import EndpointLiveness, EndpointTable
 from currantdyke.events import Timeline
 from currantdyke.membership import Membership
 from currantdyke.metrics import Metrics
@@ -37,6 +37,7 @@
 from currantdyke.operators.members import members_routes
 from currantdyke.peers import Member
 from currantdyke.pipelines import RunParts, run_request
+from currantdyke.platformlist import PlatformList
 from currantdyke.requests import Exchange, RequestTable
 from currantdyke.settings import DaemonSettings
 from currantdyke.store import Store
@@ -64,6 +65,8 @@
         Its counters.
     wall_clock : callable
         Returns the wall clock's time in seconds.
+    platform_list : PlatformList, optional
+        The platform's list of VMs.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         random_source: random.Random | None = None,
         metrics: Metrics | None = None,
         wall_clock: Callable[[], float] = time.time,
+        platform_list: PlatformList | None = None,
     ):
         self.settings = settings
         self.store = store
@@ -105,6 +109,13 @@
         )
         self.endpoints = EndpointTable()
         self.in_force.subscribe(self.endpoints.follow)
+        self.liveness = EndpointLiveness(
+            table=self.endpoints,
+            now=anyio.current_time,
+            note=self._note_leaving,
+        )
+        self.in_force.subscribe(lambda bundle: self.liveness.follow())
+        self.platform_list = platform_list
         self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
         self.request_ids = self.identity.request_ids()
         self.draining = False
@@ -122,6 +133,7 @@
                 claims=self.claims, requests=self.requests, metrics=self.metrics
             ),
             endpoints=self.endpoints,
+            liveness=self.liveness,
             metrics=self.metrics,
             timeline=self.timeline,
             random_source=self.random_source,
@@ -203,6 +215,10 @@
         )
         exchange.settle(failure=failure, now=anyio.current_time())
 
+    def _note_leaving(self, endpoint: str, source: str) -> None:
+        self.metrics.endpoints_leaving.labels(source).inc()
+        self.timeline.record("endpoints", "leaving", endpoint=endpoint, detail=source)
+
     def _attempt_ids(self):
         prefix = f"{self.identity.name}.{self.identity.incarnation}"
         return (f"{prefix}.a{number}" for number in itertools.count(1))
--- a/currantdyke/daemon/peers.py
+++ b/currantdyke/daemon/peers.py
@@ -6,6 +6,11 @@
 import anyio.abc
 
 from currantdyke.daemon.daemon import Daemon
+from currantdyke.endpoints.liveness import (
+    KEEP_SECONDS,
+    LEAVING_PREFIX,
+    RENEWED_PREFIX,
+)
 from currantdyke.membership import Membership
 from currantdyke.peers import Member, MessageSeal, PeerTransport, open_peer_sockets
 from currantdyke.settings import DaemonSettings
@@ -68,5 +73,17 @@
     daemon.follower.live_members = lambda: [
         (member.name, member.region) for member in membership.live_members()
     ]
+    _share_endpoints(daemon, membership)
     membership.start(tasks)
     return membership
+
+
+def _share_endpoints(daemon: Daemon, membership: Membership) -> None:
+    liveness = daemon.liveness
+
+    def share(key: str, value: str) -> None:
+        membership.state_fact(key, value, seconds=KEEP_SECONDS)
+
+    liveness.share = share
+    membership.facts.subscribe(LEAVING_PREFIX, liveness.take_fact)
+    membership.facts.subscribe(RENEWED_PREFIX, liveness.take_renewal)
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -1,5 +1,6 @@
 """Run a daemon until it is told to stop, then shut it down whole."""
 
+import functools
 from collections.abc import Callable
 
 import anyio
@@ -14,8 +15,10 @@
 from currantdyke.daemon.daemon import Daemon
 from currantdyke.daemon.listen import open_listener, serve_http
 from currantdyke.daemon.peers import open_transport, start_peers
+from currantdyke.daemon.vms import LIST_SECONDS, read_platform_list
 from currantdyke.metrics import Metrics
 from currantdyke.operators import operators_app
+from currantdyke.platformlist import HttpPlatformList
 from currantdyke.settings import DaemonSettings
 from currantdyke.stagecalls.pools import EndpointPools
 from currantdyke.store import BudgetedStore, EtcdStore
@@ -69,10 +72,18 @@
             store=BudgetedStore(store=store),
             client=client,
             metrics=metrics,
+            platform_list=_platform_list(own, settings),
         )
         await _run(daemon, stop, started)
 
 
+def _platform_list(
+    client: httpx.AsyncClient, settings: DaemonSettings
+) -> HttpPlatformList | None:
+    url = settings.platform_list_url
+    return HttpPlatformList(client=client, url=url) if url else None
+
+
 async def _run(
     daemon: Daemon, stop: anyio.Event, started: Callable[[Ports], None]
 ) -> None:
@@ -122,6 +133,9 @@
     daemon.timers.every(
         COLLECT_SECONDS, daemon.collector.collect, name="collect old parts"
     )
+    daemon.timers.every(
+        LIST_SECONDS, functools.partial(read_platform_list, daemon), name="VM list"
+    )
     tasks.start_soon(daemon.follower.run)
     tasks.start_soon(daemon.timers.run)
 
--- a/currantdyke/daemon/tests/test_peers.py
+++ b/currantdyke/daemon/tests/test_peers.py
@@ -4,6 +4,7 @@
 import anyio
 import httpx
 
+from currantdyke.bundle.tests.builders import accept, build_signed_bundle
 from currantdyke.daemon import serve
 from currantdyke.documents import check_document
 from currantdyke.settings import DaemonSettings
@@ -47,6 +48,24 @@
 
         self.assertEqual(sum(run_virtual(scenario)), 2)
 
+    def test_fresh_daemon_gets_its_first_version_from_peers_with_the_store_down(self):
+        async def scenario():
+            async with fleet_in_memory(daemons=0, peers=True) as fleet:
+                await accept(fleet.store(), build_signed_bundle())
+                for number in (1, 2, 3):
+                    await fleet.start_daemon(f"entry-{number}")
+                await anyio.sleep(10.0)
+                fleet.key_value.faults.down = True
+                fresh = await fleet.start_daemon("entry-4")
+                early = fresh.is_ready()
+                await anyio.sleep(10.0)
+                return early, fresh.is_ready(), fresh.in_force.version
+
+        early, ready, version = run_virtual(scenario)
+        self.assertFalse(early)
+        self.assertTrue(ready)
+        self.assertEqual(version, 1)
+
     def test_two_daemons_on_real_sockets_meet_and_part(self):
         async def scenario():
             daemons, stops = [], []
--- a/currantdyke/endpoints/table.py
+++ b/currantdyke/endpoints/table.py
@@ -63,6 +63,18 @@
         """Return the endpoints of a service."""
         return list(self.by_service.get(service, {}).values())
 
+    def named(self, name: str) -> list[Endpoint]:
+        """Return the endpoints on a VM, of whatever service."""
+        found = (endpoints.get(name) for endpoints in self.by_service.values())
+        return [endpoint for endpoint in found if endpoint is not None]
+
+    def renew(self, name: str) -> None:
+        """Begin anew with a VM that was replaced at the same address."""
+        for endpoint in self.named(name):
+            self.by_service[endpoint.service][name] = Endpoint(
+                service=endpoint.service, spec=endpoint.spec
+            )
+
     def _kept(self, service: str, spec: EndpointSpec) -> Endpoint:
         known = self.by_service.get(service, {}).get(spec.name)
         if known is None or known.spec.url != spec.url:
--- a/currantdyke/membership/membership.py
+++ b/currantdyke/membership/membership.py
@@ -79,7 +79,8 @@
         self.metrics = metrics
         self.timeline = timeline
         self.random_source = random_source
-        self.seeds = set(seeds)
+        self.settled_seeds = frozenset(seeds)
+        self.seeds: set[str] = set(seeds)
         self.is_leaving = False
         self.is_meeting = False
         self.is_gossip_scheduled = False
@@ -134,9 +135,9 @@
         """State a fact to all daemons; it holds for ``seconds``."""
         return self.facts.state(key, value, seconds=seconds)
 
-    def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Take in further addresses to join by, such as the platform's list."""
-        self.seeds.update(addresses)
+    def use_listed(self, addresses: Iterable[str]) -> None:
+        """Join by these addresses too; they replace those given before."""
+        self.seeds = set(addresses) | self.settled_seeds
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start to listen, probe and spread, in a task group."""
--- a/currantdyke/metrics/registry.py
+++ b/currantdyke/metrics/registry.py
@@ -81,6 +81,12 @@
         self.claim_seconds = self.histogram(
             "claim_seconds", "Time that a claim adds to its request"
         )
+        self.endpoints_leaving = self.counter(
+            "endpoints_leaving", "Endpoints heard to leave, by who said so", ("source",)
+        )
+        self.platform_list_reads = self.counter(
+            "platform_list_reads", "Reads of the platform's list", ("result",)
+        )
         self.peer_messages = self.counter(
             "peer_messages", "Messages between daemons", ("kind", "direction")
         )
--- a/currantdyke/pipelines/parts.py
+++ b/currantdyke/pipelines/parts.py
@@ -7,7 +7,7 @@
 import httpx
 
 from currantdyke.claims import ClaimGate
-from currantdyke.endpoints import EndpointTable
+from currantdyke.endpoints import EndpointLiveness, EndpointTable
 from currantdyke.events import Timeline
 from currantdyke.metrics import Metrics
 
@@ -21,6 +21,7 @@
     client: httpx.AsyncClient
     claims: ClaimGate
     endpoints: EndpointTable
+    liveness: EndpointLiveness
     metrics: Metrics
     timeline: Timeline
     random_source: random.Random
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -1,5 +1,6 @@
 """Run one stage: choose an endpoint, call it, try again where that is safe."""
 
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -94,7 +95,8 @@
     run: StageRun, endpoint: Endpoint, delivered: DeliveredTokens
 ) -> AttemptReport:
     attempt = _new_attempt(run, endpoint, len(delivered.texts))
-    open_attempt = OpenAttempt(attempt=attempt)
+    hear_word = functools.partial(run.parts.liveness.hear_word, endpoint)
+    open_attempt = OpenAttempt(attempt=attempt, on_word=hear_word)
     run.attempts.append(open_attempt)
     run.tried.append(endpoint.name)
     endpoint.in_flight += 1
@@ -166,7 +168,6 @@
 
 def _learn(run: StageRun, endpoint: Endpoint, report: AttemptReport) -> None:
     run.parts.metrics.attempts.labels(run.stage.service, report.end.value).inc()
-    endpoint.leaving = endpoint.leaving or report.leaving
     if report.end is AttemptEnd.DONE:
         endpoint.observe(report.seconds)
         return
--- a/currantdyke/stagecalls/__init__.py
+++ b/currantdyke/stagecalls/__init__.py
@@ -4,6 +4,7 @@
     Attempt,
     AttemptEnd,
     AttemptReport,
+    EndpointWord,
     HandOff,
     OpenAttempt,
 )
@@ -14,6 +15,7 @@
     "Attempt",
     "AttemptEnd",
     "AttemptReport",
+    "EndpointWord",
     "HandOff",
     "OpenAttempt",
     "call_engine",
--- a/currantdyke/stagecalls/attempt.py
+++ b/currantdyke/stagecalls/attempt.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -11,14 +12,18 @@
     "Attempt",
     "AttemptEnd",
     "AttemptReport",
+    "EndpointWord",
     "HandOff",
     "OpenAttempt",
     "check_answer_headers",
     "read_load",
+    "read_word",
 ]
 
 NOT_RUN_HEADER = "x-not-run"
 LEAVING_HEADER = "x-endpoint-leaving"
+INCARNATION_HEADER = "x-endpoint-incarnation"
+MAX_INCARNATION_CHARACTERS = 64
 LOAD_HEADER = "x-endpoint-load"
 REFUSING_STATUSES = frozenset((429, 503))
 UNCLEAR_STATUSES = frozenset((408, 425, 429, 502, 503, 504))
@@ -140,9 +145,12 @@
     ----------
     report : AttemptReport or None
         How it ended; None while it is open.
+    on_word : callable
+        Called with what the endpoint says of itself, as soon as the answer begins.
     """
 
     attempt: Attempt
+    on_word: Callable[["EndpointWord"], None] = lambda word: None
     hand_off: HandOff = attrs.field(factory=HandOff)
     report: AttemptReport | None = None
 
@@ -170,6 +178,23 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class EndpointWord:
+    """What an endpoint says of itself with the head of an answer."""
+
+    leaving: bool = False
+    incarnation: str = ""
+
+
+def read_word(response: httpx.Response) -> EndpointWord:
+    """Return what an endpoint says of itself."""
+    incarnation = response.headers.get(INCARNATION_HEADER, "")
+    return EndpointWord(
+        leaving=response.headers.get(LEAVING_HEADER) == "1",
+        incarnation=incarnation[:MAX_INCARNATION_CHARACTERS],
+    )
+
+
 def check_answer_headers(
     attempt: Attempt, response: httpx.Response
 ) -> AttemptReport | None:
--- a/currantdyke/stagecalls/transport.py
+++ b/currantdyke/stagecalls/transport.py
@@ -13,6 +13,7 @@
     OpenAttempt,
     check_answer_headers,
     read_load,
+    read_word,
 )
 
 __all__ = ["exchange_call"]
@@ -73,6 +74,7 @@
             extensions=open_attempt.hand_off.extensions(),
             timeout=TIMEOUT,
         ) as response:
+            open_attempt.on_word(read_word(response))
             return await _read(attempt, response, read_answer)
     except TimeoutError as error:
         return AttemptReport(
--- a/currantdyke/standins/stages.py
+++ b/currantdyke/standins/stages.py
@@ -45,6 +45,8 @@
         Send nothing more after so many tokens, and keep the stream open.
     leaving : bool
         Say in each answer that the endpoint is leaving.
+    incarnation : str
+        This life of the VM, told in each answer unless empty.
     cross : str or None
         Attempt id to answer with in place of the right one.
     status : int
@@ -67,6 +69,7 @@
     cut_after: int | None = None
     silent_after: int | None = None
     leaving: bool = False
+    incarnation: str = ""
     cross: str | None = None
     status: int = 200
     stream: Callable[[StageCall], AsyncIterator[str | bytes]] | None = None
@@ -83,6 +86,8 @@
             echoed["x-attempt-id"] = self.cross
         if self.leaving:
             echoed["x-endpoint-leaving"] = "1"
+        if self.incarnation:
+            echoed["x-endpoint-incarnation"] = self.incarnation
         echoed["x-endpoint-load"] = str(self.in_flight)
         return echoed
 
--- a/currantdyke/testing/fleet.py
+++ b/currantdyke/testing/fleet.py
@@ -16,7 +16,13 @@
 from currantdyke.daemon.peers import start_peers
 from currantdyke.daemon.serve import start_parts
 from currantdyke.operators import operators_app
-from currantdyke.standins import KeyValueStandIn, StageStandIn, stage_app
+from currantdyke.platformlist import HttpPlatformList
+from currantdyke.standins import (
+    KeyValueStandIn,
+    PlatformListStandIn,
+    StageStandIn,
+    stage_app,
+)
 from currantdyke.store import EtcdStore
 from currantdyke.testing.builders import (
     CHAIN,
@@ -30,6 +36,7 @@
 __all__ = ["FleetInMemory", "fleet_in_memory"]
 
 STORE_ADDRESS = "store:1"
+LIST_ADDRESS = "platform:1"
 PEER_SEEDS = ("entry-1:7946", "entry-2:7946", "entry-3:7946")
 PEER_KEYS = ("key-between-daemons",)
 SERVICES = (*(name for name, _ in CHAIN), "entry-desk")
@@ -58,6 +65,7 @@
     daemons: dict[str, Daemon] = attrs.field(factory=dict)
     scopes: dict[str, anyio.CancelScope] = attrs.field(factory=dict)
     peers: MemoryPeers | None = None
+    platform_list: PlatformListStandIn = attrs.field(factory=PlatformListStandIn)
 
     def add_endpoint(self, service: str, **behaviour: Any) -> StageStandIn:
         """Attach one more endpoint of a service."""
@@ -80,6 +88,9 @@
             client=self.network.client(),
             random_source=random.Random(self.seed * 1000 + number),
             wall_clock=anyio.current_time,
+            platform_list=HttpPlatformList(
+                client=self.network.client(), url=f"http://{LIST_ADDRESS}/vms"
+            ),
         )
         self.daemons[name] = daemon
         running = anyio.Event()
@@ -159,6 +170,7 @@
         fleet = FleetInMemory(
             network=network, key_value=key_value, tasks=tasks, seed=seed
         )
+        network.attach(LIST_ADDRESS, fleet.platform_list.app())
         if peers:
             fleet.peers = MemoryPeers(tasks=tasks, seed=seed)
         for service in SERVICES:
