Ask decisions through functions that can be exchanged

Cause: choice of endpoint, retry and admission were written into the run of a stage, so no other policy could be measured against them. Change: RunParts holds the stage caller and a set of decision functions; the behaviour is as before.

--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -36,10 +36,11 @@
 from currantdyke.operators.configuration import configuration_routes
 from currantdyke.operators.members import members_routes
 from currantdyke.peers import Member
-from currantdyke.pipelines import RunParts, run_request
+from currantdyke.pipelines import RunParts, make_decisions, run_request
 from currantdyke.platformlist import PlatformList
 from currantdyke.requests import Exchange, RequestTable
 from currantdyke.settings import DaemonSettings
+from currantdyke.stagecalls import http_stage_caller
 from currantdyke.store import Store
 from currantdyke.timers import TimerService
 
@@ -128,7 +129,8 @@
             random_source=self.random_source,
         )
         self.run_parts = RunParts(
-            client=client,
+            call_stage=http_stage_caller(client),
+            decisions=make_decisions(self.random_source),
             claims=ClaimGate(
                 claims=self.claims, requests=self.requests, metrics=self.metrics
             ),
@@ -176,7 +178,7 @@
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
     ) -> Failure | None:
         """Admit a request and start it, or say why not."""
-        refused = self._admit(exchange)
+        refused = self._admit(bundle, pipeline, exchange)
         if refused is not None:
             return refused
         assert self.tasks is not None
@@ -185,9 +187,11 @@
         self.tasks.start_soon(self._run, bundle, pipeline, exchange)
         return None
 
-    def _admit(self, exchange: Exchange) -> Failure | None:
+    def _admit(
+        self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
+    ) -> Failure | None:
         if self.requests.in_flight < self.settings.max_requests_in_flight:
-            return None
+            return self.run_parts.decisions.admit(bundle, pipeline, exchange)
         return Failure(
             kind=FailureKind.OVERLOADED,
             detail=f"{self.requests.in_flight} requests are in flight here",
@@ -202,6 +206,7 @@
         except Exception as error:
             self._settle_broken(exchange, error)
         finally:
+            self.run_parts.decisions.ended(exchange)
             self.requests.close()
             self.metrics.in_flight.set(self.requests.in_flight)
 
--- a/currantdyke/pipelines/__init__.py
+++ b/currantdyke/pipelines/__init__.py
@@ -1,5 +1,6 @@
 """Running the stages of a request under one deadline."""
 
+from currantdyke.pipelines.decisions import Decisions, StageNeed, make_decisions
 from currantdyke.pipelines.run import RunParts, run_request
 
-__all__ = ["RunParts", "run_request"]
+__all__ = ["Decisions", "RunParts", "StageNeed", "make_decisions", "run_request"]
--- a/currantdyke/pipelines/parts.py
+++ b/currantdyke/pipelines/parts.py
@@ -4,12 +4,13 @@
 from collections.abc import Iterator
 
 import attrs
-import httpx
 
 from currantdyke.claims import ClaimGate
 from currantdyke.endpoints import EndpointLiveness, EndpointTable
 from currantdyke.events import Timeline
 from currantdyke.metrics import Metrics
+from currantdyke.pipelines.decisions import Decisions
+from currantdyke.stagecalls import StageCaller
 
 __all__ = ["RunParts"]
 
@@ -18,7 +19,8 @@
 class RunParts:
     """The shared state and services that a run needs."""
 
-    client: httpx.AsyncClient
+    call_stage: StageCaller
+    decisions: Decisions
     claims: ClaimGate
     endpoints: EndpointTable
     liveness: EndpointLiveness
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -11,16 +11,14 @@
 from currantdyke.bundle import Policy, Service, Stage, StageKind
 from currantdyke.core import Failure, FailureKind
 from currantdyke.endpoints import Endpoint
+from currantdyke.pipelines.decisions import StageNeed
 from currantdyke.pipelines.parts import RunParts
 from currantdyke.requests import Exchange, StageRecord
-from currantdyke.routing import choose_endpoint
 from currantdyke.stagecalls import (
     Attempt,
     AttemptEnd,
     AttemptReport,
     OpenAttempt,
-    call_engine,
-    call_plain,
 )
 from currantdyke.stagecalls.engine import DeliveredTokens
 
@@ -59,12 +57,9 @@
     started = anyio.current_time()
     delivered = DeliveredTokens(deliver=run.deliver, most=run.stage.max_tokens)
     failure = _no_endpoint(run)
-    for _ in range(run.policy.max_attempts):
-        endpoint = choose_endpoint(
-            _candidates(run),
-            tried=run.tried,
-            random_source=run.parts.random_source,
-        )
+    need = _need(run)
+    while True:
+        endpoint = run.parts.decisions.choose(need, _candidates(run))
         if endpoint is None:
             break
         report = await _attempt(run, endpoint, delivered)
@@ -74,6 +69,8 @@
         failure = _stage_failed(run, report)
         if not (run.service.idempotent or report.end in SAFE_TO_REPEAT):
             break
+        if not run.parts.decisions.may_retry(need):
+            break
     _record(run, run.tried[-1] if run.tried else "", started)
     return Error(failure)
 
@@ -103,10 +100,7 @@
     _note(run, attempt, "dispatched")
     started = anyio.current_time()
     try:
-        if run.service.kind == StageKind.GENERATE:
-            report = await call_engine(run.parts.client, open_attempt, delivered)
-        else:
-            report = await call_plain(run.parts.client, open_attempt)
+        report = await run.parts.call_stage(open_attempt, run.service.kind, delivered)
     except BaseException:
         _abandon(run, open_attempt)
         raise
@@ -166,7 +160,18 @@
     )
 
 
+def _need(run: StageRun) -> StageNeed:
+    return StageNeed(
+        exchange=run.exchange,
+        service_name=run.stage.service,
+        service=run.service,
+        policy=run.policy,
+        tried=run.tried,
+    )
+
+
 def _learn(run: StageRun, endpoint: Endpoint, report: AttemptReport) -> None:
+    run.parts.decisions.learn(_need(run), endpoint, report)
     run.parts.metrics.attempts.labels(run.stage.service, report.end.value).inc()
     if report.end is AttemptEnd.DONE:
         endpoint.observe(report.seconds)
--- a/currantdyke/stagecalls/__init__.py
+++ b/currantdyke/stagecalls/__init__.py
@@ -8,6 +8,7 @@
     HandOff,
     OpenAttempt,
 )
+from currantdyke.stagecalls.caller import StageCaller, http_stage_caller
 from currantdyke.stagecalls.engine import call_engine
 from currantdyke.stagecalls.plain import call_plain
 
@@ -18,6 +19,8 @@
     "EndpointWord",
     "HandOff",
     "OpenAttempt",
+    "StageCaller",
     "call_engine",
     "call_plain",
+    "http_stage_caller",
 ]
--- /dev/null
+++ b/currantdyke/stagecalls/caller.py
@@ -0,0 +1,27 @@
+"""The one function through which stages are called."""
+
+from collections.abc import Awaitable, Callable
+
+import httpx
+
+from currantdyke.bundle.schema import StageKind
+from currantdyke.stagecalls.attempt import AttemptReport, OpenAttempt
+from currantdyke.stagecalls.engine import DeliveredTokens, call_engine
+from currantdyke.stagecalls.plain import call_plain
+
+__all__ = ["StageCaller", "http_stage_caller"]
+
+StageCaller = Callable[[OpenAttempt, str, DeliveredTokens], Awaitable[AttemptReport]]
+
+
+def http_stage_caller(client: httpx.AsyncClient) -> StageCaller:
+    """Return a function that calls endpoints over HTTP, by the kind of service."""
+
+    async def call(
+        open_attempt: OpenAttempt, kind: str, delivered: DeliveredTokens
+    ) -> AttemptReport:
+        if kind == StageKind.GENERATE:
+            return await call_engine(client, open_attempt, delivered)
+        return await call_plain(client, open_attempt)
+
+    return call
