Measure decisions in virtual time against two baselines and a bound

Cause: nothing showed what the present choice of endpoint is worth under load. Change: a bench drives the daemons' real submit and run with fake endpoints, for both users, 12 daemons, seeded draws, and an oracle bound on what could be answered. Before: no figures.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,7 @@
 
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
+
+.PHONY: bench-decisions
+bench-decisions: setup
+	$(BIN)/python -m currantdyke.benches.decisions --out docs/results
--- /dev/null
+++ b/currantdyke/benches/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, measured in virtual time against baselines."""
--- /dev/null
+++ b/currantdyke/benches/decisions/__main__.py
@@ -0,0 +1,6 @@
+"""Run the bench: ``python -m currantdyke.benches.decisions``."""
+
+from currantdyke.benches.decisions.command import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/currantdyke/benches/decisions/command.py
@@ -0,0 +1,77 @@
+"""The command line of the bench."""
+
+import concurrent.futures
+import multiprocessing
+import pathlib
+import time
+
+import click
+from absl import logging
+
+from currantdyke.benches.decisions.baselines import POLICIES
+from currantdyke.benches.decisions.cell import run_cell
+from currantdyke.benches.decisions.figures import Figures
+from currantdyke.benches.decisions.report import (
+    Key,
+    row_of,
+    write_plots,
+    write_results,
+    write_table,
+)
+from currantdyke.benches.decisions.scenarios import SCENARIOS
+from currantdyke.benches.decisions.world import USERS
+
+__all__ = ["main"]
+
+FIRST_SEED = 11
+
+
+def run_one(job: tuple[Key, int]) -> Figures:
+    """Run one cell with one seed."""
+    logging.set_verbosity(logging.ERROR)
+    (user, scenario, load, policy), seed = job
+    tested = next(tested for tested in POLICIES if tested.name == policy)
+    return run_cell(USERS[user], SCENARIOS[scenario], load, tested, seed)
+
+
+@click.command()
+@click.option("--seeds", default=5, help="Seeds of each row.")
+@click.option("--jobs", default=3, help="Processes.")
+@click.option("--users", default=",".join(USERS), help="Users, by comma.")
+@click.option("--scenarios", default=",".join(SCENARIOS), help="By comma.")
+@click.option("--loads", default="", help="Only these loads, by comma.")
+@click.option("--policies", default=",".join(t.name for t in POLICIES))
+@click.option("--out", default="", help="Folder for JSON and plots.")
+def main(
+    seeds: int,
+    jobs: int,
+    users: str,
+    scenarios: str,
+    loads: str,
+    policies: str,
+    out: str,
+) -> None:
+    """Measure the decisions and print a table."""
+    only = [float(text) for text in loads.split(",") if text]
+    keys: list[Key] = [
+        (user, scenario, load, policy)
+        for user in users.split(",")
+        for scenario in scenarios.split(",")
+        for load in SCENARIOS[scenario].loads
+        if not only or load in only
+        for policy in policies.split(",")
+    ]
+    work = [(key, FIRST_SEED + n) for key in keys for n in range(seeds)]
+    started = time.monotonic()
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(jobs, mp_context=context) as pool:
+        found = list(pool.map(run_one, work, chunksize=1))
+    rows = [
+        row_of(key, found[place * seeds : (place + 1) * seeds])
+        for place, key in enumerate(keys)
+    ]
+    click.echo(write_table(rows))
+    click.echo(f"{len(work)} runs in {time.monotonic() - started:.0f} s")
+    if out:
+        write_results(rows, pathlib.Path(out) / "decisions.json")
+        write_plots(rows, pathlib.Path(out))
--- /dev/null
+++ b/currantdyke/benches/decisions/figures.py
@@ -0,0 +1,179 @@
+"""Figures of one cell."""
+
+from typing import Any
+
+import attrs
+import numpy as np
+
+from currantdyke.benches.decisions.oracle import bound_attainment
+from currantdyke.benches.decisions.scenarios import (
+    FAULT_BEGINS_SECONDS,
+    FAULT_ENDS_SECONDS,
+)
+from currantdyke.core import FailureKind
+
+__all__ = ["Figures", "measure"]
+
+FLOODING_WORKSPACE = "workspace-0"
+REFUSALS = (FailureKind.OVERLOADED, FailureKind.DEADLINE_TOO_SHORT)
+
+
+@attrs.frozen(kw_only=True)
+class Figures:
+    """What one run showed.
+
+    Attributes
+    ----------
+    attainment, bound : float
+        Share of pipeline requests answered whole in time, and the oracle's bound.
+    work_share : float
+        Engine work of requests answered in time, as a share of capacity.
+    cost : float
+        Endpoint-seconds of all stages per answered request.
+    cost_by_stage : dict
+        The same by service.
+    wasted : float
+        Share of endpoint-seconds spent on requests that missed.
+    first_token_p95, between_tokens_p95 : float
+        Seconds.
+    fairness : float
+        Least attainment of a workspace over the greatest.
+    small_attainment : float
+        Attainment of all workspaces but the first.
+    extra_attempts : float
+        Retries and hedges per first attempt.
+    prefix_hits : float
+        Share of prompts whose prefix the engine held.
+    refused : float
+        Share refused before anything was dispatched.
+    """
+
+    attainment: float
+    bound: float
+    work_share: float
+    cost: float
+    cost_by_stage: dict[str, float]
+    wasted: float
+    first_token_p95: float
+    between_tokens_p95: float
+    fairness: float
+    small_attainment: float
+    extra_attempts: float
+    prefix_hits: float
+    refused: float
+    slow_share: float
+
+
+def measure(cell: Any, arrival_seconds: float) -> Figures:
+    """Return the figures of a cell that has ended."""
+    asks = [ask for ask in cell.asks if ask.pipeline == "notes"]
+    answered = _answered(cell)
+    in_time = [ask for ask in asks if ask.number in answered]
+    cost, useful, by_stage = _cost(cell, answered)
+    by_workspace = _by_workspace(asks, answered)
+    engines = cell.engines()
+    lookups = sum(engine.lookups for engine in engines)
+    waits = [e.first_token - e.started for _, e in answered.values() if e.first_token]
+    gaps = [
+        (e.ended - e.first_token) / max(1, ask.tokens - 8)
+        for ask, e in answered.values()
+        if e.first_token is not None and ask.tokens > 8
+    ]
+    notes = [(a, e) for a, e in cell.exchanges if a.pipeline == "notes"]
+    refused = sum(
+        e.failure is not None and e.failure.kind in REFUSALS and not e.records
+        for _, e in notes
+    )
+    work = sum(ask.engine_seconds for ask in in_time)
+    count = max(1, len(answered))
+    return Figures(
+        attainment=len(in_time) / len(asks),
+        bound=bound_attainment(asks, lambda time: _rate(cell, time)),
+        work_share=work / (cell.user.runners * arrival_seconds),
+        cost=cost / count,
+        cost_by_stage={name: value / count for name, value in by_stage.items()},
+        wasted=1.0 - useful / cost if cost else 0.0,
+        first_token_p95=float(np.percentile(waits, 95)) if waits else 0.0,
+        between_tokens_p95=float(np.percentile(gaps, 95)) if gaps else 0.0,
+        fairness=min(by_workspace.values()) / max(1e-9, max(by_workspace.values())),
+        small_attainment=_small(asks, answered),
+        extra_attempts=_extra(cell),
+        prefix_hits=sum(engine.hits for engine in engines) / max(1, lookups),
+        refused=refused / max(1, len(notes)),
+        slow_share=_slow_share(cell),
+    )
+
+
+def _answered(cell: Any) -> dict[int, tuple[Any, Any]]:
+    """Return the asks answered whole within their first deadline."""
+    found = {}
+    for ask, exchange in cell.exchanges:
+        if ask.pipeline != "notes" or exchange.failure is not None:
+            continue
+        if exchange.ended is None or exchange.outcome is None:
+            continue
+        if exchange.ended + cell.user.client_delay <= ask.at + ask.deadline + 0.01:
+            found[ask.number] = (ask, exchange)
+    return found
+
+
+def _cost(cell: Any, answered: dict) -> tuple[float, float, dict[str, float]]:
+    cost = useful = 0.0
+    by_stage: dict[str, float] = {}
+    for service, job, attempt in cell.jobs:
+        if job.ask.pipeline != "notes":
+            continue
+        cost += job.cost_seconds
+        by_stage[service] = by_stage.get(service, 0.0) + job.cost_seconds
+        kept = answered.get(job.ask.number)
+        if kept is not None and kept[1].request_id == attempt.request_id:
+            useful += job.cost_seconds
+    return cost, useful, by_stage
+
+
+def _by_workspace(asks: list, answered: dict) -> dict[str, float]:
+    totals: dict[str, list[int]] = {}
+    for ask in asks:
+        totals.setdefault(ask.workspace, []).append(ask.number in answered)
+    return {name: sum(hits) / len(hits) for name, hits in totals.items()}
+
+
+def _small(asks: list, answered: dict) -> float:
+    hits = [a.number in answered for a in asks if a.workspace != FLOODING_WORKSPACE]
+    return sum(hits) / max(1, len(hits))
+
+
+def _extra(cell: Any) -> float:
+    firsts = {(attempt.request_id, attempt.stage) for _, _, attempt in cell.jobs}
+    return len(cell.jobs) / max(1, len(firsts)) - 1.0
+
+
+def _slow_share(cell: Any) -> float:
+    """Return the first engine's share of calls from 5 s after the fault on."""
+    first = cell.engines()[0].name
+    begins, ends = FAULT_BEGINS_SECONDS + 5.0, FAULT_ENDS_SECONDS
+    names = [
+        attempt.endpoint
+        for service, job, attempt in cell.jobs
+        if service == cell.user.engine and begins <= job.began < ends
+    ]
+    return names.count(first) / max(1, len(names))
+
+
+def _rate(cell: Any, time: float) -> float:
+    """Return the engine-seconds a second that the scenario leaves at ``time``."""
+    name, runners = cell.scenario.name, cell.user.runners
+    if not FAULT_BEGINS_SECONDS <= time < FAULT_ENDS_SECONDS:
+        late = time >= FAULT_ENDS_SECONDS and name == "zone lost"
+        if not late:
+            return float(runners)
+    if name == "slow VM x4":
+        return runners - 0.75
+    if name == "half pool x2":
+        return runners - 0.5 * round(0.5 * runners)
+    if name == "crash, return":
+        return runners - 1.0
+    if name == "zone lost":
+        lost = sum(engine.zone == "zone-1" for engine in cell.engines())
+        return float(runners - lost)
+    return float(runners)
