--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: setup lock format lint test demo binary bench-serve matrix clean
+.PHONY: setup lock format lint test demo binary bench-serve matrix capacity clean
 
 setup: .venv/installed
 
@@ -38,11 +38,17 @@
 	$(BIN)/python build_tools/check_binary.py
 
 bench-serve: setup
+	mkdir -p docs/results
 	$(BIN)/python -m currantdyke.benches.serve --output docs/results/serve.json
 
 matrix: setup
 	$(BIN)/python -m currantdyke.matrix --output docs/MATRIX.md
 
+capacity: setup
+	mkdir -p docs/results
+	$(BIN)/python -m currantdyke.benches.capacity \
+	    --output docs/results/state.json --page docs/CAPACITY.md
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
 
--- /dev/null
+++ b/currantdyke/benches/capacity/page.py
@@ -0,0 +1,58 @@
+"""Put the measured tables into docs/CAPACITY.md."""
+
+import pathlib
+from collections.abc import Sequence
+
+from currantdyke.benches.capacity.plan import BUDGET, PLAN
+from currantdyke.benches.capacity.state import Slope
+
+__all__ = ["AT_PLAN", "fill_page", "state_table"]
+
+BEGIN = "<!-- state begins -->"
+END = "<!-- state ends -->"
+MEBIBYTE = 1024 * 1024
+KEEP_SECONDS = 60.0
+TIMELINE_EVENTS = 20_000
+
+# How many of each a daemon holds at the plan's size.
+AT_PLAN = {
+    "workspace in force": PLAN.workspaces,
+    "endpoint known": PLAN.runners,
+    "answered request kept": round(PLAN.requests_per_daemon * KEEP_SECONDS),
+    "event of the time line": TIMELINE_EVENTS,
+}
+
+
+def state_table(slopes: Sequence[Slope]) -> str:
+    """Return the slopes and what they come to at the plan's size, in Markdown."""
+    lines = [
+        "| state | points | bytes each | spread | at the plan | MiB | µs each |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for slope in slopes:
+        count = AT_PLAN[slope.name]
+        mebibytes = slope.per_item * count / MEBIBYTE
+        lines.append(
+            f"| {slope.name} | {', '.join(map(str, slope.sizes))} "
+            f"| {slope.per_item:.0f} | {slope.spread:.1%} | {count:,} "
+            f"| {mebibytes:.1f} | {slope.seconds_per_item * 1e6:.1f} |"
+        )
+    control = sum(
+        slope.per_item * AT_PLAN[slope.name] / MEBIBYTE
+        for slope in slopes
+        if slope.name != "answered request kept"
+    )
+    lines.append("")
+    lines.append(
+        f"State for control at the plan: {control:.1f} MiB of the "
+        f"{BUDGET.control_mebibytes:.0f} MiB allowed, beside the program itself."
+    )
+    return "\n".join(lines)
+
+
+def fill_page(page: pathlib.Path, table: str) -> None:
+    """Replace what stands between the marks of the page."""
+    text = page.read_text()
+    head, _, rest = text.partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    page.write_text(f"{head}{BEGIN}\n{table}\n{END}{tail}")
