Refuse requests that crash endpoints, and spare those in flight beside them

Cause: a request that crashes each endpoint that runs it was retried and resent without bound. Change: a fingerprint of workspace, pipeline and input collects crashes, told to all daemons as facts; a crash is a cut call whose endpoint then takes no connection. Suspects of a crowded crash run in small groups apart from others, after a second crash alone; one daemon tries a suspect at a time. Two crashes alone, or three with one alone, refuse the request for ten minutes; a run that ends well clears it; operators list and lift. The network in memory raised KeyError when an endpoint was killed between connecting and its first step; it now holds on to the application.

--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import anyio.abc
@@ -30,14 +30,16 @@
 )
 from currantdyke.endpoints import EndpointLiveness, EndpointTable
 from currantdyke.events import Timeline
-from currantdyke.membership import Membership
+from currantdyke.membership import FactStore, Membership
 from currantdyke.metrics import Metrics
 from currantdyke.operators import OperatorsFace
 from currantdyke.operators.configuration import configuration_routes
 from currantdyke.operators.members import members_routes
+from currantdyke.operators.quarantine import quarantine_routes
 from currantdyke.peers import Member
 from currantdyke.pipelines import RunParts, make_decisions, run_request
 from currantdyke.platformlist import PlatformList
+from currantdyke.quarantine import Quarantine, Turns, can_connect
 from currantdyke.requests import Exchange, RequestTable
 from currantdyke.settings import DaemonSettings
 from currantdyke.stagecalls import http_stage_caller
@@ -68,6 +70,8 @@
         Returns the wall clock's time in seconds.
     platform_list : PlatformList, optional
         The platform's list of VMs.
+    can_connect : callable
+        Returns whether a URL takes connections, or None where that is unclear.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         metrics: Metrics | None = None,
         wall_clock: Callable[[], float] = time.time,
         platform_list: PlatformList | None = None,
+        can_connect: Callable[[str], Awaitable[bool | None]] = can_connect,
     ):
         self.settings = settings
         self.store = store
@@ -117,6 +122,16 @@
         )
         self.in_force.subscribe(lambda bundle: self.liveness.follow())
         self.platform_list = platform_list
+        self.quarantine = Quarantine(
+            daemon=settings.name,
+            facts=FactStore(
+                origin=settings.name,
+                clock=self.timeline.clock,
+                now=anyio.current_time,
+            ),
+            now=anyio.current_time,
+            note=self._note_quarantine,
+        )
         self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
         self.request_ids = self.identity.request_ids()
         self.draining = False
@@ -136,6 +151,7 @@
             ),
             endpoints=self.endpoints,
             liveness=self.liveness,
+            turns=Turns(quarantine=self.quarantine, can_connect=can_connect),
             metrics=self.metrics,
             timeline=self.timeline,
             random_source=self.random_source,
@@ -163,6 +179,7 @@
             routes=[
                 *configuration_routes(self.configuration, self.follower),
                 *members_routes(lambda: self.membership),
+                *quarantine_routes(self.quarantine),
             ],
         )
 
@@ -178,7 +195,9 @@
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
     ) -> Failure | None:
         """Admit a request and start it, or say why not."""
-        refused = self._admit(bundle, pipeline, exchange)
+        refused = self.quarantine.refuse(exchange) or self._admit(
+            bundle, pipeline, exchange
+        )
         if refused is not None:
             return refused
         assert self.tasks is not None
@@ -224,6 +243,10 @@
         self.metrics.endpoints_leaving.labels(source).inc()
         self.timeline.record("endpoints", "leaving", endpoint=endpoint, detail=source)
 
+    def _note_quarantine(self, name: str, fingerprint: str) -> None:
+        self.metrics.quarantine.labels(name).inc()
+        self.timeline.record("quarantine", name, detail=fingerprint)
+
     def _attempt_ids(self):
         prefix = f"{self.identity.name}.{self.identity.incarnation}"
         return (f"{prefix}.a{number}" for number in itertools.count(1))
--- a/currantdyke/daemon/peers.py
+++ b/currantdyke/daemon/peers.py
@@ -74,6 +74,7 @@
         (member.name, member.region) for member in membership.live_members()
     ]
     _share_endpoints(daemon, membership)
+    daemon.quarantine.use(membership.facts)
     membership.start(tasks)
     return membership
 
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -136,6 +136,9 @@
     daemon.timers.every(
         LIST_SECONDS, functools.partial(read_platform_list, daemon), name="VM list"
     )
+    daemon.timers.every(
+        FORGET_SECONDS, daemon.quarantine.forget_old, name="forget suspicions"
+    )
     tasks.start_soon(daemon.follower.run)
     tasks.start_soon(daemon.timers.run)
 
--- a/currantdyke/metrics/registry.py
+++ b/currantdyke/metrics/registry.py
@@ -87,6 +87,9 @@
         self.platform_list_reads = self.counter(
             "platform_list_reads", "Reads of the platform's list", ("result",)
         )
+        self.quarantine = self.counter(
+            "quarantine", "Events of requests that crash endpoints", ("event",)
+        )
         self.peer_messages = self.counter(
             "peer_messages", "Messages between daemons", ("kind", "direction")
         )
--- a/currantdyke/pipelines/parts.py
+++ b/currantdyke/pipelines/parts.py
@@ -10,6 +10,7 @@
 from currantdyke.events import Timeline
 from currantdyke.metrics import Metrics
 from currantdyke.pipelines.decisions import Decisions
+from currantdyke.quarantine import Turns
 from currantdyke.stagecalls import StageCaller
 
 __all__ = ["RunParts"]
@@ -24,6 +25,7 @@
     claims: ClaimGate
     endpoints: EndpointTable
     liveness: EndpointLiveness
+    turns: Turns
     metrics: Metrics
     timeline: Timeline
     random_source: random.Random
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -59,10 +59,18 @@
     failure = _no_endpoint(run)
     need = _need(run)
     while True:
-        endpoint = run.parts.decisions.choose(need, _candidates(run))
-        if endpoint is None:
-            break
-        report = await _attempt(run, endpoint, delivered)
+        async with run.parts.turns.turn(
+            run.exchange, _candidates(run), run.tried
+        ) as turn:
+            if turn.refused is not None:
+                failure = turn.refused
+                break
+            endpoint = run.parts.decisions.choose(need, turn.endpoints)
+            if endpoint is None:
+                break
+            with turn.on(endpoint):
+                report = await _attempt(run, endpoint, delivered)
+            await turn.judge(endpoint, report)
         if report.end is AttemptEnd.DONE:
             _record(run, endpoint.name, started)
             return Ok(report.output)
--- /dev/null
+++ b/currantdyke/quarantine/connect.py
@@ -0,0 +1,23 @@
+"""Whether an endpoint still listens."""
+
+import anyio
+import httpx
+
+__all__ = ["can_connect"]
+
+CONNECT_SECONDS = 0.5
+
+
+async def can_connect(url: str) -> bool | None:
+    """Return whether a URL's port takes connections; None where that is unclear."""
+    parsed = httpx.URL(url)
+    port = parsed.port or (443 if parsed.scheme == "https" else 80)
+    try:
+        with anyio.fail_after(CONNECT_SECONDS):
+            stream = await anyio.connect_tcp(parsed.host, port)
+    except TimeoutError:
+        return None
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
--- /dev/null
+++ b/currantdyke/quarantine/tests/builders.py
@@ -0,0 +1,39 @@
+from currantdyke.standins import stage_app
+
+POISON = "the flight that crashes"
+
+
+def crashing_app(fleet, name, crashes):
+    """Return an endpoint's application that dies under one input."""
+    standin = fleet.standins[name]
+    inner = stage_app(standin)
+
+    async def handle(scope, receive, send):
+        body = await receive()
+        if POISON.encode() in body["body"]:
+            crashes.append(name)
+            fleet.network.kill(f"{name}:1")
+            raise ConnectionResetError("the process died")
+
+        async def replay():
+            nonlocal body
+            if body is not None:
+                found, body = body, None
+                return found
+            return await receive()
+
+        await inner(scope, replay, send)
+
+    return handle
+
+
+def make_crashing(fleet, service, crashes):
+    """Let each endpoint of a service die under the input POISON."""
+    for name in fleet.standins:
+        if name.rpartition("-")[0] == service:
+            fleet.network.attach(f"{name}:1", crashing_app(fleet, name, crashes))
+
+
+def restart(fleet, name, crashes):
+    """Bring an endpoint back."""
+    fleet.network.attach(f"{name}:1", crashing_app(fleet, name, crashes))
--- /dev/null
+++ b/currantdyke/quarantine/tests/test_quarantine.py
@@ -0,0 +1,228 @@
+import unittest
+
+import anyio
+
+from currantdyke.events import HybridClock
+from currantdyke.membership import FactStore
+from currantdyke.quarantine import Quarantine, fingerprint_of
+from currantdyke.quarantine.tests.builders import POISON, make_crashing, restart
+from currantdyke.testing import fleet_in_memory, run_virtual
+from currantdyke.testing.builders import build_exchange
+
+DESK = "/v1/services/entry-desk"
+MOST_CRASHES = 3
+
+
+async def submit(fleet, daemon="entry-1", content=POISON, deadline="6"):
+    async with fleet.caller(daemon) as client:
+        return await client.post(
+            DESK, json={"input": content}, headers={"x-deadline-seconds": deadline}
+        )
+
+
+async def keep_up(fleet, crashes):
+    """Restart each endpoint a while after it died."""
+    while True:
+        await anyio.sleep(0.5)
+        for name in fleet.standins:
+            if f"{name}:1" not in fleet.network.apps:
+                restart(fleet, name, crashes)
+
+
+def build_quarantine(time):
+    facts = FactStore(
+        origin="entry-1", clock=HybridClock(), now=lambda: time["seconds"]
+    )
+    return Quarantine(daemon="entry-1", facts=facts, now=lambda: time["seconds"])
+
+
+class TestFingerprint(unittest.TestCase):
+    def test_depends_on_content_and_not_on_id_or_order_of_keys(self):
+        async def scenario():
+            one = build_exchange(input={"a": 1, "b": 2}, request_id="x")
+            two = build_exchange(input={"b": 2, "a": 1}, request_id="y")
+            others = [
+                build_exchange(input={"a": 1}),
+                build_exchange(input={"a": 1, "b": 2}, workspace="ibadan"),
+                build_exchange(input={"a": 1, "b": 2}, pipeline="other"),
+            ]
+            return [fingerprint_of(exchange) for exchange in (one, two, *others)]
+
+        prints = run_virtual(scenario)
+        self.assertEqual(prints[0], prints[1])
+        self.assertEqual(len(set(prints)), 4)
+
+
+class TestVerdict(unittest.TestCase):
+    def test_crashes_among_others_alone_never_refuse(self):
+        async def scenario():
+            quarantine = build_quarantine({"seconds": 0.0})
+            exchange = build_exchange()
+            name = fingerprint_of(exchange)
+            for _ in range(9):
+                quarantine.count_crash(name, alone=False, crowd=5, service="encoder")
+            before = quarantine.refuse(exchange)
+            quarantine.count_crash(name, alone=True, crowd=1, service="encoder")
+            return before, quarantine.refuse(exchange)
+
+        before, after = run_virtual(scenario)
+        self.assertIsNone(before)
+        self.assertEqual(after.kind.code, "quarantined")
+        self.assertGreater(after.retry_after, 0.0)
+
+    def test_refusal_expires_and_can_be_lifted(self):
+        async def scenario():
+            time = {"seconds": 0.0}
+            quarantine = build_quarantine(time)
+            exchange = build_exchange()
+            name = fingerprint_of(exchange)
+
+            def crash():
+                quarantine.count_crash(name, alone=True, crowd=1, service="encoder")
+
+            crash()
+            crash()
+            seen = [quarantine.refuse(exchange) is not None]
+            self.assertTrue(quarantine.lift(name))
+            seen.append(quarantine.refuse(exchange) is not None)
+            crash()
+            seen.append(quarantine.refuse(exchange) is not None)
+            crash()
+            seen.append(quarantine.refuse(exchange) is not None)
+            time["seconds"] = 601.0
+            seen.append(quarantine.refuse(exchange) is not None)
+            await quarantine.forget_old()
+            return seen, quarantine.suspicions
+
+        seen, left = run_virtual(scenario)
+        self.assertEqual(seen, [True, False, False, True, False])
+        self.assertEqual(left, {})
+
+
+class TestFleet(unittest.TestCase):
+    def test_crashes_are_bounded_however_and_wherever_it_is_sent_again(self):
+        async def scenario():
+            crashes = []
+            async with fleet_in_memory(daemons=6, endpoints=4, peers=True) as fleet:
+                await anyio.sleep(5.0)
+                make_crashing(fleet, "entry-desk", crashes)
+                fleet.tasks.start_soon(keep_up, fleet, crashes)
+                codes = []
+                for number in range(24):
+                    answer = await submit(fleet, f"entry-{number % 6 + 1}")
+                    codes.append(answer.json()["error"]["code"])
+                    await anyio.sleep(0.3)
+                return len(crashes), codes
+
+        crashes, codes = run_virtual(scenario)
+        self.assertLessEqual(crashes, MOST_CRASHES)
+        self.assertEqual(set(codes[-18:]), {"quarantined"})
+
+    def test_copies_at_once_through_all_daemons_crash_at_most_one_each_more(self):
+        async def scenario():
+            crashes = []
+            async with fleet_in_memory(daemons=6, endpoints=8, peers=True) as fleet:
+                await anyio.sleep(5.0)
+                make_crashing(fleet, "entry-desk", crashes)
+                fleet.tasks.start_soon(keep_up, fleet, crashes)
+                async with anyio.create_task_group() as tasks:
+                    for number in range(6):
+                        tasks.start_soon(submit, fleet, f"entry-{number + 1}")
+                first = len(crashes)
+                for number in range(6):
+                    await submit(fleet, f"entry-{number + 1}")
+                return first, len(crashes)
+
+        first, all_crashes = run_virtual(scenario)
+        self.assertLessEqual(first, 6)
+        self.assertEqual(all_crashes, first)
+
+    def test_innocents_in_flight_at_the_crash_are_all_answered(self):
+        async def scenario():
+            crashes, answers = [], []
+            async with fleet_in_memory(daemons=2, endpoints=4, peers=True) as fleet:
+                await anyio.sleep(5.0)
+                make_crashing(fleet, "entry-desk", crashes)
+                for standin in fleet.standins.values():
+                    standin.seconds = 0.2
+                others = fleet.daemons["entry-1"].endpoints.of_service("entry-desk")
+                for endpoint in others[1:]:
+                    endpoint.leaving = True
+
+                async def innocent(number):
+                    answers.append(
+                        await submit(fleet, content=f"flight {number}", deadline="20")
+                    )
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(50):
+                        tasks.start_soon(innocent, number)
+                    await anyio.sleep(0.1)
+                    in_flight = fleet.standins["entry-desk-1"].in_flight
+                    fleet.tasks.start_soon(keep_up, fleet, crashes)
+                    tasks.start_soon(submit, fleet)
+                    await anyio.sleep(0.05)
+                    for endpoint in others:
+                        endpoint.leaving = False
+                return in_flight, len(crashes), [a.status_code for a in answers]
+
+        in_flight, crashes, statuses = run_virtual(scenario)
+        self.assertEqual(in_flight, 50)
+        self.assertGreaterEqual(crashes, 1)
+        self.assertLessEqual(crashes, MOST_CRASHES)
+        self.assertEqual(statuses, [200] * 50)
+
+    def test_operators_list_and_lift(self):
+        async def scenario():
+            crashes = []
+            async with fleet_in_memory(daemons=3, endpoints=4, peers=True) as fleet:
+                await anyio.sleep(5.0)
+                make_crashing(fleet, "entry-desk", crashes)
+                fleet.tasks.start_soon(keep_up, fleet, crashes)
+                for _ in range(3):
+                    await submit(fleet)
+                await anyio.sleep(2.0)
+                async with fleet.network.client() as client:
+                    listed = await client.get("http://entry-2:8081/quarantine")
+                    row = listed.json()["suspects"][0]
+                    url = f"http://entry-3:8081/quarantine/{row['fingerprint']}"
+                    lifted = await client.delete(url)
+                    unknown = await client.delete(url + "0")
+                await anyio.sleep(2.0)
+                before = len(crashes)
+                await submit(fleet)
+                return row, lifted, unknown, len(crashes) - before
+
+        row, lifted, unknown, again = run_virtual(scenario)
+        self.assertGreater(row["refused_seconds"], 0)
+        self.assertEqual(lifted.status_code, 200)
+        self.assertEqual(unknown.status_code, 404)
+        self.assertGreaterEqual(again, 1)
+
+    def test_endpoint_that_dies_without_a_culprit_refuses_nobody(self):
+        async def scenario():
+            async with fleet_in_memory(daemons=2, endpoints=4, peers=True) as fleet:
+                await anyio.sleep(5.0)
+                for standin in fleet.standins.values():
+                    standin.seconds = 0.5
+                answers = []
+
+                async def innocent(number):
+                    answers.append(await submit(fleet, content=f"flight {number}"))
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(12):
+                        tasks.start_soon(innocent, number)
+                    await anyio.sleep(0.2)
+                    fleet.network.kill("entry-desk-2:1")
+                refused = [d.quarantine.listed() for d in fleet.daemons.values()]
+                return [a.status_code for a in answers], refused
+
+        statuses, listed = run_virtual(scenario)
+        self.assertEqual(statuses, [200] * 12)
+        for rows in listed:
+            self.assertTrue(all(row["refused_seconds"] == 0 for row in rows))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/currantdyke/quarantine/turns.py
@@ -0,0 +1,243 @@
+"""Where a request may run: suspects apart from all others.
+
+A suspect of a crash with many in flight runs in a small group of suspects, on an
+endpoint that takes nothing else; after a second crash it runs alone.
+"""
+
+import contextlib
+import math
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Collection,
+    Iterator,
+    Sequence,
+)
+
+import anyio
+import attrs
+
+from currantdyke.core import Failure
+from currantdyke.endpoints import Endpoint
+from currantdyke.quarantine.fingerprint import fingerprint_of
+from currantdyke.quarantine.quarantine import Quarantine
+from currantdyke.quarantine.record import Suspicion
+from currantdyke.requests import Exchange
+from currantdyke.stagecalls import AttemptEnd, AttemptReport
+
+__all__ = ["Turn", "Turns"]
+
+SETTLE_SECONDS = 1.0
+SETTLE_SHARE_OF_REST = 0.2
+WAIT_SHARE_OF_REST = 0.5
+POLL_SECONDS = 0.02
+SAME_CRASH_SECONDS = 1.0
+RESERVED_SHARE = 0.5
+MIN_ENDPOINTS = 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class Turn:
+    """One attempt's leave to run.
+
+    Attributes
+    ----------
+    refused : Failure or None
+        Why it may not run.
+    endpoints : sequence of Endpoint
+        Where it may run.
+    """
+
+    turns: "Turns"
+    exchange: Exchange
+    endpoints: Sequence[Endpoint]
+    refused: Failure | None = None
+
+    @contextlib.contextmanager
+    def on(self, endpoint: Endpoint) -> Iterator[None]:
+        """Note that the request is in flight at an endpoint."""
+        running = self.turns.running.setdefault(endpoint.name, [])
+        running.append(self.exchange)
+        try:
+            yield
+        finally:
+            running.remove(self.exchange)
+
+    async def judge(self, endpoint: Endpoint, report: AttemptReport) -> None:
+        """Count a crash if the endpoint died under the request; clear it if not."""
+        if report.end is AttemptEnd.CUT:
+            await self.turns.judge_cut(self.exchange, endpoint)
+        elif report.end is AttemptEnd.DONE:
+            self.turns.judge_done(self.exchange, endpoint)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Group:
+    """Suspects that share an endpoint: how many, and how many at most."""
+
+    most: int
+    count: int = 1
+
+
+@attrs.define(kw_only=True, eq=False)
+class Turns:
+    """Gives out turns.
+
+    Attributes
+    ----------
+    can_connect : callable
+        Returns whether a URL takes connections, or None where that is unclear.
+    running : dict
+        The requests of this daemon in flight, by endpoint.
+    groups : dict
+        The suspects that each endpoint is kept for.
+    cuts : dict
+        Fingerprints cut of late at each endpoint, with the time.
+    """
+
+    quarantine: Quarantine
+    can_connect: Callable[[str], Awaitable[bool | None]]
+    running: dict[str, list[Exchange]] = attrs.field(factory=dict)
+    groups: dict[str, "Group"] = attrs.field(factory=dict)
+    cuts: dict[str, dict[str, float]] = attrs.field(factory=dict)
+
+    @contextlib.asynccontextmanager
+    async def turn(
+        self,
+        exchange: Exchange,
+        endpoints: Sequence[Endpoint],
+        tried: Collection[str] = (),
+    ) -> AsyncIterator[Turn]:
+        """Wait for leave to run on some of a service's endpoints.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        endpoints : sequence of Endpoint
+            The endpoints of the service.
+        tried : collection of str
+            Names that a suspect is kept from where there are others.
+        """
+        suspicion = self.quarantine.suspicion_of(exchange)
+        service = endpoints[0].service if endpoints else ""
+        if suspicion is None or suspicion.summed().service != service:
+            yield self._turn(exchange, self._unreserved(endpoints))
+            return
+        fingerprint = suspicion.fingerprint
+        self.quarantine.begin_trial(fingerprint)
+        try:
+            await self._wait_settled(exchange, suspicion)
+            if self.quarantine.refuse(exchange):
+                yield self._turn(exchange, endpoints)
+                return
+            async with self._apart(exchange, endpoints, suspicion, tried) as kept:
+                yield self._turn(exchange, kept)
+        finally:
+            self.quarantine.end_trial(fingerprint)
+
+    async def judge_cut(self, exchange: Exchange, endpoint: Endpoint) -> None:
+        """Count a crash, if the endpoint takes no more connections."""
+        fingerprint = fingerprint_of(exchange)
+        cuts = self._recent_cuts(endpoint.name)
+        is_counted = fingerprint in cuts
+        cuts[fingerprint] = anyio.current_time()
+        beside = {
+            fingerprint_of(other) for other in self.running.get(endpoint.name, ())
+        }
+        crowd = len(beside | cuts.keys() | {fingerprint})
+        if is_counted or await self.can_connect(endpoint.spec.url) is not False:
+            return
+        self.quarantine.count_crash(
+            fingerprint, alone=crowd == 1, crowd=crowd, service=endpoint.service
+        )
+
+    def judge_done(self, exchange: Exchange, endpoint: Endpoint) -> None:
+        """Clear a suspect that ran well at the service it is suspected for."""
+        suspicion = self.quarantine.suspicion_of(exchange)
+        if suspicion and suspicion.summed().service == endpoint.service:
+            self.quarantine.clear(suspicion.fingerprint)
+
+    def _turn(self, exchange: Exchange, endpoints: Sequence[Endpoint]) -> Turn:
+        return Turn(
+            turns=self,
+            exchange=exchange,
+            endpoints=endpoints,
+            refused=self.quarantine.refuse(exchange),
+        )
+
+    def _unreserved(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
+        if not self.groups:
+            return endpoints
+        return [e for e in endpoints if e.name not in self.groups] or endpoints
+
+    async def _wait_settled(self, exchange: Exchange, suspicion: Suspicion) -> None:
+        """Wait until other daemons' words are here, and for their trials."""
+        rest = exchange.deadline - anyio.current_time()
+        settle = min(SETTLE_SECONDS, SETTLE_SHARE_OF_REST * rest)
+        await anyio.sleep(max(0.0, suspicion.heard + settle - anyio.current_time()))
+        with anyio.move_on_after(WAIT_SHARE_OF_REST * rest):
+            while self.quarantine.has_rival(suspicion.fingerprint):
+                await anyio.sleep(POLL_SECONDS)
+
+    @contextlib.asynccontextmanager
+    async def _apart(
+        self,
+        exchange: Exchange,
+        endpoints: Sequence[Endpoint],
+        suspicion: Suspicion,
+        tried: Collection[str],
+    ) -> AsyncIterator[Sequence[Endpoint]]:
+        able = [e for e in endpoints if not e.leaving and e.name not in tried]
+        if len(able) < MIN_ENDPOINTS:
+            yield self._unreserved(endpoints)
+            return
+        rest = exchange.deadline - anyio.current_time()
+        endpoint = None
+        with anyio.move_on_after(WAIT_SHARE_OF_REST * rest):
+            while (endpoint := self._reserve(able, suspicion)) is None:
+                await anyio.sleep(POLL_SECONDS)
+        if endpoint is None:
+            yield self._unreserved(endpoints)
+            return
+        try:
+            with anyio.move_on_after(WAIT_SHARE_OF_REST * rest):
+                while self._has_strangers(endpoint):
+                    await anyio.sleep(POLL_SECONDS)
+            yield [endpoint]
+        finally:
+            self._release(endpoint)
+
+    def _reserve(self, able: list[Endpoint], suspicion: Suspicion) -> Endpoint | None:
+        total = suspicion.summed()
+        most = math.isqrt(total.crowd) if total.total == 1 else 1
+        kept = [e for e in able if e.name in self.groups]
+        for endpoint in kept:
+            group = self.groups[endpoint.name]
+            if group.count < min(group.most, most):
+                group.count += 1
+                return endpoint
+        free = [e for e in able if e.name not in self.groups]
+        if not free or len(kept) >= max(1, int(RESERVED_SHARE * len(able))):
+            return None
+        endpoint = min(free, key=lambda e: (e.failures_in_row, e.in_flight))
+        self.groups[endpoint.name] = Group(most=most)
+        return endpoint
+
+    def _release(self, endpoint: Endpoint) -> None:
+        group = self.groups[endpoint.name]
+        group.count -= 1
+        if group.count == 0:
+            del self.groups[endpoint.name]
+
+    def _has_strangers(self, endpoint: Endpoint) -> bool:
+        """Return whether requests that are no suspects still run there."""
+        running = self.running.get(endpoint.name, ())
+        return any(self.quarantine.suspicion_of(other) is None for other in running)
+
+    def _recent_cuts(self, name: str) -> dict[str, float]:
+        horizon = anyio.current_time() - SAME_CRASH_SECONDS
+        recent = {k: at for k, at in self.cuts.get(name, {}).items() if at > horizon}
+        self.cuts[name] = recent
+        return recent
--- a/currantdyke/testing/fleet.py
+++ b/currantdyke/testing/fleet.py
@@ -88,6 +88,7 @@
             client=self.network.client(),
             random_source=random.Random(self.seed * 1000 + number),
             wall_clock=anyio.current_time,
+            can_connect=self.network.can_connect,
             platform_list=HttpPlatformList(
                 client=self.network.client(), url=f"http://{LIST_ADDRESS}/vms"
             ),
--- a/currantdyke/testing/network.py
+++ b/currantdyke/testing/network.py
@@ -77,6 +77,14 @@
         for call in list(self.under_way.get(address, ())):
             call.break_off()
 
+    async def can_connect(self, url: str) -> bool | None:
+        """Return whether a URL takes connections; None where that is unclear."""
+        address = httpx.URL(url).netloc.decode()
+        faults = self.link(address)
+        if faults.unreachable:
+            return None
+        return address in self.apps and not faults.refuse
+
     def link(self, address: str) -> LinkFaults:
         """Return the faults on the way to an address, to be set."""
         return self.faults.setdefault(address, LinkFaults())
@@ -97,19 +105,20 @@
         body = await request.aread()
         await anyio.sleep(faults.delay)
         call = _Call(request=request, body=body, faults=faults)
-        if address not in self.apps:
+        app = self.apps.get(address)
+        if app is None:
             raise httpx.ReadError("connection reset", request=request)
         self.under_way.setdefault(address, set()).add(call)
-        self.tasks.start_soon(self._run, call, address)
+        self.tasks.start_soon(self._run, call, address, app)
         try:
             return await call.response()
         except BaseException:
             call.scope.cancel()
             raise
 
-    async def _run(self, call: "_Call", address: str) -> None:
+    async def _run(self, call: "_Call", address: str, app: Callable[..., Any]) -> None:
         try:
-            await call.run(self.apps[address])
+            await call.run(app)
         finally:
             self.under_way[address].discard(call)
 
