Add the fleet commands

Cause: operators could ask one daemon at a time, by hand. Change: `fleet ready` shows who takes requests and at which version, `fleet members` whom each daemon believes alive; both as a table or JSON, with exit codes for what is not whole.

--- a/currantdyke/cli/main.py
+++ b/currantdyke/cli/main.py
@@ -8,6 +8,7 @@
 from currantdyke.cli.check import check_command
 from currantdyke.cli.config import config
 from currantdyke.cli.demo import run_demo
+from currantdyke.cli.fleet import fleet
 from currantdyke.cli.request import request_command
 from currantdyke.cli.serve import serve_command
 from currantdyke.cli.timeline import timeline_command
@@ -22,7 +23,7 @@
     """Serve multi-stage model pipelines behind one deadline.
 
     Exit codes: 0 done; 1 the answer is no, or nothing was found; 2 a file or an
-    option is not valid; 3 the answer is incomplete.
+    option is not valid; others as each command's help says.
     """
 
 
@@ -35,6 +36,7 @@
 
 main.add_command(check_command)
 main.add_command(config)
+main.add_command(fleet)
 main.add_command(request_command)
 main.add_command(serve_command)
 main.add_command(timeline_command)
