Bound all that callers send and keep, and let them rejoin and cancel

Cause: the face took headers without bound on count, NaN-like numbers by Python's own rules, JSON of any depth; ended requests were kept without bound; an event number past the end gave a stream that ended silently; a whole answer gave its request id only at its end.

Change: headers, numbers, depth, readers and kept requests are bounded, each with a typed error; unknown paths and our own errors answer in the same form. Prefer: respond-async answers 202 with the id and where to ask; wait=N bounds the wait; Last-Event-ID resumes a stream; quiet streams carry a comment every 3 s. check_bundle refuses a document that is no mapping (the fuzzer found an AttributeError). The in-memory network streams request bodies.

--- a/currantdyke/callers/__init__.py
+++ b/currantdyke/callers/__init__.py
@@ -1,5 +1,6 @@
 """The callers' HTTP face."""
 
-from currantdyke.callers.app import CallersFace, callers_app
+from currantdyke.callers.app import callers_app
+from currantdyke.callers.face import CallersFace
 
 __all__ = ["CallersFace", "callers_app"]
--- a/currantdyke/callers/answers.py
+++ b/currantdyke/callers/answers.py
@@ -5,19 +5,26 @@
 from typing import Any
 
 import msgspec
-from starlette.responses import Response
+from starlette.responses import Response, StreamingResponse
+from starlette.types import Receive, Scope, Send
 
-from currantdyke.core import Failure
+from currantdyke.core import Failure, FailureKind
 from currantdyke.requests import Exchange
 from currantdyke.requests.exchange import failure_body
 
 __all__ = [
-    "exchange_response",
+    "accepted_response",
+    "answer",
+    "ended_response",
     "failure_response",
     "json_response",
-    "streamed_events",
 ]
 
+KEEP_ALIVE_SECONDS = 3.0
+KEEP_ALIVE_COMMENT = b": keep-alive\n"
+MAX_READERS = 16
+READERS_RETRY_SECONDS = 1.0
+
 
 def json_response(body: Any, status: int, request_id: str = "") -> Response:
     """Return a JSON response that names its request."""
@@ -32,13 +39,17 @@
 
 def failure_response(failure: Failure, request_id: str = "") -> Response:
     """Return a failure with its status, and when to come back."""
-    body = {"request_id": request_id, "error": failure_body(failure)}
+    body = {
+        "request_id": request_id,
+        "outcome": failure.outcome.value,
+        "error": failure_body(failure),
+    }
     response = json_response(body, failure.kind.status, request_id)
     _say_when_to_retry(response, failure)
     return response
 
 
-def exchange_response(exchange: Exchange, status: int | None = None) -> Response:
+def ended_response(exchange: Exchange, status: int | None = None) -> Response:
     """Return the answer or the failure of a request that has ended."""
     failure = exchange.failure
     response = Response(
@@ -51,12 +62,76 @@
     return response
 
 
+def accepted_response(exchange: Exchange) -> Response:
+    """Return where to ask for the answer of a request that still runs."""
+    body = {"request_id": exchange.request_id}
+    response = json_response(body, 202, exchange.request_id)
+    response.headers["location"] = f"/v1/requests/{exchange.request_id}"
+    return response
+
+
+async def answer(
+    exchange: Exchange, *, streamed: bool, first: int, wait_seconds: float
+) -> Response:
+    """Return a request's events from ``first`` on, or its whole answer."""
+    if not streamed:
+        if await exchange.wait_end(wait_seconds):
+            return ended_response(exchange)
+        return accepted_response(exchange)
+    if first > len(exchange.events):
+        detail = f"event {first} is past the next, {len(exchange.events)}"
+        return failure_response(Failure(kind=FailureKind.MALFORMED, detail=detail))
+    if exchange.readers >= MAX_READERS:
+        return failure_response(_too_many_readers(exchange))
+    return EventStream(exchange=exchange, first=first)
+
+
+class EventStream(StreamingResponse):
+    """A request's events, as one of a bounded number of readers gets them."""
+
+    def __init__(self, *, exchange: Exchange, first: int):
+        self.exchange = exchange
+        super().__init__(
+            _streamed_events(exchange, first),
+            media_type="text/event-stream",
+            headers={
+                "x-request-id": exchange.request_id,
+                "cache-control": "no-store",
+            },
+        )
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the events, counted as a reader all the while."""
+        self.exchange.readers += 1
+        try:
+            await super().__call__(scope, receive, send)
+        finally:
+            self.exchange.readers -= 1
+
+
+async def _streamed_events(exchange: Exchange, first: int) -> AsyncIterator[bytes]:
+    """Yield the events as server-sent events; those at hand travel together."""
+    position = first
+    while True:
+        fresh = exchange.events[position:]
+        position += len(fresh)
+        if fresh:
+            yield b"".join(event.server_sent() for event in fresh)
+        elif exchange.outcome is not None:
+            return
+        # One line: a blank one after it would be an event to some readers.
+        elif not await exchange.wait_grown(position, KEEP_ALIVE_SECONDS):
+            yield KEEP_ALIVE_COMMENT
+
+
+def _too_many_readers(exchange: Exchange) -> Failure:
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        detail=f"{exchange.readers} callers read this request already",
+        retry_after=READERS_RETRY_SECONDS,
+    )
+
+
 def _say_when_to_retry(response: Response, failure: Failure | None) -> None:
     if failure is not None and failure.retry_after is not None:
         response.headers["retry-after"] = str(math.ceil(failure.retry_after))
-
-
-async def streamed_events(exchange: Exchange, first: int) -> AsyncIterator[bytes]:
-    """Yield a request's events from ``first`` on as server-sent events."""
-    async for event in exchange.read(first):
-        yield event.server_sent()
--- a/currantdyke/callers/app.py
+++ b/currantdyke/callers/app.py
@@ -1,152 +1,101 @@
 """Submit, rejoin and cancel requests over HTTP."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-import anyio
-import attrs
+from absl import logging
 from expression import Error, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import Response
 from starlette.routing import Route
 
-from currantdyke.bundle import Bundle, BundleInForce, Pipeline, Stage, StageKind
 from currantdyke.callers.answers import (
-    exchange_response,
+    answer,
+    ended_response,
     failure_response,
-    streamed_events,
 )
-from currantdyke.callers.parse import (
-    CallerRequest,
+from currantdyke.callers.face import CallersFace
+from currantdyke.callers.headers import (
     authenticate,
-    read_caller_request,
+    check_sizes,
+    first_event,
+    wait_seconds,
+    wants_stream,
 )
-from currantdyke.core import Failure, FailureKind
-from currantdyke.requests import Exchange, RequestTable
+from currantdyke.callers.submit import named_pipeline, plain_call, submit
+from currantdyke.core import Failure, FailureKind, Outcome
+from currantdyke.requests import Exchange
 
-__all__ = ["CallersFace", "callers_app"]
+__all__ = ["callers_app"]
 
-PLAIN_DEADLINE_SECONDS = 6.0
-
-
-@attrs.define(kw_only=True, eq=False)
-class CallersFace:
-    """What the face needs from its daemon.
-
-    Attributes
-    ----------
-    submit : callable
-        Admits a request and starts it; returns a failure or None.
-    is_draining : callable
-        Whether new requests are refused because the daemon shuts down.
-    """
-
-    in_force: BundleInForce
-    requests: RequestTable
-    max_body_bytes: int
-    new_request_id: Callable[[], str]
-    submit: Callable[[Bundle, Pipeline, Exchange], Failure | None]
-    is_draining: Callable[[], bool]
+Handler = Callable[[Request], Awaitable[Response]]
 
 
 def callers_app(face: CallersFace) -> Starlette:
     """Return the callers' face as an ASGI application."""
 
     async def pipeline(request: Request) -> Response:
-        return await _submit(face, request, _named_pipeline)
+        return await submit(face, request, named_pipeline)
 
     async def service(request: Request) -> Response:
-        return await _submit(face, request, _plain_call)
+        return await submit(face, request, plain_call)
 
     async def rejoin(request: Request) -> Response:
+        first = first_event(request)
+        if first.is_error():
+            return failure_response(first.error)
         found = _find(face, request)
         if found.is_error():
             return failure_response(found.error)
-        first = request.query_params.get("from", "0")
-        if not first.isdecimal():
-            detail = f"from is {first!r:.40}, not a whole number"
-            return failure_response(Failure(kind=FailureKind.MALFORMED, detail=detail))
-        streamed = "text/event-stream" in request.headers.get("accept", "")
-        return await _answer(found.ok, streamed, int(first))
+        return await answer(
+            found.ok,
+            streamed=wants_stream(request),
+            first=first.ok,
+            wait_seconds=wait_seconds(request),
+        )
 
     async def cancel(request: Request) -> Response:
         found = _find(face, request)
         if found.is_error():
             return failure_response(found.error)
-        exchange = found.ok
-        exchange.cancel()
-        await exchange.wait_end()
-        return exchange_response(exchange, status=200)
+        found.ok.cancel()
+        await found.ok.wait_end()
+        return ended_response(found.ok, status=200)
 
     return Starlette(
         routes=[
-            Route("/v1/pipelines/{name}", pipeline, methods=["POST"]),
-            Route("/v1/services/{name}", service, methods=["POST"]),
-            Route("/v1/requests/{request_id}", rejoin, methods=["GET"]),
-            Route("/v1/requests/{request_id}", cancel, methods=["DELETE"]),
-        ]
+            Route("/v1/pipelines/{name}", _bounded(pipeline), methods=["POST"]),
+            Route("/v1/services/{name}", _bounded(service), methods=["POST"]),
+            Route("/v1/requests/{request_id}", _bounded(rejoin), methods=["GET"]),
+            Route("/v1/requests/{request_id}", _bounded(cancel), methods=["DELETE"]),
+        ],
+        exception_handlers={404: _no_such_path, 405: _no_such_path, 500: _broken},
     )
 
 
-async def _submit(
-    face: CallersFace,
-    request: Request,
-    find_pipeline: Callable[[Bundle, str], Pipeline | None],
-) -> Response:
-    bundle = face.in_force.bundle
-    if face.is_draining():
-        detail = "this daemon is shutting down"
-        return failure_response(
-            Failure(kind=FailureKind.SHUTTING_DOWN, detail=detail, retry_after=0.0)
-        )
-    if bundle is None:
-        detail = "this daemon holds no bundle yet"
-        return failure_response(
-            Failure(kind=FailureKind.NOT_READY, detail=detail, retry_after=1.0)
-        )
-    read = await read_caller_request(request, face.in_force, face.max_body_bytes)
-    if read.is_error():
-        return failure_response(read.error)
-    name = request.path_params["name"]
-    pipeline = find_pipeline(bundle, name)
-    if pipeline is None:
-        detail = f"there is no {name!r:.80}"
-        return failure_response(
-            Failure(kind=FailureKind.UNKNOWN_PIPELINE, detail=detail)
+def _bounded(handler: Handler) -> Handler:
+    async def handle(request: Request) -> Response:
+        too_large = check_sizes(request.headers)
+        if too_large is not None:
+            return failure_response(too_large)
+        return await handler(request)
+
+    return handle
+
+
+async def _no_such_path(request: Request, error: Exception) -> Response:
+    detail = f"there is no {request.method:.10} {request.url.path!r:.80}"
+    return failure_response(Failure(kind=FailureKind.NO_SUCH_PATH, detail=detail))
+
+
+async def _broken(request: Request, error: Exception) -> Response:
+    logging.error("callers' face: %r", error, exc_info=error)
+    return failure_response(
+        Failure(
+            kind=FailureKind.INTERNAL,
+            detail=f"an error of the daemon itself ({type(error).__name__})",
+            outcome=Outcome.UNKNOWN,
         )
-    exchange = _new_exchange(face, name, pipeline, read.ok)
-    refused = face.submit(bundle, pipeline, exchange)
-    if refused is not None:
-        return failure_response(refused, exchange.request_id)
-    return await _answer(exchange, read.ok.streamed, 0)
-
-
-def _named_pipeline(bundle: Bundle, name: str) -> Pipeline | None:
-    return bundle.pipelines.get(name)
-
-
-def _plain_call(bundle: Bundle, name: str) -> Pipeline | None:
-    service = bundle.services.get(name)
-    if service is None or service.kind != StageKind.PLAIN:
-        return None
-    call = Stage(name="call", service=name)
-    return Pipeline(stages=(call,), deadline=PLAIN_DEADLINE_SECONDS)
-
-
-def _new_exchange(
-    face: CallersFace, name: str, pipeline: Pipeline, asked: CallerRequest
-) -> Exchange:
-    now = anyio.current_time()
-    seconds = asked.deadline_seconds or pipeline.deadline
-    return Exchange(
-        request_id=face.new_request_id(),
-        workspace=asked.workspace,
-        pipeline=name,
-        input=asked.input,
-        started=now,
-        deadline=now + seconds,
-        priority=asked.priority,
-        idempotency_key=asked.idempotency_key,
     )
 
 
@@ -160,14 +109,3 @@
         detail = f"request {request_id!r:.80} is not known here"
         return Error(Failure(kind=FailureKind.UNKNOWN_REQUEST, detail=detail))
     return Ok(exchange)
-
-
-async def _answer(exchange: Exchange, streamed: bool, first: int) -> Response:
-    if streamed:
-        return StreamingResponse(
-            streamed_events(exchange, first),
-            media_type="text/event-stream",
-            headers={"x-request-id": exchange.request_id, "cache-control": "no-store"},
-        )
-    await exchange.wait_end()
-    return exchange_response(exchange)
--- a/currantdyke/core/__init__.py
+++ b/currantdyke/core/__init__.py
@@ -7,6 +7,7 @@
     new_incarnation,
     parse_request_id,
 )
+from currantdyke.core.nesting import is_deeper_than
 
 __all__ = [
     "DaemonIdentity",
@@ -14,6 +15,7 @@
     "FailureKind",
     "Outcome",
     "RequestNumber",
+    "is_deeper_than",
     "new_incarnation",
     "parse_request_id",
 ]
--- a/currantdyke/core/failure.py
+++ b/currantdyke/core/failure.py
@@ -25,6 +25,7 @@
 
     MALFORMED = ("malformed", 400, "correct the request and send it again")
     TOO_LARGE = ("too_large", 413, "send a smaller body or fewer headers")
+    NO_SUCH_PATH = ("no_such_path", 404, "use a path and a method of the interface")
     UNAUTHORIZED = ("unauthorized", 401, "send a valid workspace key")
     UNKNOWN_PIPELINE = (
         "unknown_pipeline",
@@ -53,6 +54,11 @@
         503,
         "try again after the stated time; add endpoints to the service",
     )
+    REQUEST_LOST = (
+        "request_lost",
+        410,
+        "send the request again, with the same idempotency key if it had one",
+    )
     CANCELLED = ("cancelled", 499, "send the request again if it is still wanted")
     SHUTTING_DOWN = ("shutting_down", 503, "send the request to another daemon")
     NOT_READY = (
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -226,7 +226,7 @@
             self._settle_broken(exchange, error)
         finally:
             self.run_parts.decisions.ended(exchange)
-            self.requests.close()
+            self.requests.close(exchange)
             self.metrics.in_flight.set(self.requests.in_flight)
 
     def _settle_broken(self, exchange: Exchange, error: Exception) -> None:
--- a/currantdyke/documents/check.py
+++ b/currantdyke/documents/check.py
@@ -95,6 +95,10 @@
         return Error(
             [Problem(path="$", line=line, detail=detail, remedy="write valid YAML")]
         )
+    if not isinstance(value, dict):
+        detail = f"the document is {str(value)!r:.40}, not a mapping"
+        remedy = "write keys and values"
+        return Error([Problem(path="$", line=1, detail=detail, remedy=remedy)])
     try:
         return Ok(strict_converter().structure(value, kind))
     except (cattrs.BaseValidationError, TypeError, ValueError) as error:
--- a/currantdyke/requests/exchange.py
+++ b/currantdyke/requests/exchange.py
@@ -1,6 +1,6 @@
 """One request: its events, its readers and its end."""
 
-from collections.abc import AsyncIterator
+import math
 from typing import Any
 
 import anyio
@@ -55,6 +55,10 @@
         Why it did not end well.
     left_out : list of str
         Optional stages that failed or were dropped.
+    size_bytes : int
+        Bytes of its events.
+    readers : int
+        Callers that read it just now.
     cancelled : bool
         The caller has cancelled it, perhaps before it began to run.
     """
@@ -75,6 +79,8 @@
     output: Any = None
     first_token: float | None = None
     ended: float | None = None
+    size_bytes: int = 0
+    readers: int = 0
     grown: anyio.Event | None = None
     cancelled: bool = False
     cancel_scope: anyio.CancelScope | None = None
@@ -119,6 +125,7 @@
 
     def _add(self, event: ExchangeEvent) -> None:
         self.events.append(event)
+        self.size_bytes += len(event.data)
         if self.grown is not None:
             self.grown.set()
             self.grown = None
@@ -143,23 +150,23 @@
         assert self.outcome is not None
         return self.events[-1].data
 
-    async def read(self, first: int = 0) -> AsyncIterator[ExchangeEvent]:
-        """Yield the events from ``first`` on until the last."""
-        position = first
-        while True:
-            while position < len(self.events):
-                yield self.events[position]
-                position += 1
-            if self.outcome is not None:
-                return
-            if self.grown is None:
-                self.grown = anyio.Event()
-            await self.grown.wait()
-
-    async def wait_end(self) -> None:
-        """Wait until the request is settled."""
-        async for _ in self.read(len(self.events)):
-            pass
+    async def wait_grown(self, position: int, seconds: float = math.inf) -> bool:
+        """Wait for events from ``position`` on, or the end; return False if late."""
+        with anyio.move_on_after(seconds):
+            while self.outcome is None and len(self.events) <= position:
+                if self.grown is None:
+                    self.grown = anyio.Event()
+                await self.grown.wait()
+            return True
+        return False
+
+    async def wait_end(self, seconds: float = math.inf) -> bool:
+        """Wait until the request is settled; return False if that takes longer."""
+        with anyio.move_on_after(seconds):
+            while self.outcome is None:
+                await self.wait_grown(len(self.events))
+            return True
+        return False
 
 
 def failure_body(failure: Failure) -> dict[str, Any]:
--- a/currantdyke/stagecalls/attempt.py
+++ b/currantdyke/stagecalls/attempt.py
@@ -86,6 +86,7 @@
             "x-attempt-id": self.attempt_id,
             "x-priority": str(self.priority),
             "accept-encoding": "identity",
+            "content-type": "application/json",
         }
 
 
--- a/currantdyke/stagecalls/engine.py
+++ b/currantdyke/stagecalls/engine.py
@@ -98,6 +98,8 @@
         async with contextlib.aclosing(events):
             try:
                 async for event in events:
+                    if not event.data:
+                        continue
                     if _take_event(attempt, event.data, delivered):
                         await _read_to_end(events)
                         return _whole(attempt, delivered)
--- a/currantdyke/stagecalls/plain.py
+++ b/currantdyke/stagecalls/plain.py
@@ -3,6 +3,7 @@
 import httpx
 import msgspec
 
+from currantdyke.core import is_deeper_than
 from currantdyke.stagecalls.attempt import AttemptEnd, AttemptReport, OpenAttempt
 from currantdyke.stagecalls.limited import limit_body
 from currantdyke.stagecalls.transport import exchange_call
@@ -10,6 +11,7 @@
 __all__ = ["call_plain"]
 
 MAX_ANSWER_BYTES = 4_000_000
+MAX_ANSWER_DEPTH = 100
 
 
 async def call_plain(
@@ -35,4 +37,6 @@
         raise ValueError("the answer is nested too deep") from None
     if not isinstance(answer, dict) or "output" not in answer:
         raise ValueError("the answer has no output")
+    if is_deeper_than(answer, MAX_ANSWER_DEPTH):
+        raise ValueError(f"the answer is nested deeper than {MAX_ANSWER_DEPTH}")
     return answer["output"]
--- a/currantdyke/stagecalls/transport.py
+++ b/currantdyke/stagecalls/transport.py
@@ -4,6 +4,7 @@
 
 import anyio
 import httpx
+import msgspec
 
 from currantdyke.stagecalls.attempt import (
     LEAVING_HEADER,
@@ -69,7 +70,7 @@
         async with client.stream(
             "POST",
             attempt.url + attempt.path,
-            json=attempt.body,
+            content=msgspec.json.encode(attempt.body),
             headers=attempt.headers(),
             extensions=open_attempt.hand_off.extensions(),
             timeout=TIMEOUT,
--- a/currantdyke/testing/network.py
+++ b/currantdyke/testing/network.py
@@ -102,9 +102,8 @@
         trace = request.extensions.get("trace")
         if trace is not None:
             await trace(HAND_OFF_EVENT, {})
-        body = await request.aread()
         await anyio.sleep(faults.delay)
-        call = _Call(request=request, body=body, faults=faults)
+        call = _Call(request=request, faults=faults)
         app = self.apps.get(address)
         if app is None:
             raise httpx.ReadError("connection reset", request=request)
@@ -136,9 +135,10 @@
 class _Call:
     """One call under way: the application's side and the client's."""
 
-    def __init__(self, *, request: httpx.Request, body: bytes, faults: LinkFaults):
+    def __init__(self, *, request: httpx.Request, faults: LinkFaults):
+        assert isinstance(request.stream, httpx.AsyncByteStream)
         self.request = request
-        self.body = body
+        self.body = request.stream.__aiter__()
         self.faults = faults
         self.scope = anyio.CancelScope()
         self.gone = anyio.Event()
@@ -206,8 +206,10 @@
 
     async def _receive(self) -> dict[str, Any]:
         if not self.body_read:
-            self.body_read = True
-            return {"type": "http.request", "body": self.body, "more_body": False}
+            chunk = await anext(self.body, None)
+            self.body_read = chunk is None
+            more = chunk is not None
+            return {"type": "http.request", "body": chunk or b"", "more_body": more}
         await self.gone.wait()
         return {"type": "http.disconnect"}
 
