--- a/currantdyke/peers/sockets.py
+++ b/currantdyke/peers/sockets.py
@@ -26,12 +26,14 @@
     listener: anyio.abc.Listener[anyio.abc.SocketStream]
     address: str
     serving: anyio.CapacityLimiter
+    sending: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     async def send(self, address: str, data: bytes) -> None:
         """Send a datagram; what the network refuses counts as lost."""
         host, _, port = address.rpartition(":")
         with contextlib.suppress(OSError, ValueError):
-            await self.udp.sendto(data, host, int(port))
+            async with self.sending:
+                await self.udp.sendto(data, host, int(port))
 
     async def receive(self) -> tuple[bytes, str]:
         """Wait for the next datagram; return it with its sender's address."""
--- a/currantdyke/peers/tests/test_messages.py
+++ b/currantdyke/peers/tests/test_messages.py
@@ -16,6 +16,9 @@
 from currantdyke.peers.tests.builders import build_fact, build_member, build_message
 
 
+BACKENDS = ("asyncio", "trio")
+
+
 class TestCodec(unittest.TestCase):
     def test_every_field_comes_back(self):
         message = build_message(
@@ -94,12 +97,27 @@
                 tasks.cancel_scope.cancel()
                 return received, called
 
-        for backend in ("asyncio", "trio"):
+        for backend in BACKENDS:
             run = functools.partial(anyio.run, scenario, backend=backend)
             received, called = run()
             self.assertEqual(received, b"datagram")
             self.assertEqual(called, b"cba" * 1000)
 
+    def test_tasks_may_send_at_the_same_time(self):
+        async def scenario():
+            async with (
+                open_peer_sockets("127.0.0.1", 0) as one,
+                open_peer_sockets("127.0.0.1", 0) as two,
+                anyio.create_task_group() as tasks,
+            ):
+                for number in range(20):
+                    tasks.start_soon(one.send, two.address, b"%d" % number)
+                with anyio.fail_after(5):
+                    return {(await two.receive())[0] for _ in range(20)}
+
+        for backend in BACKENDS:
+            self.assertEqual(len(anyio.run(scenario, backend=backend)), 20)
+
 
 if __name__ == "__main__":
     unittest.main()
