--- a/currantdyke/peers/tests/test_messages.py
+++ b/currantdyke/peers/tests/test_messages.py
@@ -15,7 +15,6 @@
 )
 from currantdyke.peers.tests.builders import build_fact, build_member, build_message
 
-
 BACKENDS = ("asyncio", "trio")
 
 
