Relay a rejoin or a cancel to the daemon that runs the request

Cause: a caller whose phone came back through another daemon was told that its request is unknown, and that it had not run.

Change: the request id names daemon and incarnation; any daemon relays GET and DELETE there, one hop at most, over HTTP, at the address that membership gives. Failures about a request that may have run are never told as not run. A daemon without a bundle says so, in place of refusing the key.

--- a/currantdyke/callers/answers.py
+++ b/currantdyke/callers/answers.py
@@ -8,7 +8,7 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.types import Receive, Scope, Send
 
-from currantdyke.core import Failure, FailureKind
+from currantdyke.core import Failure, FailureKind, Outcome
 from currantdyke.requests import Exchange
 from currantdyke.requests.exchange import failure_body
 
@@ -80,7 +80,9 @@
         return accepted_response(exchange)
     if first > len(exchange.events):
         detail = f"event {first} is past the next, {len(exchange.events)}"
-        return failure_response(Failure(kind=FailureKind.MALFORMED, detail=detail))
+        return failure_response(
+            Failure(kind=FailureKind.MALFORMED, detail=detail, outcome=Outcome.UNKNOWN)
+        )
     if exchange.readers >= MAX_READERS:
         return failure_response(_too_many_readers(exchange))
     return EventStream(exchange=exchange, first=first)
@@ -128,6 +130,7 @@
     return Failure(
         kind=FailureKind.OVERLOADED,
         detail=f"{exchange.readers} callers read this request already",
+        outcome=Outcome.UNKNOWN,
         retry_after=READERS_RETRY_SECONDS,
     )
 
--- a/currantdyke/callers/app.py
+++ b/currantdyke/callers/app.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+import attrs
 from absl import logging
 from expression import Error, Ok, Result
 from starlette.applications import Starlette
@@ -22,7 +23,7 @@
     wait_seconds,
     wants_stream,
 )
-from currantdyke.callers.submit import named_pipeline, plain_call, submit
+from currantdyke.callers.submit import named_pipeline, not_ready, plain_call, submit
 from currantdyke.core import Failure, FailureKind, Outcome
 from currantdyke.requests import Exchange
 
@@ -43,10 +44,12 @@
     async def rejoin(request: Request) -> Response:
         first = first_event(request)
         if first.is_error():
-            return failure_response(first.error)
+            return _of_known(first.error)
         found = _find(face, request)
         if found.is_error():
-            return failure_response(found.error)
+            return _of_known(found.error)
+        if found.ok is None:
+            return await face.relay.answer(request)
         return await answer(
             found.ok,
             streamed=wants_stream(request),
@@ -57,7 +60,9 @@
     async def cancel(request: Request) -> Response:
         found = _find(face, request)
         if found.is_error():
-            return failure_response(found.error)
+            return _of_known(found.error)
+        if found.ok is None:
+            return await face.relay.answer(request)
         found.ok.cancel()
         await found.ok.wait_end()
         return ended_response(found.ok, status=200)
@@ -99,13 +104,20 @@
     )
 
 
-def _find(face: CallersFace, request: Request) -> Result[Exchange, Failure]:
+def _of_known(failure: Failure) -> Response:
+    """Return a failure to speak of a request that may have run."""
+    return failure_response(attrs.evolve(failure, outcome=Outcome.UNKNOWN))
+
+
+def _find(face: CallersFace, request: Request) -> Result[Exchange | None, Failure]:
+    """Return the caller's own request, None where it is not in the table."""
+    if face.in_force.bundle is None:
+        return Error(not_ready())
     workspace = authenticate(request, face.in_force)
     if workspace.is_error():
         return Error(workspace.error)
     request_id = request.path_params["request_id"]
     exchange = face.requests.by_id.get(request_id)
     if exchange is None or exchange.workspace != workspace.ok:
-        detail = f"request {request_id!r:.80} is not known here"
-        return Error(Failure(kind=FailureKind.UNKNOWN_REQUEST, detail=detail))
+        return Ok(None)
     return Ok(exchange)
--- a/currantdyke/callers/face.py
+++ b/currantdyke/callers/face.py
@@ -5,6 +5,7 @@
 import attrs
 
 from currantdyke.bundle import Bundle, BundleInForce, Pipeline
+from currantdyke.callers.relay import Relay
 from currantdyke.core import Failure
 from currantdyke.requests import Exchange, RequestTable
 
@@ -19,12 +20,15 @@
     ----------
     submit : callable
         Admits a request and starts it; returns a failure or None.
+    relay : Relay
+        Answers for requests that run at other daemons.
     is_draining : callable
         Whether new requests are refused because the daemon shuts down.
     """
 
     in_force: BundleInForce
     requests: RequestTable
+    relay: Relay
     max_body_bytes: int
     new_request_id: Callable[[], str]
     submit: Callable[[Bundle, Pipeline, Exchange], Failure | None]
--- a/currantdyke/callers/submit.py
+++ b/currantdyke/callers/submit.py
@@ -15,7 +15,7 @@
 from currantdyke.core import Failure, FailureKind
 from currantdyke.requests import Exchange
 
-__all__ = ["named_pipeline", "plain_call", "submit"]
+__all__ = ["named_pipeline", "not_ready", "plain_call", "submit"]
 
 PLAIN_DEADLINE_SECONDS = 6.0
 NOT_READY_RETRY_SECONDS = 1.0
@@ -40,7 +40,7 @@
     bundle = face.in_force.bundle
     closed = _closed(face)
     if closed is not None or bundle is None:
-        return failure_response(closed or _not_ready())
+        return failure_response(closed or not_ready())
     headers = read_headers(request, face.in_force)
     if headers.is_error():
         return failure_response(headers.error)
@@ -87,7 +87,8 @@
     return Failure(kind=FailureKind.SHUTTING_DOWN, detail=detail, retry_after=0.0)
 
 
-def _not_ready() -> Failure:
+def not_ready() -> Failure:
+    """Return the failure of a daemon that holds no bundle."""
     return Failure(
         kind=FailureKind.NOT_READY,
         detail="this daemon holds no bundle yet",
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -20,6 +20,7 @@
 )
 from currantdyke.bundle.collect import Collector
 from currantdyke.callers import CallersFace
+from currantdyke.callers.relay import Relay, RunningAt
 from currantdyke.claims import ClaimGate, Claims
 from currantdyke.core import (
     DaemonIdentity,
@@ -133,6 +134,9 @@
             note=self._note_quarantine,
         )
         self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
+        self.relay = Relay(
+            identity=self.identity, client=client, find_daemon=self._running_at
+        )
         self.request_ids = self.identity.request_ids()
         self.draining = False
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -163,6 +167,7 @@
         return CallersFace(
             in_force=self.in_force,
             requests=self.requests,
+            relay=self.relay,
             max_body_bytes=self.settings.max_body_bytes,
             new_request_id=functools.partial(next, self.request_ids),
             submit=self.submit,
@@ -191,6 +196,12 @@
         """Return the daemon of a name, with the URL that relays go to."""
         return self.membership.find_daemon(name) if self.membership else None
 
+    def _running_at(self, name: str) -> RunningAt | None:
+        member = self.find_daemon(name)
+        if member is None:
+            return None
+        return RunningAt(url=member.url, incarnation=member.incarnation)
+
     def submit(
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
     ) -> Failure | None:
