--- a/currantdyke/bundle/model.py
+++ b/currantdyke/bundle/model.py
@@ -243,5 +243,8 @@
 
 def models() -> list[tuple[minicheck.Protocol, bool]]:
     """Return the specifications, each with whether all its invariants must hold."""
-    planted = [(protocol(name, rules), False) for name, rules in PLANTED.items()]
+    planted = [
+        (protocol(f"configuration: {name}", rules), False)
+        for name, rules in PLANTED.items()
+    ]
     return [(protocol("configuration", Rules()), True), *planted]
--- a/currantdyke/modelcheck/__main__.py
+++ b/currantdyke/modelcheck/__main__.py
@@ -2,7 +2,12 @@
 
 import sys
 
-from currantdyke.modelcheck.check import MAX_STATES_WITH_FAULT, check_model
+from currantdyke.bundle.model import models as configuration_models
+from currantdyke.modelcheck.check import (
+    MAX_STATES,
+    MAX_STATES_WITH_FAULT,
+    check_model,
+)
 from currantdyke.modelcheck.claims import CLAIM_FAULTS, claim_model
 
 
@@ -15,6 +20,9 @@
         )
         for fault in CLAIM_FAULTS
     ]
+    for model, must_hold in configuration_models():
+        most = MAX_STATES if must_hold else MAX_STATES_WITH_FAULT
+        (proved if must_hold else refuted).append(check_model(model, most))
     for report in (*proved, *refuted):
         print(report.text())
     as_expected = all(report.verdict == "proved" for report in proved) and all(
