Try a suspect once at a time over the fleet, and gossip news at once

Change: a daemon tries one copy of a suspect at a time; the first round of gossip goes out at once and later ones 0.2 s apart. A test for copies in close succession.

--- a/currantdyke/membership/membership.py
+++ b/currantdyke/membership/membership.py
@@ -84,6 +84,7 @@
         self.is_leaving = False
         self.is_meeting = False
         self.is_gossip_scheduled = False
+        self.next_gossip = 0.0
         self.tasks: anyio.abc.TaskGroup | None = None
         self.broadcasts = Broadcasts(on_urgent=self._schedule_gossip)
         self.facts = FactStore(
@@ -252,7 +253,10 @@
     def _schedule_gossip(self) -> None:
         if not self.is_gossip_scheduled:
             self.is_gossip_scheduled = True
-            self.timers.after(GOSSIP_SECONDS, self._gossip, name="gossip")
+            now = self.timers.now()
+            self.next_gossip = max(now, self.next_gossip)
+            self.timers.after(self.next_gossip - now, self._gossip, name="gossip")
+            self.next_gossip += GOSSIP_SECONDS
 
     async def _gossip(self) -> None:
         self.is_gossip_scheduled = False
--- a/currantdyke/quarantine/tests/test_quarantine.py
+++ b/currantdyke/quarantine/tests/test_quarantine.py
@@ -118,6 +118,21 @@
         self.assertLessEqual(crashes, MOST_CRASHES)
         self.assertEqual(set(codes[-18:]), {"quarantined"})
 
+    def test_copies_in_close_succession_through_all_daemons_are_bounded(self):
+        async def scenario():
+            crashes = []
+            async with fleet_in_memory(daemons=6, endpoints=8, peers=True) as fleet:
+                await anyio.sleep(5.0)
+                make_crashing(fleet, "entry-desk", crashes)
+                fleet.tasks.start_soon(keep_up, fleet, crashes)
+                async with anyio.create_task_group() as tasks:
+                    for number in range(24):
+                        tasks.start_soon(submit, fleet, f"entry-{number % 6 + 1}")
+                        await anyio.sleep(0.05)
+                return len(crashes)
+
+        self.assertLessEqual(run_virtual(scenario), MOST_CRASHES)
+
     def test_copies_at_once_through_all_daemons_crash_at_most_one_each_more(self):
         async def scenario():
             crashes = []
--- a/currantdyke/quarantine/turns.py
+++ b/currantdyke/quarantine/turns.py
@@ -92,6 +92,10 @@
         The requests of this daemon in flight, by endpoint.
     groups : dict
         The suspects that each endpoint is kept for.
+    trials : dict
+        How many copies of each suspect are here, and wait or run.
+    trying : set
+        Suspects of which a copy runs.
     cuts : dict
         Fingerprints cut of late at each endpoint, with the time.
     """
@@ -100,6 +104,8 @@
     can_connect: Callable[[str], Awaitable[bool | None]]
     running: dict[str, list[Exchange]] = attrs.field(factory=dict)
     groups: dict[str, "Group"] = attrs.field(factory=dict)
+    trials: dict[str, int] = attrs.field(factory=dict)
+    trying: set[str] = attrs.field(factory=set)
     cuts: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     @contextlib.asynccontextmanager
@@ -125,17 +131,15 @@
         if suspicion is None or suspicion.summed().service != service:
             yield self._turn(exchange, self._unreserved(endpoints))
             return
-        fingerprint = suspicion.fingerprint
-        self.quarantine.begin_trial(fingerprint)
-        try:
-            await self._wait_settled(exchange, suspicion)
+        async with self._trial(exchange, suspicion):
+            if self.quarantine.suspicion_of(exchange) is None:
+                yield self._turn(exchange, self._unreserved(endpoints))
+                return
             if self.quarantine.refuse(exchange):
                 yield self._turn(exchange, endpoints)
                 return
             async with self._apart(exchange, endpoints, suspicion, tried) as kept:
                 yield self._turn(exchange, kept)
-        finally:
-            self.quarantine.end_trial(fingerprint)
 
     async def judge_cut(self, exchange: Exchange, endpoint: Endpoint) -> None:
         """Count a crash, if the endpoint takes no more connections."""
@@ -172,14 +176,39 @@
             return endpoints
         return [e for e in endpoints if e.name not in self.groups] or endpoints
 
-    async def _wait_settled(self, exchange: Exchange, suspicion: Suspicion) -> None:
-        """Wait until other daemons' words are here, and for their trials."""
+    @contextlib.asynccontextmanager
+    async def _trial(
+        self, exchange: Exchange, suspicion: Suspicion
+    ) -> AsyncIterator[None]:
+        """Wait until other daemons' words are here, and for other copies' trials."""
+        fingerprint = suspicion.fingerprint
         rest = exchange.deadline - anyio.current_time()
         settle = min(SETTLE_SECONDS, SETTLE_SHARE_OF_REST * rest)
-        await anyio.sleep(max(0.0, suspicion.heard + settle - anyio.current_time()))
-        with anyio.move_on_after(WAIT_SHARE_OF_REST * rest):
-            while self.quarantine.has_rival(suspicion.fingerprint):
-                await anyio.sleep(POLL_SECONDS)
+        self.trials[fingerprint] = self.trials.get(fingerprint, 0) + 1
+        if self.trials[fingerprint] == 1:
+            self.quarantine.begin_trial(fingerprint)
+        try:
+            await anyio.sleep(max(0.0, suspicion.heard + settle - anyio.current_time()))
+            with anyio.move_on_after(WAIT_SHARE_OF_REST * rest):
+                while self._is_tried(exchange, suspicion):
+                    await anyio.sleep(POLL_SECONDS)
+            self.trying.add(fingerprint)
+            yield
+        finally:
+            self.trying.discard(fingerprint)
+            self.trials[fingerprint] -= 1
+            if self.trials[fingerprint] == 0:
+                del self.trials[fingerprint]
+                self.quarantine.end_trial(fingerprint)
+
+    def _is_tried(self, exchange: Exchange, suspicion: Suspicion) -> bool:
+        """Return whether another copy of a suspect goes first."""
+        if self.quarantine.suspicion_of(exchange) is None:
+            return False
+        if self.quarantine.refuse(exchange) is not None:
+            return False
+        fingerprint = suspicion.fingerprint
+        return fingerprint in self.trying or self.quarantine.has_rival(fingerprint)
 
     @contextlib.asynccontextmanager
     async def _apart(
