Keep the events of an ended request as one text

Cause: each event of a request was an object with its data, encoded again for each reader; an answered request of 200 tokens kept 34.8 kB, five times its text, and the bound on kept requests counted the text alone. Ruled out: the output and the stage records, under 2 kB.

Change: events are encoded once, in the form callers get; when the request ends they are joined, with the starts of each. The bound counts what a sealed log takes in memory and is 32 MB.

--- a/currantdyke/callers/answers.py
+++ b/currantdyke/callers/answers.py
@@ -115,10 +115,10 @@
     """Yield the events as server-sent events; those at hand travel together."""
     position = first
     while True:
-        fresh = exchange.events[position:]
-        position += len(fresh)
+        fresh = exchange.events.since(position)
+        position = len(exchange.events)
         if fresh:
-            yield b"".join(event.server_sent() for event in fresh)
+            yield fresh
         elif exchange.outcome is not None:
             return
         # One line: a blank one after it would be an event to some readers.
--- a/currantdyke/requests/__init__.py
+++ b/currantdyke/requests/__init__.py
@@ -1,12 +1,11 @@
 """Requests from acceptance to the end of their keeping time."""
 
-from currantdyke.requests.exchange import Exchange, ExchangeEvent, StageRecord
+from currantdyke.requests.exchange import Exchange, StageRecord
 from currantdyke.requests.outcome import decide_outcome
 from currantdyke.requests.table import RequestTable
 
 __all__ = [
     "Exchange",
-    "ExchangeEvent",
     "RequestTable",
     "StageRecord",
     "decide_outcome",
--- a/currantdyke/requests/exchange.py
+++ b/currantdyke/requests/exchange.py
@@ -8,25 +8,9 @@
 import msgspec
 
 from currantdyke.core import Failure, Outcome
+from currantdyke.requests.eventlog import EventLog
 
-__all__ = ["Exchange", "ExchangeEvent", "StageRecord"]
-
-
-@attrs.frozen(kw_only=True)
-class ExchangeEvent:
-    """One event of a request, as its caller gets it."""
-
-    sequence: int
-    name: str
-    data: bytes
-
-    def server_sent(self) -> bytes:
-        """Return the event in the form of server-sent events."""
-        return b"id: %d\nevent: %s\ndata: %s\n\n" % (
-            self.sequence,
-            self.name.encode(),
-            self.data,
-        )
+__all__ = ["Exchange", "StageRecord"]
 
 
 @attrs.frozen(kw_only=True)
@@ -55,8 +39,6 @@
         Why it did not end well.
     left_out : list of str
         Optional stages that failed or were dropped.
-    size_bytes : int
-        Bytes of its events.
     readers : int
         Callers that read it just now.
     cancelled : bool
@@ -71,7 +53,7 @@
     deadline: float
     priority: int = 0
     idempotency_key: str = ""
-    events: list[ExchangeEvent] = attrs.field(factory=list)
+    events: EventLog = attrs.field(factory=EventLog)
     records: list[StageRecord] = attrs.field(factory=list)
     left_out: list[str] = attrs.field(factory=list)
     outcome: Outcome | None = None
@@ -79,7 +61,6 @@
     output: Any = None
     first_token: float | None = None
     ended: float | None = None
-    size_bytes: int = 0
     readers: int = 0
     grown: anyio.Event | None = None
     cancelled: bool = False
@@ -101,7 +82,7 @@
 
     def append(self, name: str, data: Any) -> None:
         """Add an event and wake the readers."""
-        self._add(self._event(name, data))
+        self._add(name, msgspec.json.encode(data))
 
     def settle(
         self, *, output: Any = None, failure: Failure | None = None, now: float
@@ -111,21 +92,17 @@
             return False
         outcome = failure.outcome if failure else Outcome.DONE
         body = self._final(outcome, output, failure)
-        event = self._event("error" if failure else "answer", body)
+        data = msgspec.json.encode(body)
         self.ended = now
         self.output = output
         self.failure = failure
         self.outcome = outcome
-        self._add(event)
+        self._add("error" if failure else "answer", data)
+        self.events.seal()
         return True
 
-    def _event(self, name: str, data: Any) -> ExchangeEvent:
-        encoded = msgspec.json.encode(data)
-        return ExchangeEvent(sequence=len(self.events), name=name, data=encoded)
-
-    def _add(self, event: ExchangeEvent) -> None:
-        self.events.append(event)
-        self.size_bytes += len(event.data)
+    def _add(self, name: str, data: bytes) -> None:
+        self.events.append(name, data)
         if self.grown is not None:
             self.grown.set()
             self.grown = None
@@ -148,7 +125,7 @@
     def final_body(self) -> bytes:
         """Return the last event's data: the answer or the failure, as JSON."""
         assert self.outcome is not None
-        return self.events[-1].data
+        return self.events.last_data
 
     async def wait_grown(self, position: int, seconds: float = math.inf) -> bool:
         """Wait for events from ``position`` on, or the end; return False if late."""
--- a/currantdyke/requests/table.py
+++ b/currantdyke/requests/table.py
@@ -9,7 +9,7 @@
 
 __all__ = ["RequestTable"]
 
-DEFAULT_KEPT_BYTES = 16_000_000
+DEFAULT_KEPT_BYTES = 32_000_000
 DEFAULT_KEPT_PER_WORKSPACE = 2_000
 
 
@@ -21,7 +21,7 @@
     keep_seconds : float
         How long an ended request is kept.
     kept_bytes : int
-        Bytes of ended requests kept together; the oldest make room.
+        Memory for ended requests together, in bytes; the oldest make room.
     kept_per_workspace : int
         Ended requests kept of one workspace; its oldest make room.
     """
@@ -59,7 +59,7 @@
         self.ended[exchange.request_id] = exchange
         of_workspace = self.ended_of.setdefault(exchange.workspace, collections.deque())
         of_workspace.append(exchange)
-        self.ended_bytes += exchange.size_bytes
+        self.ended_bytes += exchange.events.size_bytes()
         if len(of_workspace) > self.kept_per_workspace:
             self._forget(of_workspace[0])
         while self.ended_bytes > self.kept_bytes:
@@ -87,7 +87,7 @@
     def _forget(self, exchange: Exchange) -> None:
         del self.by_id[exchange.request_id]
         del self.ended[exchange.request_id]
-        self.ended_bytes -= exchange.size_bytes
+        self.ended_bytes -= exchange.events.size_bytes()
         of_workspace = self.ended_of[exchange.workspace]
         of_workspace.remove(exchange)
         if not of_workspace:
