Let a region's daemons draw lots to look at the store, refuse exchanged changes

An operator could sign another change than the one shown, if it was exchanged meanwhile. Change: one daemon of a region looks about every second, by lot; it replaces the poll every 60 s. sign-off signs only the change that was shown.

--- a/currantdyke/bundle/bench_spread.py
+++ b/currantdyke/bundle/bench_spread.py
@@ -27,6 +27,7 @@
     "20% loss": Faults(loss=0.2),
     "a third fails": Faults(failing=1 / 3),
     "both of these": Faults(loss=0.2, failing=1 / 3),
+    "watchers fail": Faults(watchers_fail=True),
     "store down": Faults(store_down=True),
     "region parted": Faults(parted=True),
 }
--- a/currantdyke/bundle/follow.py
+++ b/currantdyke/bundle/follow.py
@@ -25,7 +25,7 @@
 POLL_SECONDS = 5.0
 POLL_JITTER = 0.3
 QUIET_SECONDS = 5.0
-SAFETY_POLL_SECONDS = 60.0
+REGION_POLL_SECONDS = 1.0
 WATCHERS_PER_REGION = 2
 MAX_CATCH_UP_RECORDS = 16
 REOPEN_SECONDS = 1.0
@@ -95,7 +95,6 @@
         self.random_source = random_source or random.Random()
         self.caught_up = False
         self.store_down = False
-        self.last_look = -SAFETY_POLL_SECONDS
         self.revision = 0
         self.watching = anyio.Event()
         self.watch_scope = anyio.CancelScope()
@@ -124,8 +123,7 @@
         self._set_watching(watcher)
         now = now_seconds()
         quiet = now - self.feed.last_heard >= QUIET_SECONDS
-        overdue = now - self.last_look >= SAFETY_POLL_SECONDS
-        if watcher or quiet or overdue or not self.caught_up:
+        if watcher or quiet or not self.caught_up or self._is_drawn():
             await self.look()
 
     async def look(self) -> None:
@@ -135,7 +133,6 @@
         a daemon that holds nothing would serve by it, so the first look asks for
         the head as it is now.
         """
-        self.last_look = now_seconds()
         read = read_head if self.caught_up else read_head_now
         found = await read(self.store)
         self.store_down = found.is_error()
@@ -184,6 +181,16 @@
             if head.is_ok():
                 await self.take_head(head.ok)
 
+    def _is_drawn(self) -> bool:
+        """Draw lots so that some daemon of the region looks about every second.
+
+        It makes good a region whose watchers all fail at once, or are cut off, long
+        before the others can know that they did.
+        """
+        members = sum(region == self.region for _, region in self.live_members())
+        share = POLL_SECONDS / (REGION_POLL_SECONDS * max(1, members))
+        return self.random_source.random() < share
+
     def _set_watching(self, watcher: bool) -> None:
         if watcher:
             self.watching.set()
--- a/currantdyke/bundle/lifecycle.py
+++ b/currantdyke/bundle/lifecycle.py
@@ -196,16 +196,17 @@
 
 async def proposed_edits(
     store: Store, change_id: str
-) -> Result[tuple[tuple[Edit, ...], Content], Refused]:
-    """Return a proposal's edits and the content at the head, to be looked over."""
+) -> Result[tuple[Change, tuple[Edit, ...], Content], Refused]:
+    """Return a proposed change, its edits and the content at the head."""
     found = await read_proposal(store, change_id)
     if found.is_error():
         return Error(found.error)
-    edits = await read_edits(store, found.ok[0].change)
+    change = found.ok[0].change
+    edits = await read_edits(store, change)
     if edits.is_error():
         return Error(refused_by_store(edits.error))
     base = await current_version(store)
-    return base.map(lambda version: (edits.ok, version.content))
+    return base.map(lambda version: (change, edits.ok, version.content))
 
 
 async def sign_off(
@@ -213,13 +214,29 @@
     change_id: str,
     signer: Signer,
     *,
+    shown: Change | None = None,
     bootstrap: Mapping[str, str] | None = None,
 ) -> Result[Proposal, Trouble]:
-    """Sign off another operator's proposal."""
+    """Sign off another operator's proposal.
+
+    Parameters
+    ----------
+    shown : Change, optional
+        The change as the operator saw it; any other is refused.
+    bootstrap : mapping, optional
+        Public keys of the operators who may sign the very first version.
+    """
     found = await read_proposal(store, change_id)
     if found.is_error():
         return Error(found.error)
     proposal, entry = found.ok
+    if shown is not None and shown != proposal.change:
+        return Error(
+            Refused(
+                detail=f"change {change_id} is not the one that was shown",
+                remedy="look at it again before you sign",
+            )
+        )
     base = await current_version(store)
     if base.is_error():
         return Error(base.error)
--- a/currantdyke/bundle/spread_model.py
+++ b/currantdyke/bundle/spread_model.py
@@ -42,6 +42,7 @@
     failing: float = 0.0
     store_down: bool = False
     parted: bool = False
+    watchers_fail: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -104,6 +105,11 @@
         count = int(len(self.nodes) * self.faults.failing)
         for node in self.random.sample(self.nodes, count):
             node.alive = False
+        if self.faults.watchers_fail:
+            failing = [node for node in self.nodes if self.way.watches(node)]
+            for node in failing if len(failing) < len(self.nodes) else failing[:2]:
+                node.alive = False
+            count = len(failing)
         self.living = [node for node in self.nodes if node.alive]
         self.missing = len(self.living)
         for node in self.nodes:
--- a/currantdyke/bundle/spread_ways.py
+++ b/currantdyke/bundle/spread_ways.py
@@ -11,7 +11,11 @@
 
 import xxhash
 
-from currantdyke.bundle.follow import choose_watchers
+from currantdyke.bundle.follow import (
+    POLL_SECONDS,
+    REGION_POLL_SECONDS,
+    choose_watchers,
+)
 from currantdyke.bundle.spread_model import (
     HEADER_BYTES,
     REGIONS,
@@ -72,6 +76,12 @@
         members = ((n.name, n.region) for n in self.model.believed(node))
         return node.name in choose_watchers(members, node.region)
 
+    def is_quiet(self, node: Node) -> bool:
+        """Draw lots, so that some daemon of a region looks about every second."""
+        members = len(self.model.believed(node)) / REGIONS
+        share = POLL_SECONDS / (REGION_POLL_SECONDS * max(1.0, members))
+        return self.model.random.random() < share
+
     def start(self, node: Node) -> None:
         """Probe a peer at random; both learn of the other's version."""
         if not node.alive:
--- a/currantdyke/bundle/tests/test_lifecycle.py
+++ b/currantdyke/bundle/tests/test_lifecycle.py
@@ -77,6 +77,16 @@
         for refused in with_first_version(scenario):
             self.assertIsInstance(refused.error, Refused)
 
+    def test_change_exchanged_after_it_was_shown_is_not_signed_off(self):
+        async def scenario(found, store):
+            made = await propose(store, with_share(FIRST, 2.0), ADAEZE)
+            change = made.ok.change
+            shown = attrs.evolve(change, comment="another")
+            return await sign_off(store, change.change_id, BOLA, shown=shown)
+
+        refused = with_first_version(scenario)
+        self.assertIn("not the one that was shown", refused.error.message)
+
     def test_change_that_is_not_signed_off_is_not_rolled(self):
         async def scenario(found, store):
             made = await propose(store, with_share(FIRST, 2.0), ADAEZE)
--- a/currantdyke/cli/config.py
+++ b/currantdyke/cli/config.py
@@ -172,9 +172,9 @@
         return await proposed_edits(store, change_id)
 
     async def run(store: Store, client: httpx.AsyncClient):
-        return await sign_off(store, change_id, who, bootstrap=bootstrap)
+        return await sign_off(store, change_id, who, shown=change, bootstrap=bootstrap)
 
-    edits, content = _ok(_with_store(tools, store_url, look))
+    change, edits, content = _ok(_with_store(tools, store_url, look))
     for line in edit_lines(edits, content):
         click.echo(line)
     if not yes:
