Shut down in the open: readiness first, then new work, none cut

Cause: new requests were refused at once on SIGTERM, before a balancer can see that readiness went; readers of an answer were cut 3 s after the last request had ended; the operators' face went away with the callers'. httpx wrote one log line for each call to an endpoint.

--- a/currantdyke/benches/serve/processes.py
+++ b/currantdyke/benches/serve/processes.py
@@ -114,6 +114,7 @@
             callers_port=0,
             operators_port=0,
             store_url=store_url,
+            leave_seconds=0.0,
             max_requests_in_flight=5_000,
         )
         async with anyio.create_task_group() as tasks:
--- a/currantdyke/cli/demo.py
+++ b/currantdyke/cli/demo.py
@@ -82,6 +82,7 @@
             callers_port=0,
             operators_port=0,
             store_url=key_value.url,
+            leave_seconds=0.0,
         )
         ready = anyio.Event()
         ports: list[Ports] = []
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -138,6 +138,7 @@
             identity=self.identity, client=client, find_daemon=self._running_at
         )
         self.request_ids = self.identity.request_ids()
+        self.leaving = False
         self.draining = False
         self.tasks: anyio.abc.TaskGroup | None = None
         self.membership: Membership | None = None
@@ -190,7 +191,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new requests here."""
-        return self.follower.is_ready() and not self.draining
+        return self.follower.is_ready() and not self.leaving
 
     def find_daemon(self, name: str) -> Member | None:
         """Return the daemon of a name, with the URL that relays go to."""
@@ -202,6 +203,10 @@
             return None
         return RunningAt(url=member.url, incarnation=member.incarnation)
 
+    def flush_seconds(self) -> float:
+        """Return how long callers may still read answers at their own pace."""
+        return max(0.0, self.requests.latest_deadline() - anyio.current_time())
+
     def submit(
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
     ) -> Failure | None:
--- a/currantdyke/daemon/listen.py
+++ b/currantdyke/daemon/listen.py
@@ -43,9 +43,24 @@
 
 
 async def serve_http(
-    app: Callable[..., Any], listener: Listener, stop: anyio.Event
+    app: Callable[..., Any],
+    listener: Listener,
+    stop: anyio.Event,
+    *,
+    flush_seconds: Callable[[], float] = lambda: 0.0,
 ) -> None:
-    """Serve an application on a listener until ``stop`` is set."""
+    """Serve an application on a listener until ``stop`` is set.
+
+    Parameters
+    ----------
+    flush_seconds : callable
+        Asked at the stop how long answers may still be read before they are cut.
+    """
+
+    async def wait_stop() -> None:
+        await stop.wait()
+        config.graceful_timeout = CLOSE_TIMEOUT_SECONDS + flush_seconds()
+
     config = Config()
     config.bind = [f"fd://{listener.socket.fileno()}"]
     config.accesslog = None
@@ -54,7 +69,7 @@
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.include_server_header = False
-    await _hypercorn_serve()(app, config, shutdown_trigger=stop.wait)
+    await _hypercorn_serve()(app, config, shutdown_trigger=wait_stop)
 
 
 def _hypercorn_serve() -> Callable[..., Any]:
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -91,6 +91,7 @@
     callers = open_listener(settings.address, settings.callers_port)
     operators = open_listener(settings.address, settings.operators_port)
     drained = anyio.Event()
+    closed = anyio.Event()
     async with (
         open_transport(settings) as transport,
         anyio.create_task_group() as tasks,
@@ -98,20 +99,29 @@
         start_parts(daemon, tasks)
         if transport is not None:
             start_peers(daemon, transport, callers.url, tasks)
-        async with anyio.create_task_group() as faces:
-            caller_app = callers_app(daemon.callers_face())
+        async with anyio.create_task_group() as operators_face:
             operator_app = operators_app(daemon.operators_face())
-            faces.start_soon(serve_http, caller_app, callers, drained)
-            faces.start_soon(serve_http, operator_app, operators, drained)
-            ports = Ports(
-                daemon=daemon, callers_url=callers.url, operators_url=operators.url
-            )
-            started(ports)
-            await stop.wait()
-            await drain(daemon)
-            if daemon.membership is not None:
-                await daemon.membership.leave()
-            drained.set()
+            operators_face.start_soon(serve_http, operator_app, operators, closed)
+            async with anyio.create_task_group() as callers_face:
+                callers_face.start_soon(
+                    functools.partial(
+                        serve_http,
+                        callers_app(daemon.callers_face()),
+                        callers,
+                        drained,
+                        flush_seconds=daemon.flush_seconds,
+                    )
+                )
+                ports = Ports(
+                    daemon=daemon, callers_url=callers.url, operators_url=operators.url
+                )
+                started(ports)
+                await stop.wait()
+                await drain(daemon)
+                if daemon.membership is not None:
+                    await daemon.membership.leave()
+                drained.set()
+            closed.set()
         tasks.cancel_scope.cancel()
 
 
@@ -144,7 +154,11 @@
 
 
 async def drain(daemon: Daemon) -> None:
-    """Refuse new requests and wait until those in flight have ended."""
+    """Withdraw readiness, then refuse new requests and wait for those in flight."""
+    daemon.leaving = True
+    seconds = daemon.settings.leave_seconds
+    logging.info("leaving: new requests are taken for %g s more", seconds)
+    await anyio.sleep(seconds)
     daemon.draining = True
     logging.info("draining: %d requests in flight", daemon.requests.in_flight)
     await daemon.requests.wait_idle()
--- /dev/null
+++ b/currantdyke/daemon/tests/test_listen.py
@@ -0,0 +1,84 @@
+import contextlib
+import unittest
+from unittest import mock
+
+import anyio
+import httpx
+
+from currantdyke.daemon import listen, open_listener, serve_http
+
+CHUNK = b"x" * 65_536
+CHUNKS = 200
+
+
+async def send_much(scope, receive, send):
+    if scope["type"] != "http":
+        return
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    for number in range(CHUNKS):
+        more = number < CHUNKS - 1
+        await send({"type": "http.response.body", "body": CHUNK, "more_body": more})
+
+
+async def tell_version(scope, receive, send):
+    if scope["type"] != "http":
+        return
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": scope["http_version"].encode()})
+
+
+async def read_slowly(flush_seconds):
+    stop = anyio.Event()
+    listener = open_listener("127.0.0.1", 0)
+    received = 0
+    async with anyio.create_task_group() as tasks:
+
+        async def serve():
+            await serve_http(
+                send_much, listener, stop, flush_seconds=lambda: flush_seconds
+            )
+
+        tasks.start_soon(serve)
+        with contextlib.suppress(httpx.HTTPError):
+            async with (
+                httpx.AsyncClient() as client,
+                client.stream("GET", listener.url) as response,
+            ):
+                async for chunk in response.aiter_bytes():
+                    if not received:
+                        stop.set()
+                        await anyio.sleep(0.6)
+                    received += len(chunk)
+    return received
+
+
+class TestServeHttp(unittest.TestCase):
+    def test_slow_reader_is_given_its_time_after_the_stop(self):
+        with mock.patch.object(listen, "CLOSE_TIMEOUT_SECONDS", 0.1):
+            received = anyio.run(read_slowly, 5.0)
+        self.assertEqual(received, CHUNKS * len(CHUNK))
+
+    def test_reader_past_its_time_does_not_hold_up_the_stop(self):
+        with mock.patch.object(listen, "CLOSE_TIMEOUT_SECONDS", 0.1):
+            received = anyio.run(read_slowly, 0.0)
+        self.assertLess(received, CHUNKS * len(CHUNK))
+
+    def test_both_versions_of_http_are_spoken(self):
+        async def scenario():
+            stop = anyio.Event()
+            listener = open_listener("127.0.0.1", 0)
+            seen = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(serve_http, tell_version, listener, stop)
+                for versions in ({}, {"http1": False, "http2": True}):
+                    async with httpx.AsyncClient(**versions) as client:
+                        response = await client.get(listener.url)
+                        seen.append((response.text, response.http_version))
+                stop.set()
+            return seen
+
+        self.assertEqual(anyio.run(scenario), [("1.1", "HTTP/1.1"), ("2", "HTTP/2")])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/logs/setup.py
+++ b/currantdyke/logs/setup.py
@@ -12,6 +12,7 @@
 
 __all__ = ["LOG_FORMATS", "JsonFormatter", "set_up_logs"]
 
+LINE_PER_CALL = ("httpx", "httpcore", "hypercorn")
 LOG_FORMATS = frozenset(("text", "json"))
 
 
@@ -56,5 +57,7 @@
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(verbosity)
     absl_logging.set_stderrthreshold(absl_logging.DEBUG)
+    for name in LINE_PER_CALL:
+        logging.getLogger(name).setLevel(logging.WARNING)
     if log_format == "json":
         absl_logging.get_absl_handler().setFormatter(JsonFormatter())
--- a/currantdyke/settings/daemon.py
+++ b/currantdyke/settings/daemon.py
@@ -44,6 +44,9 @@
         Connections kept to all endpoints together.
     log_format : str
         ``text`` or ``json``.
+    leave_seconds : float
+        How long new requests are still taken after readiness was withdrawn; the
+        balancer needs that time to notice.
     answer_keep_seconds : float
         How long a finished answer can be rejoined.
     """
@@ -71,6 +74,9 @@
     endpoint_connections: int = attrs.field(
         default=2_000, validator=between(1, 100_000)
     )
+    leave_seconds: float = attrs.field(
+        default=5.0, validator=between(0.0, 300.0, "seconds")
+    )
     answer_keep_seconds: float = attrs.field(
         default=60.0, validator=between(1.0, 3600.0, "seconds")
     )
--- /dev/null
+++ b/currantdyke/standins/__main__.py
@@ -0,0 +1,89 @@
+"""Serve stand-ins from a file: ``python -m currantdyke.standins FILE``.
+
+One line of JSON on standard output tells where each is reached; SIGTERM ends all.
+"""
+
+import pathlib
+import signal
+import sys
+
+import anyio
+import attrs
+import msgspec
+
+from currantdyke.daemon.listen import open_listener, serve_http
+from currantdyke.documents import check_document
+from currantdyke.documents.validators import between, name_text
+from currantdyke.standins import KeyValueStandIn, StageStandIn, stage_app
+
+__all__ = ["EndpointFile", "StandInsFile", "main"]
+
+EXIT_INVALID = 2
+
+
+@attrs.frozen(kw_only=True)
+class EndpointFile:
+    """One endpoint: where it listens, and how it behaves."""
+
+    name: str = attrs.field(validator=name_text)
+    port: int = attrs.field(default=0, validator=between(0, 65535))
+    seconds: float = attrs.field(default=0.0, validator=between(0.0, 600.0, "seconds"))
+    token_seconds: float = attrs.field(
+        default=0.0, validator=between(0.0, 600.0, "seconds")
+    )
+    tokens: int = attrs.field(default=16, validator=between(1, 100_000))
+
+
+@attrs.frozen(kw_only=True)
+class StandInsFile:
+    """What a file of stand-ins holds.
+
+    Attributes
+    ----------
+    key_value_port : int
+        Port of the key-value service; 0 takes any free one.
+    """
+
+    address: str = "127.0.0.1"
+    key_value_port: int = attrs.field(default=0, validator=between(0, 65535))
+    endpoints: tuple[EndpointFile, ...] = ()
+
+
+async def serve_stand_ins(settings: StandInsFile) -> None:
+    """Serve all of a file's stand-ins until SIGTERM."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        key_value = open_listener(settings.address, settings.key_value_port)
+        tasks.start_soon(serve_http, KeyValueStandIn().app(), key_value, stop)
+        urls = {}
+        for endpoint in settings.endpoints:
+            listener = open_listener(settings.address, endpoint.port)
+            urls[endpoint.name] = listener.url
+            standin = StageStandIn(
+                name=endpoint.name,
+                seconds=endpoint.seconds,
+                token_seconds=endpoint.token_seconds,
+                tokens=endpoint.tokens,
+            )
+            tasks.start_soon(serve_http, stage_app(standin), listener, stop)
+        place = {"key_value": key_value.url, "endpoints": urls}
+        print(msgspec.json.encode(place).decode(), flush=True)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                stop.set()
+                return
+
+
+def main(path: str) -> int:
+    """Serve the stand-ins in a file; return the exit code."""
+    checked = check_document(pathlib.Path(path).read_text(), StandInsFile)
+    if checked.is_error():
+        for problem in checked.error:
+            print(f"{path}: {problem}", file=sys.stderr)
+        return EXIT_INVALID
+    anyio.run(serve_stand_ins, checked.ok)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- a/currantdyke/testing/builders.py
+++ b/currantdyke/testing/builders.py
@@ -45,6 +45,7 @@
         "name": "entry-1",
         "availability_zone": "jos-a",
         "store_url": "http://store:1",
+        "leave_seconds": 0.0,
     }
     return DaemonSettings(**(values | changes))
 
