Hold workspaces' limits over all daemons by demand

Cause: requests_per_second of a workspace was checked by nobody. Change: daemons tell a workspace's owner what is asked of them, the owner tells each its part where demand exceeds the limit; refusals say when to come back. Bounded state.

--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -31,6 +32,7 @@
 )
 from currantdyke.endpoints import EndpointLiveness, EndpointTable
 from currantdyke.events import Timeline
+from currantdyke.limits import FleetLimits
 from currantdyke.membership import FactStore, Membership
 from currantdyke.metrics import Metrics
 from currantdyke.operators import OperatorsFace
@@ -123,6 +125,7 @@
         )
         self.in_force.subscribe(lambda bundle: self.liveness.follow())
         self.platform_list = platform_list
+        self.limits = FleetLimits(now=anyio.current_time, limit_of=self._limit_of)
         self.quarantine = Quarantine(
             daemon=settings.name,
             facts=FactStore(
@@ -211,8 +214,10 @@
         self, bundle: Bundle, pipeline: Pipeline, exchange: Exchange
     ) -> Failure | None:
         """Admit a request and start it, or say why not."""
-        refused = self.quarantine.refuse(exchange) or self._admit(
-            bundle, pipeline, exchange
+        refused = (
+            self.quarantine.refuse(exchange)
+            or self.limits.refuse(exchange.workspace)
+            or self._admit(bundle, pipeline, exchange)
         )
         if refused is not None:
             return refused
@@ -259,6 +264,11 @@
         self.metrics.endpoints_leaving.labels(source).inc()
         self.timeline.record("endpoints", "leaving", endpoint=endpoint, detail=source)
 
+    def _limit_of(self, workspace: str) -> float:
+        bundle = self.in_force.bundle
+        found = bundle.workspaces.get(workspace) if bundle else None
+        return found.requests_per_second if found else math.inf
+
     def _note_quarantine(self, name: str, fingerprint: str) -> None:
         self.metrics.quarantine.labels(name).inc()
         self.timeline.record("quarantine", name, detail=fingerprint)
--- a/currantdyke/daemon/peers.py
+++ b/currantdyke/daemon/peers.py
@@ -76,6 +76,7 @@
     ]
     _share_endpoints(daemon, membership)
     daemon.quarantine.use(membership.facts)
+    daemon.limits.use(membership)
     forward_claims(daemon.claims, membership)
     membership.start(tasks)
     return membership
--- a/currantdyke/daemon/serve.py
+++ b/currantdyke/daemon/serve.py
@@ -16,6 +16,7 @@
 from currantdyke.daemon.listen import open_listener, serve_http
 from currantdyke.daemon.peers import open_transport, start_peers
 from currantdyke.daemon.vms import LIST_SECONDS, read_platform_list
+from currantdyke.limits.fleet import TICK_SECONDS
 from currantdyke.metrics import Metrics
 from currantdyke.operators import operators_app
 from currantdyke.platformlist import HttpPlatformList
@@ -146,6 +147,7 @@
     daemon.timers.every(
         LIST_SECONDS, functools.partial(read_platform_list, daemon), name="VM list"
     )
+    daemon.timers.every(TICK_SECONDS, daemon.limits.tick, name="limits")
     daemon.timers.every(
         FORGET_SECONDS, daemon.quarantine.forget_old, name="forget suspicions"
     )
--- a/currantdyke/membership/link.py
+++ b/currantdyke/membership/link.py
@@ -17,6 +17,7 @@
     MessageKind,
     MessageSeal,
     PeerTransport,
+    Rate,
     ReplayGuard,
 )
 
@@ -59,6 +60,7 @@
         sequence: int = 0,
         target: str = "",
         first: tuple[Member, ...] = (),
+        rates: tuple[Rate, ...] = (),
     ) -> None:
         """Send a datagram with as much news as fits.
 
@@ -68,15 +70,19 @@
             The member at the address; it hears first what is said of itself.
         first : tuple of Member
             Words that must be in the message.
+        rates : tuple of Rate
+            Rates that must be in the message; no news rides along with them.
         """
         own = self.table.word_for(to)
-        news = self._news(first if own is None else (own, *first))
+        words = first if own is None else (own, *first)
+        news = [] if rates else self._news(words)
         message = self.message(
             kind,
             sequence=sequence,
             target=target,
             members=tuple(item for item in news if isinstance(item, Member)),
             facts=tuple(item for item in news if isinstance(item, Fact)),
+            rates=rates,
         )
         data = self.seal.seal(message)
         if len(data) > MAX_DATAGRAM_BYTES:
--- a/currantdyke/membership/membership.py
+++ b/currantdyke/membership/membership.py
@@ -85,6 +85,7 @@
         self.is_meeting = False
         self.is_gossip_scheduled = False
         self.next_gossip = 0.0
+        self.handlers: dict[MessageKind, Callable[[Message, str], Awaitable[None]]] = {}
         self.call_handlers: dict[MessageKind, Callable[[bytes], Awaitable[bytes]]] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
         self.broadcasts = Broadcasts(on_urgent=self._schedule_gossip)
@@ -192,6 +193,8 @@
             self.prober.note_answer(message.sequence)
         elif message.kind is MessageKind.PING and message.target == self.me.name:
             await self._answer_ping(message, address)
+        elif message.kind in self.handlers:
+            await self.handlers[message.kind](message, address)
         elif message.kind is MessageKind.PING_REQUEST and self.tasks is not None:
             self.tasks.start_soon(self.prober.help_probe, message, address)
 
--- a/currantdyke/peers/__init__.py
+++ b/currantdyke/peers/__init__.py
@@ -7,6 +7,7 @@
     MemberStatus,
     Message,
     MessageKind,
+    Rate,
 )
 from currantdyke.peers.seal import MessageSeal, ReplayGuard
 from currantdyke.peers.sockets import SocketTransport, open_peer_sockets
@@ -21,6 +22,7 @@
     "MessageKind",
     "MessageSeal",
     "PeerTransport",
+    "Rate",
     "ReplayGuard",
     "SocketTransport",
     "decode_message",
--- a/currantdyke/peers/codec.py
+++ b/currantdyke/peers/codec.py
@@ -12,6 +12,7 @@
     MemberStatus,
     Message,
     MessageKind,
+    Rate,
 )
 
 __all__ = ["decode_message", "encode_message"]
@@ -52,6 +53,11 @@
         listed = built.init("facts", len(message.facts))
         for index, fact in enumerate(message.facts):
             _write_fact(listed[index], fact)
+    if message.rates:
+        listed = built.init("rates", len(message.rates))
+        for index, rate in enumerate(message.rates):
+            listed[index].workspace = rate.workspace
+            listed[index].perSecond = rate.per_second
     return built.to_bytes_packed()
 
 
@@ -76,6 +82,10 @@
         members=tuple(map(_read_member, read.members)),
         facts=tuple(map(_read_fact, read.facts)),
         content=bytes(read.content),
+        rates=tuple(
+            Rate(workspace=rate.workspace, per_second=rate.perSecond)
+            for rate in read.rates
+        ),
     )
 
 
--- a/currantdyke/peers/messages.py
+++ b/currantdyke/peers/messages.py
@@ -6,7 +6,7 @@
 
 from currantdyke.events import HybridTime
 
-__all__ = ["Fact", "Member", "MemberStatus", "Message", "MessageKind"]
+__all__ = ["Fact", "Member", "MemberStatus", "Message", "MessageKind", "Rate"]
 
 
 class MessageKind(enum.Enum):
@@ -20,6 +20,8 @@
     PULL = "pull"
     UPDATE = "update"
     CLAIM = "claim"
+    DEMAND = "demand"
+    ALLOWANCE = "allowance"
 
 
 class MemberStatus(enum.Enum):
@@ -81,6 +83,14 @@
     remaining_seconds: float
 
 
+@attrs.frozen(kw_only=True)
+class Rate:
+    """A workspace's requests a second: what it asks for, or what it may have."""
+
+    workspace: str
+    per_second: float
+
+
 @attrs.frozen(kw_only=True)
 class Message:
     """One message between two daemons.
@@ -97,6 +107,8 @@
         The configuration version in force at the sender.
     content : bytes
         A configuration update, or a claim and its answer.
+    rates : tuple of Rate
+        Demands of workspaces, or what they are allowed.
     """
 
     kind: MessageKind
@@ -109,3 +121,4 @@
     members: tuple[Member, ...] = ()
     facts: tuple[Fact, ...] = ()
     content: bytes = b""
+    rates: tuple[Rate, ...] = ()
--- a/currantdyke/peers/peer.capnp
+++ b/currantdyke/peers/peer.capnp
@@ -11,6 +11,8 @@
   pull @5;
   update @6;
   claim @7;
+  demand @8;
+  allowance @9;
 }
 
 enum MemberStatus {
@@ -40,6 +42,11 @@
   remainingMilliseconds @5 :UInt32;
 }
 
+struct Rate {
+  workspace @0 :Text;
+  perSecond @1 :Float32;
+}
+
 struct Message {
   kind @0 :Kind;
   sender @1 :Text;
@@ -51,4 +58,5 @@
   members @7 :List(Member);
   facts @8 :List(Fact);
   content @9 :Data;
+  rates @10 :List(Rate);
 }
--- a/currantdyke/peers/tests/test_messages.py
+++ b/currantdyke/peers/tests/test_messages.py
@@ -8,6 +8,7 @@
     MemberStatus,
     MessageKind,
     MessageSeal,
+    Rate,
     ReplayGuard,
     decode_message,
     encode_message,
@@ -28,6 +29,7 @@
             members=(build_member(), build_member(status=MemberStatus.DEAD)),
             facts=(build_fact(), build_fact(key="demand/entry-1", value="")),
             content=b"\x00update",
+            rates=(Rate(workspace="jos", per_second=2.5),),
         )
         self.assertEqual(decode_message(encode_message(message)).ok, message)
 
