Count processor time a token in the serve bench; note a try at pacing reads

Cause: throughput depends on what else the machine does; processor time a token less so. Tried and taken back: connections to engines that read at most every 20 or 30 ms, so that tokens travel together.

--- a/currantdyke/benches/serve/__main__.py
+++ b/currantdyke/benches/serve/__main__.py
@@ -63,6 +63,7 @@
         after = watched.cpu_times()
         row["cpu_s"] = after.user + after.system - before.user - before.system
         row["cores"] = row["cpu_s"] / elapsed
+        row["cpu_us_per_token"] = row["cpu_s"] / max(1.0, row["tokens"]) * 1e6
         row["kib_per_stream"] = (resident - resident_before) / streams / 1024
         row["resident_mib"] = resident / MEBIBYTE
     return row
@@ -76,6 +77,7 @@
         "seconds": elapsed,
         "whole": sum(times.whole for times in seen),
         "broken": sum(times.broken for times in seen),
+        "tokens": sum(times.tokens for times in seen),
         "requests_per_s": sum(times.whole for times in seen) / elapsed,
         "tokens_per_s": sum(times.tokens for times in seen) / elapsed,
         "events_per_s": sum(times.events for times in seen) / elapsed,
@@ -147,6 +149,7 @@
         "tokens_per_s",
         "events_per_s",
         "cores",
+        "cpu_us_per_token",
         "added_p50_ms",
         "added_p95_ms",
         "gap_p95_ms",
