--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 .venv/installed: requirements-dev.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements-dev.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
 	touch .venv/installed
 
 lock:
--- a/currantdyke/cli/request.py
+++ b/currantdyke/cli/request.py
@@ -18,7 +18,10 @@
 @click.argument("input_text", metavar="INPUT")
 @click.option("--url", default="http://127.0.0.1:8080", show_default=True)
 @click.option(
-    "--key", envvar="CURRANTDYKE_KEY", required=True, help="The workspace's key."
+    "--key",
+    envvar="CURRANTDYKE_WORKSPACE_KEY",
+    required=True,
+    help="The workspace's key.",
 )
 @click.option("--deadline", type=float, help="Seconds; the pipeline's by default.")
 @click.option("--idempotency-key", default="")
