Fan out, leave out slow optional stages, tell callers what to do

Cause: a slow optional stage took the whole deadline with it; a stage that was cancelled told no cost; an optional last stage could answer with nothing; the message of an unknown outcome advised to try again, which doubles a charge. The call behind a relay stayed open where its caller left before the first event. The test of the shutdown did not show that all streams were in flight.

Change: an optional stage gets 0.4 of the time left and is named in left_out; costs are recorded however a stage ends; unknown outcomes tell to send again only with the idempotency key or if the request may run twice; a relayed call ends with its caller's.

--- a/currantdyke/callers/headers.py
+++ b/currantdyke/callers/headers.py
@@ -19,6 +19,7 @@
     "first_event",
     "malformed",
     "read_headers",
+    "wait_seconds",
     "wants_stream",
 ]
 
--- a/currantdyke/callers/relay.py
+++ b/currantdyke/callers/relay.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import attrs
@@ -10,6 +10,7 @@
 import msgspec
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
+from starlette.types import Receive, Scope, Send
 
 from currantdyke.callers.answers import failure_response
 from currantdyke.callers.headers import wait_seconds, wants_stream
@@ -112,7 +113,7 @@
         while True:
             rest = max(0.0, waited_until - anyio.current_time())
             step = min(WAIT_STEP_SECONDS, rest)
-            with self._counted():
+            with self.counted():
                 answer = await self._ask(request, url, daemon, step)
             if answer.status_code != 202 or rest <= WAIT_STEP_SECONDS:
                 return answer
@@ -139,30 +140,7 @@
             response = await self.client.send(sent, stream=True)
         except httpx.HTTPError as error:
             return _failed(_lost(daemon, f"does not answer ({type(error).__name__})"))
-        return StreamingResponse(
-            self._events(response, daemon),
-            response.status_code,
-            _headers_back(response),
-        )
-
-    async def _events(self, response: httpx.Response, daemon: str):
-        """Yield whole events only, and a typed one where the stream breaks."""
-        rest = b""
-        with self._counted():
-            try:
-                async for chunk in response.aiter_bytes():
-                    whole, rest = split_whole_events(rest + chunk)
-                    if whole:
-                        yield whole
-                if not rest:
-                    return
-                error = "its stream ended within an event"
-            except httpx.HTTPError as broken:
-                error = f"broke off ({type(broken).__name__})"
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await response.aclose()
-        yield _broken_event(_lost(daemon, error))
+        return RelayedStream(relay=self, response=response, daemon=daemon)
 
     def _request(self, request: Request, url: str) -> httpx.Request:
         passed = {n: request.headers[n] for n in PASSED_ON if n in request.headers}
@@ -179,7 +157,8 @@
         )
 
     @contextlib.contextmanager
-    def _counted(self):
+    def counted(self):
+        """Count one relay as open within a block."""
         self.open += 1
         try:
             yield
@@ -187,6 +166,45 @@
             self.open -= 1
 
 
+class RelayedStream(StreamingResponse):
+    """Events of a request at another daemon; the call there ends with this one."""
+
+    def __init__(self, *, relay: Relay, response: httpx.Response, daemon: str):
+        self.relay = relay
+        self.relayed = response
+        super().__init__(
+            _relayed_events(response, daemon),
+            response.status_code,
+            _headers_back(response),
+        )
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the events; close the call also where none was asked for."""
+        try:
+            with self.relay.counted():
+                await super().__call__(scope, receive, send)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.relayed.aclose()
+
+
+async def _relayed_events(
+    response: httpx.Response, daemon: str
+) -> AsyncIterator[bytes]:
+    """Yield whole events only, and a typed one where the stream breaks."""
+    rest = b""
+    try:
+        async for chunk in response.aiter_bytes():
+            whole, rest = split_whole_events(rest + chunk)
+            if whole:
+                yield whole
+        error = "ended its stream within an event" if rest else ""
+    except httpx.HTTPError as broken:
+        error = f"broke off ({type(broken).__name__})"
+    if error:
+        yield _broken_event(_lost(daemon, error))
+
+
 def split_whole_events(text: bytes) -> tuple[bytes, bytes]:
     r"""Split server-sent events behind the last whole event or comment.
 
--- a/currantdyke/callers/tests/test_relay.py
+++ b/currantdyke/callers/tests/test_relay.py
@@ -46,6 +46,7 @@
                 relayed = await rejoin(fleet, request_id, daemon="entry-2")
                 own = await rejoin(fleet, request_id)
                 tail = await rejoin(fleet, request_id, daemon="entry-2", first=7)
+                await anyio.sleep(0.01)
                 return relayed, own, tail, fleet.daemons["entry-2"].relay.open
 
         relayed, own, tail, still_open = run_virtual(scenario)
@@ -125,6 +126,20 @@
         self.assertEqual(numbers, list(range(len(numbers))))
         self.assertGreater(len(numbers), 2)
 
+    def test_caller_that_hangs_up_ends_the_relay_but_not_the_request(self):
+        async def scenario():
+            async with fleet_of_two(token_seconds=0.2) as fleet:
+                request_id = await submit_async(fleet)
+                await rejoin(fleet, request_id, daemon="entry-2", most=3)
+                await anyio.sleep(0.1)
+                exchange = fleet.daemons["entry-1"].requests.by_id[request_id]
+                left = fleet.daemons["entry-2"].relay.open, exchange.readers
+                return left, await rejoin(fleet, request_id, daemon="entry-2")
+
+        left, events = run_virtual(scenario)
+        self.assertEqual(left, (0, 0))
+        self.assertEqual(len(texts_of(events)), 16)
+
     def test_relays_never_go_round(self):
         async def scenario():
             async with fleet_of_two() as fleet:
--- a/currantdyke/core/failure.py
+++ b/currantdyke/core/failure.py
@@ -6,6 +6,11 @@
 
 __all__ = ["Failure", "FailureKind", "Outcome"]
 
+UNKNOWN_REMEDY = (
+    "it may have run: send it again only if it may run twice, "
+    "or with the same idempotency key"
+)
+
 
 class Outcome(enum.Enum):
     """What became of a request, as its caller is told.
@@ -124,4 +129,6 @@
     @property
     def message(self) -> str:
         """Return the detail and the remedy in one line."""
+        if self.outcome is Outcome.UNKNOWN:
+            return f"{self.detail}; {self.kind.remedy}; {UNKNOWN_REMEDY}"
         return f"{self.detail}; {self.kind.remedy}"
--- a/currantdyke/daemon/tests/test_listen.py
+++ b/currantdyke/daemon/tests/test_listen.py
@@ -52,6 +52,26 @@
     return received
 
 
+async def send_raw(text):
+    stop = anyio.Event()
+    listener = open_listener("127.0.0.1", 0)
+    answer = b""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve_http, tell_version, listener, stop)
+        started = anyio.current_time()
+        stream = await anyio.connect_tcp(listener.address, listener.port)
+        async with stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(text)
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                with anyio.fail_after(10):
+                    while True:
+                        answer += await stream.receive()
+        seconds = anyio.current_time() - started
+        stop.set()
+    return answer, seconds
+
+
 class TestServeHttp(unittest.TestCase):
     def test_slow_reader_is_given_its_time_after_the_stop(self):
         with mock.patch.object(listen, "CLOSE_TIMEOUT_SECONDS", 0.1):
@@ -63,6 +83,18 @@
             received = anyio.run(read_slowly, 0.0)
         self.assertLess(received, CHUNKS * len(CHUNK))
 
+    def test_sender_that_never_ends_its_headers_is_hung_up_on(self):
+        with mock.patch.object(listen, "KEEP_ALIVE_SECONDS", 0.3):
+            answer, seconds = anyio.run(send_raw, b"GET / HTTP/1.1\r\nhost: a\r\nx-")
+        self.assertEqual(answer, b"")
+        self.assertLess(seconds, 5)
+
+    def test_headers_without_end_are_refused(self):
+        head = b"GET / HTTP/1.1\r\nhost: a\r\nx-long: " + b"x" * 100_000
+        answer, seconds = anyio.run(send_raw, head)
+        self.assertRegex(answer, rb"^HTTP/1.1 4\d\d ")
+        self.assertLess(seconds, 5)
+
     def test_both_versions_of_http_are_spoken(self):
         async def scenario():
             stop = anyio.Event()
--- a/currantdyke/daemon/tests/test_processes.py
+++ b/currantdyke/daemon/tests/test_processes.py
@@ -2,12 +2,13 @@
 import time
 import unittest
 
+import attrs
 import httpx
 import httpx_sse
 import msgspec
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from currantdyke.bundle import check_bundle
+from currantdyke.bundle import Pipeline, Stage, check_bundle
 from currantdyke.bundle.change import Signer
 from currantdyke.bundle.lifecycle import propose, sign_off
 from currantdyke.bundle.roll import roll
@@ -17,10 +18,12 @@
 
 STREAMS = 200
 TOKENS = 20
-TOKEN_SECONDS = 0.2
+SLOW_TOKEN_SECONDS = 1.0
+FAST_TOKEN_SECONDS = 0.15
 MOST_SECONDS = 20.0
 PATIENCE_SECONDS = 15.0
 NOTES = "/v1/pipelines/tasting-notes"
+DRAFT = "/v1/pipelines/draft"
 HEADERS = {
     "authorization": f"Bearer {WORKSPACE_KEY}",
     "accept": "text/event-stream",
@@ -31,7 +34,7 @@
 
 def build_endpoints():
     return [
-        {"name": f"{name}-1", "tokens": TOKENS, "token_seconds": TOKEN_SECONDS}
+        {"name": f"{name}-1", "tokens": TOKENS, "token_seconds": SLOW_TOKEN_SECONDS}
         for name in KINDS
     ]
 
@@ -54,6 +57,8 @@
     )
     keys = {adaeze.name: adaeze.public_key, bola.name: bola.public_key}
     bundle = check_bundle(demo_bundle(urls, keys)).ok
+    draft = Pipeline(stages=(Stage(name="generate", service="generator"),))
+    bundle = attrs.evolve(bundle, pipelines=bundle.pipelines | {"draft": draft})
     async with httpx.AsyncClient() as client:
         store = EtcdStore(client=client, url=place["key_value"])
         proposal = (await propose(store, bundle, adaeze, bootstrap=keys)).ok
@@ -90,8 +95,13 @@
     return source.response.headers["x-request-id"], names, texts, last
 
 
-async def read_all(daemon):
-    url = daemon.urls["callers"] + NOTES
+async def set_pace(client, place, seconds):
+    url = place["endpoints"]["generator-1"] + "/pace"
+    await client.post(url, json={"token_seconds": seconds})
+
+
+async def read_all(place, daemon):
+    url = daemon.urls["callers"] + DRAFT
     limits = httpx.Limits(max_connections=None)
     async with (
         httpx.AsyncClient(timeout=60, limits=limits) as client,
@@ -104,12 +114,14 @@
         ]
         for event in begun:
             await event.wait()
+        in_flight = sum(not stream.done() for stream in streams)
         daemon.terminate()
         told = time.monotonic()
         await wait_ready(client, daemon, 503)
-        late = await read_stream(client, "POST", url)
+        late = tasks.create_task(read_stream(client, "POST", url))
+        await set_pace(client, place, FAST_TOKEN_SECONDS)
     ended = [stream.result() for stream in streams]
-    return ended, late, told
+    return in_flight, [*ended, late.result()], told
 
 
 class TestProcesses(unittest.TestCase):
@@ -118,14 +130,16 @@
             settings = build_settings(stand_ins.urls, "entry-1", leave_seconds=2.0)
             with start_daemon(settings) as daemon:
                 asyncio.run(put_in_force(stand_ins.urls, [daemon]))
-                ended, late, told = asyncio.run(read_all(daemon))
+                found = asyncio.run(read_all(stand_ins.urls, daemon))
+                in_flight, ended, told = found
                 code = daemon.wait()
                 seconds = time.monotonic() - told
         self.assertEqual(code, 0, "".join(daemon.lines))
         self.assertLess(seconds, MOST_SECONDS)
         self.assertLess(len(daemon.lines), 10, "a line for each call")
-        self.assertEqual(len({request_id for request_id, *_ in ended}), STREAMS)
-        for request_id, names, texts, last in [*ended, late]:
+        self.assertEqual(in_flight, STREAMS)
+        self.assertEqual(len({request_id for request_id, *_ in ended}), STREAMS + 1)
+        for request_id, names, texts, last in ended:
             expected = [f"{request_id}:{index} " for index in range(TOKENS)]
             self.assertEqual(texts, expected)
             self.assertEqual(names[-1], "answer")
@@ -157,6 +171,7 @@
         await put_in_force(place, [first, second])
         async with httpx.AsyncClient(timeout=60) as client:
             await self.wait_joined(client, second)
+            await set_pace(client, place, FAST_TOKEN_SECONDS)
             url = first.urls["callers"] + NOTES
             seen = await read_stream(client, "POST", url, most=5)
             url = f"{second.urls['callers']}/v1/requests/{seen[0]}?from=5"
--- a/currantdyke/pipelines/run.py
+++ b/currantdyke/pipelines/run.py
@@ -6,7 +6,7 @@
 import anyio
 import attrs
 from absl import logging
-from expression import Result
+from expression import Error, Result
 
 from currantdyke.bundle import Bundle, Pipeline, Stage
 from currantdyke.core import Failure, FailureKind, Outcome
@@ -17,6 +17,8 @@
 
 __all__ = ["RequestRun", "RunParts", "run_request"]
 
+OPTIONAL_SHARE_OF_REST = 0.4
+
 
 @attrs.define(kw_only=True, eq=False)
 class RequestRun:
@@ -152,11 +154,11 @@
 ) -> None:
     for earlier in stage.after:
         await ended[earlier].wait()
-    answer = await _call_stage(run, stage)
-    is_last = stage is run.pipeline.stages[-1]
+    optional = stage.optional and stage is not run.pipeline.stages[-1]
+    answer = await (_call_optional if optional else _call_stage)(run, stage)
     if answer.is_ok():
         run.outputs[stage.name] = answer.ok
-    elif stage.optional and not is_last:
+    elif optional:
         run.outputs[stage.name] = None
         run.exchange.left_out.append(stage.name)
     elif run.failure is None:
@@ -165,6 +167,15 @@
     ended[stage.name].set()
 
 
+async def _call_optional(run: RequestRun, stage: Stage) -> Result[Any, Failure]:
+    """Run a stage that may be left out, within a share of what is left."""
+    seconds = run.exchange.deadline - anyio.current_time()
+    with anyio.move_on_after(OPTIONAL_SHARE_OF_REST * seconds):
+        return await _call_stage(run, stage)
+    detail = f"the optional stage {stage.name!r} was too slow"
+    return Error(Failure(kind=FailureKind.STAGE_FAILED, detail=detail))
+
+
 async def _call_stage(run: RequestRun, stage: Stage) -> Result[Any, Failure]:
     previous = {name: run.outputs[name] for name in stage.after}
     is_last = stage is run.pipeline.stages[-1]
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -55,6 +55,13 @@
     idempotent.
     """
     started = anyio.current_time()
+    try:
+        return await _try_endpoints(run)
+    finally:
+        _record(run, run.tried[-1] if run.tried else "", started)
+
+
+async def _try_endpoints(run: StageRun) -> Result[Any, Failure]:
     delivered = DeliveredTokens(deliver=run.deliver, most=run.stage.max_tokens)
     failure = _no_endpoint(run)
     need = _need(run)
@@ -72,14 +79,12 @@
                 report = await _attempt(run, endpoint, delivered)
             await turn.judge(endpoint, report)
         if report.end is AttemptEnd.DONE:
-            _record(run, endpoint.name, started)
             return Ok(report.output)
         failure = _stage_failed(run, report)
         if not (run.service.idempotent or report.end in SAFE_TO_REPEAT):
             break
         if not run.parts.decisions.may_retry(need):
             break
-    _record(run, run.tried[-1] if run.tried else "", started)
     return Error(failure)
 
 
--- /dev/null
+++ b/currantdyke/pipelines/tests/test_stages.py
@@ -0,0 +1,151 @@
+import unittest
+
+import anyio
+
+from currantdyke.bundle import Stage
+from currantdyke.testing import fleet_in_memory, run_virtual
+from currantdyke.testing.builders import build_pipeline
+
+FAN_OUT = (
+    Stage(name="encode", service="encoder"),
+    Stage(name="notes", service="retriever", after=("encode",)),
+    Stage(name="scores", service="retriever", after=("encode",), optional=True),
+    Stage(name="members", service="entry-desk", after=("encode",)),
+    Stage(name="rerank", service="reranker", after=("notes", "scores", "members")),
+    Stage(name="generate", service="generator", after=("rerank",)),
+)
+
+
+async def ask(prepare=None, stages=FAN_OUT, seconds=None, **options):
+    pipelines = {"notes": build_pipeline(stages=stages)}
+    async with fleet_in_memory(bundle={"pipelines": pipelines}, **options) as fleet:
+        if prepare is not None:
+            prepare(fleet.standins)
+        headers = {"x-deadline-seconds": str(seconds)} if seconds else {}
+        async with fleet.caller("entry-1") as client:
+            started = anyio.current_time()
+            response = await client.post(
+                "/v1/pipelines/notes", json={"input": "flight 12"}, headers=headers
+            )
+            took = anyio.current_time() - started
+        await anyio.sleep(0.01)
+        return response.json(), took, fleet
+
+
+def failing_for(stage):
+    def answer(call):
+        return (
+            b"{}"
+            if call.stage == stage
+            else b'{"output": "%s"}' % (call.stage.encode())
+        )
+
+    return answer
+
+
+class TestStages(unittest.TestCase):
+    def test_pipelines_of_three_to_six_stages_pass_each_output_on(self):
+        chain = ("encoder", "retriever", "reranker", "entry-desk", "reranker")
+        for count in range(3, 7):
+            names = [*chain[: count - 1], "generator"]
+            stages = tuple(
+                Stage(name=f"s{i}", service=name, after=(f"s{i - 1}",) if i else ())
+                for i, name in enumerate(names)
+            )
+            with self.subTest(count):
+                body, _, fleet = run_virtual(ask, stages=stages)
+                self.assertEqual(body["outcome"], "done")
+                self.assertEqual(len(body["stages"]), count)
+                prompt = fleet.standins["generator-1"].calls[0].body["prompt"]
+                before = prompt["previous"][f"s{count - 2}"]
+                self.assertEqual(before["endpoint"], f"{names[-2]}-1")
+
+    def test_stages_fan_out_at_the_same_time_and_join(self):
+        def prepare(standins):
+            for name in ("retriever-1", "entry-desk-1"):
+                standins[name].seconds = 1.0
+
+        body, took, fleet = run_virtual(ask, prepare)
+        joined = fleet.standins["reranker-1"].calls[0].body["previous"]
+        self.assertEqual(set(joined), {"notes", "scores", "members"})
+        self.assertEqual(body["outcome"], "done")
+        self.assertEqual(body["left_out"], [])
+        self.assertLess(took, 1.5)
+
+    def test_failed_optional_branch_is_named_and_the_rest_is_whole(self):
+        def prepare(standins):
+            standins["retriever-1"].answer = failing_for("scores")
+
+        body, _, fleet = run_virtual(ask, prepare)
+        joined = fleet.standins["reranker-1"].calls[0].body["previous"]
+        self.assertEqual(body["outcome"], "done")
+        self.assertEqual(body["left_out"], ["scores"])
+        self.assertIsNone(joined["scores"])
+        self.assertEqual(joined["notes"], "notes")
+
+    def test_slow_optional_branch_is_left_out_in_time(self):
+        def prepare(standins):
+            standins["reranker-1"].seconds = 60.0
+
+        stages = tuple(
+            Stage(
+                name=stage.name,
+                service=stage.service,
+                after=stage.after,
+                optional=stage.name == "rerank",
+            )
+            for stage in FAN_OUT
+        )
+        body, took, fleet = run_virtual(ask, prepare, stages=stages, seconds=4)
+        self.assertEqual(body["outcome"], "done", body)
+        self.assertEqual(body["left_out"], ["rerank"])
+        self.assertLess(took, 3)
+        self.assertEqual(len(fleet.standins["reranker-1"].abandoned), 1)
+
+    def test_failed_branch_cancels_its_siblings_at_their_endpoints(self):
+        def prepare(standins):
+            standins["retriever-1"].seconds = 3.0
+            standins["entry-desk-1"].status = 500
+
+        body, took, fleet = run_virtual(ask, prepare)
+        retriever = fleet.standins["retriever-1"]
+        self.assertEqual(body["error"]["code"], "stage_failed")
+        self.assertLess(took, 1.0)
+        self.assertEqual(retriever.completed, [])
+        self.assertEqual(
+            sorted(retriever.abandoned), sorted(c.attempt_id for c in retriever.calls)
+        )
+        self.assertEqual(len(retriever.calls), 2)
+
+    def test_deadline_cancels_at_the_endpoints(self):
+        def prepare(standins):
+            standins["retriever-1"].seconds = 60.0
+            standins["entry-desk-1"].seconds = 60.0
+
+        body, took, fleet = run_virtual(ask, prepare, seconds=2)
+        self.assertEqual(body["error"]["code"], "deadline_passed")
+        self.assertAlmostEqual(took, 2.0, places=3)
+        self.assertEqual(len(fleet.standins["entry-desk-1"].abandoned), 1)
+        self.assertEqual(fleet.standins["generator-1"].calls, [])
+
+    def test_last_stage_is_never_left_out(self):
+        def prepare(standins):
+            standins["generator-1"].status = 500
+
+        last = Stage(
+            name="generate", service="generator", after=("rerank",), optional=True
+        )
+        body, _, _ = run_virtual(ask, prepare, stages=(*FAN_OUT[:-1], last))
+        self.assertEqual(body["outcome"], "failed")
+
+    def test_cost_of_a_cancelled_stage_is_told(self):
+        def prepare(standins):
+            standins["retriever-1"].seconds = 60.0
+
+        body, _, _ = run_virtual(ask, prepare, seconds=2)
+        cost = {r["stage"]: r["cost_seconds"] for r in body["stages"]}
+        self.assertAlmostEqual(cost["notes"], 2.0, places=3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/standins/stages.py
+++ b/currantdyke/standins/stages.py
@@ -34,7 +34,7 @@
     seconds : float
         Time to answer, or to the first token.
     token_seconds : float
-        Time between tokens.
+        Time between tokens; ``POST /pace`` changes it for streams under way too.
     tokens : int
         Tokens of an answer, where the call asks for no fewer.
     refuse : bool
@@ -121,8 +121,13 @@
             )
         return await _whole(standin, request, call, headers)
 
+    async def pace(request: Request) -> Response:
+        standin.token_seconds = float((await request.json())["token_seconds"])
+        return JSONResponse({"token_seconds": standin.token_seconds})
+
     return Starlette(
         routes=[
+            Route("/pace", pace, methods=["POST"]),
             Route("/v1/call", handle, methods=["POST"]),
             Route("/v1/completions", handle, methods=["POST"]),
         ]
