Bound the waits of the test over processes

Cause: a stream that ended in an error before its first token left the shutdown test waiting for ever; seen when admission refused some of the 200 streams, since the demo's endpoints have 8 slots.

Change: an error event fails the test at once, each scenario ends within 40 s, and the endpoints have slots for all streams.

--- a/currantdyke/daemon/tests/test_processes.py
+++ b/currantdyke/daemon/tests/test_processes.py
@@ -21,6 +21,7 @@
 SLOW_TOKEN_SECONDS = 1.0
 FAST_TOKEN_SECONDS = 0.15
 MOST_SECONDS = 20.0
+MOST_TEST_SECONDS = 40.0
 PATIENCE_SECONDS = 15.0
 NOTES = "/v1/pipelines/tasting-notes"
 DRAFT = "/v1/pipelines/draft"
@@ -49,6 +50,17 @@
     return settings | changes
 
 
+def with_slots(service):
+    endpoints = tuple(
+        attrs.evolve(endpoint, slots=2 * STREAMS) for endpoint in service.endpoints
+    )
+    return attrs.evolve(service, endpoints=endpoints)
+
+
+def run_bounded(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, MOST_TEST_SECONDS))
+
+
 async def put_in_force(place, daemons):
     urls = {name: place["endpoints"][f"{name}-1"] for name in KINDS}
     adaeze, bola = (
@@ -58,7 +70,10 @@
     keys = {adaeze.name: adaeze.public_key, bola.name: bola.public_key}
     bundle = check_bundle(demo_bundle(urls, keys)).ok
     draft = Pipeline(stages=(Stage(name="generate", service="generator"),))
-    bundle = attrs.evolve(bundle, pipelines=bundle.pipelines | {"draft": draft})
+    services = {name: with_slots(found) for name, found in bundle.services.items()}
+    bundle = attrs.evolve(
+        bundle, services=services, pipelines=bundle.pipelines | {"draft": draft}
+    )
     async with httpx.AsyncClient() as client:
         store = EtcdStore(client=client, url=place["key_value"])
         proposal = (await propose(store, bundle, adaeze, bootstrap=keys)).ok
@@ -84,6 +99,8 @@
         client, method, url, json=body, headers=dict(HEADERS)
     ) as source:
         async for event in source.aiter_sse():
+            if event.event == "error":
+                raise AssertionError(event.data)
             last = msgspec.json.decode(event.data)
             names.append(event.event)
             if event.event == "token":
@@ -129,8 +146,8 @@
         with start_stand_ins(build_endpoints()) as stand_ins:
             settings = build_settings(stand_ins.urls, "entry-1", leave_seconds=2.0)
             with start_daemon(settings) as daemon:
-                asyncio.run(put_in_force(stand_ins.urls, [daemon]))
-                found = asyncio.run(read_all(stand_ins.urls, daemon))
+                run_bounded(put_in_force(stand_ins.urls, [daemon]))
+                found = run_bounded(read_all(stand_ins.urls, daemon))
                 in_flight, ended, told = found
                 code = daemon.wait()
                 seconds = time.monotonic() - told
@@ -156,7 +173,7 @@
             for settings in (one, two):
                 settings["leave_seconds"] = 0.0
             with start_daemon(one) as first, start_daemon(two) as second:
-                seen, rest = asyncio.run(self.drop_off(place, first, second))
+                seen, rest = run_bounded(self.drop_off(place, first, second))
                 for daemon in (first, second):
                     daemon.terminate()
                     self.assertEqual(daemon.wait(), 0, "".join(daemon.lines))
