--- a/currantdyke/pipelines/run.py
+++ b/currantdyke/pipelines/run.py
@@ -152,6 +152,11 @@
 ) -> None:
     for earlier in stage.after:
         await ended[earlier].wait()
+    if not run.parts.decisions.keeps(run.exchange, stage):
+        run.outputs[stage.name] = None
+        run.exchange.left_out.append(stage.name)
+        ended[stage.name].set()
+        return
     answer = await _call_stage(run, stage)
     is_last = stage is run.pipeline.stages[-1]
     if answer.is_ok():
