--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -78,6 +78,7 @@
         failure = _stage_failed(run, report)
         if not (run.service.idempotent or report.end in SAFE_TO_REPEAT):
             break
+        need.last_end = report.end
         if not run.parts.decisions.may_retry(need):
             break
     _record(run, run.tried[-1] if run.tried else "", started)
