--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -153,7 +153,13 @@
         )
         self.run_parts = RunParts(
             call_stage=http_stage_caller(client),
-            decisions=make_decisions(self.random_source),
+            decisions=make_decisions(
+                self.endpoints,
+                self.random_source,
+                daemon=settings.name,
+                zone=settings.availability_zone,
+                count_daemons=lambda: self.count_daemons(),
+            ),
             claims=ClaimGate(
                 claims=self.claims, requests=self.requests, metrics=self.metrics
             ),
@@ -192,6 +198,10 @@
             ],
         )
 
+    def count_daemons(self) -> int:
+        """Return how many daemons are known to live, this one included."""
+        return len(self.membership.live_members()) if self.membership else 1
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send new requests here."""
         return self.follower.is_ready() and not self.leaving
