Bound the facts of a whole table, and measure windows that hold one exchange

Cause: 4,096 facts would not fit into the 262,144 bytes that a question may have, so that tables could no longer be exchanged; the bench's windows of 60 s missed the exchanges of large fleets. Change: the latest 1,024 facts go with a table; the bench's windows are as long as each daemon needs for one exchange, and results of several runs can be joined. Figures (test): 3 of 2,000 facts asked for are the latest 3; before, all went.

--- a/build_tools/bench_membership.py
+++ b/build_tools/bench_membership.py
@@ -5,6 +5,9 @@
 sockets of 127.0.0.1.
 
 Usage: python build_tools/bench_membership.py [--out FILE] [SIZE ...]
+       python build_tools/bench_membership.py --merge FILE [FILE ...]
+
+The second form joins the results of runs with some sizes each.
 """
 
 import argparse
@@ -14,6 +17,7 @@
 import platform
 import statistics
 import time
+from collections.abc import Sequence
 
 import anyio
 import psutil
@@ -21,6 +25,7 @@
 from currantdyke.core import new_incarnation
 from currantdyke.events import Timeline
 from currantdyke.membership import Membership
+from currantdyke.membership.spreading import sync_period_seconds
 from currantdyke.metrics import Metrics
 from currantdyke.peers import Member, MessageSeal, open_peer_sockets
 from currantdyke.testing import run_virtual
@@ -62,15 +67,19 @@
 
 
 async def window(fleet: MemberFleet, busy: bool) -> dict:
-    """Measure one window of steady running, with changes or without."""
+    """Measure one window of steady running, with changes or without.
+
+    The window is so long that each daemon exchanges its whole table in it once.
+    """
+    seconds = max(WINDOW_SECONDS, 1.5 * sync_period_seconds(len(fleet.nodes)))
     before, started = traffic(fleet), time.process_time()
     async with anyio.create_task_group() as tasks:
         if busy:
             tasks.start_soon(make_changes, fleet)
-        await anyio.sleep(WINDOW_SECONDS)
+        await anyio.sleep(seconds)
         tasks.cancel_scope.cancel()
     spent, after = time.process_time() - started, traffic(fleet)
-    share = 1.0 / (WINDOW_SECONDS * len(fleet.nodes))
+    share = 1.0 / (seconds * len(fleet.nodes))
     messages = (after[0] - before[0]) * share
     return {
         "messages_per_second": messages,
@@ -224,24 +233,45 @@
     return {"full_size": FULL_SIZE, "fits": fits, "budgets": budgets}
 
 
-def main() -> None:
-    """Measure the sizes given and write the results."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("sizes", nargs="*", type=int)
-    parser.add_argument("--out", default="docs/results/membership.json")
-    options = parser.parse_args()
+def run(sizes: Sequence[int]) -> dict:
+    """Measure sizes one after another."""
     rows = []
-    for size in options.sizes or SIZES:
+    for size in sizes:
         rows.append(run_virtual(measure, size))
         print(json.dumps(rows[-1]), flush=True)
-    found = {
-        "command": "python build_tools/bench_membership.py",
+    wanted = " ".join(map(str, sizes))
+    return {
+        "command": f"python build_tools/bench_membership.py {wanted}",
         "machine": f"{platform.machine()}, Python {platform.python_version()}",
         "sizes": rows,
         "sockets": [anyio.run(over_sockets, size) for size in SOCKET_DAEMONS],
     }
-    if len(rows) > 2:
-        found |= summary(rows)
+
+
+def merged(files: Sequence[str]) -> dict:
+    """Join the results of earlier runs."""
+    parts = [json.loads(pathlib.Path(file).read_text()) for file in files]
+    return {
+        "command": "; ".join(part["command"] for part in parts),
+        "machine": parts[0]["machine"],
+        "sizes": sorted(
+            (row for part in parts for row in part["sizes"]),
+            key=lambda row: row["daemons"],
+        ),
+        "sockets": parts[0]["sockets"],
+    }
+
+
+def main() -> None:
+    """Measure the sizes given and write the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("sizes", nargs="*", type=int)
+    parser.add_argument("--out", default="docs/results/membership.json")
+    parser.add_argument("--merge", nargs="+", default=[])
+    options = parser.parse_args()
+    found = merged(options.merge) if options.merge else run(options.sizes or SIZES)
+    if len(found["sizes"]) > 2:
+        found |= summary(found["sizes"])
     path = pathlib.Path(options.out)
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(json.dumps(found, indent=1) + "\n")
--- a/currantdyke/membership/facts.py
+++ b/currantdyke/membership/facts.py
@@ -4,6 +4,7 @@
 counts, and of all keys the latest ``capacity`` are kept.
 """
 
+import itertools
 from collections.abc import Callable
 
 import attrs
@@ -131,6 +132,12 @@
         found = (h for key, h in self.held.items() if key.startswith(prefix))
         return [fact for fact in map(self._current, found) if fact is not None]
 
+    def latest(self, count: int) -> list[Fact]:
+        """Return at most so many of the facts that hold, the latest first."""
+        keys = itertools.islice(reversed(self.order.values()), count)
+        found = (self._current(self.held[key]) for key in keys)
+        return [fact for fact in found if fact is not None]
+
     def forget_expired(self) -> None:
         """Drop the facts that hold no longer."""
         now = self.now()
--- a/currantdyke/membership/spreading.py
+++ b/currantdyke/membership/spreading.py
@@ -19,6 +19,7 @@
 JOINING_SYNCS = 3
 JOINING_SECONDS = 2.0
 MAX_SYNC_BYTES = 1_000_000
+MAX_SYNC_FACTS = 1_024
 LEAVING_ROUNDS = 4
 
 
@@ -135,7 +136,7 @@
         return self.random_source.choice(alive) if alive else None
 
     def _state(self) -> dict:
-        facts = self.link.facts.with_prefix("")
+        facts = self.link.facts.latest(MAX_SYNC_FACTS)
         return {
             "members": tuple(self.link.table.all_records()),
             "facts": tuple(fact for fact in facts if not is_background(fact)),
--- a/currantdyke/membership/tests/test_facts.py
+++ b/currantdyke/membership/tests/test_facts.py
@@ -84,6 +84,14 @@
         self.assertEqual(len(facts.held), 100)
         self.assertIsNotNone(facts.get("leaving/999"))
 
+    def test_whole_table_carries_the_latest_facts_only(self):
+        facts = store(capacity=4_096)
+        for number in range(2_000):
+            facts.state(f"leaving/{number}", "1", seconds=10.0)
+        latest = facts.latest(3)
+        keys = ["leaving/1999", "leaving/1998", "leaving/1997"]
+        self.assertEqual([fact.key for fact in latest], keys)
+
     def test_fact_from_a_clock_far_ahead_is_not_believed(self):
         far = HybridTime(wall=100 + 2 * 3_600 * 1_000_000)
         fact = Fact(
