--- a/currantdyke/bundle/spread_model.py
+++ b/currantdyke/bundle/spread_model.py
@@ -142,6 +142,8 @@
 
     def send(self, source: Node, to: Node, size: int, function, *arguments) -> None:
         """Send a message; it may be lost."""
+        if not source.alive:
+            return
         self.figures.messages += 1
         self.figures.sent += size
         source.sent += size
@@ -159,6 +161,8 @@
 
     def look(self, node: Node, calls: int = 2) -> None:
         """Read the head and the record that it names, in so many calls."""
+        if not node.alive:
+            return
         self.figures.store_calls += calls
         self.calls_by_second[int(self.now)] += calls
         delay = sum(self.random.uniform(*STORE_SECONDS) for _ in range(calls))
--- a/currantdyke/bundle/tests/test_fleet.py
+++ b/currantdyke/bundle/tests/test_fleet.py
@@ -49,6 +49,11 @@
         await anyio.sleep(LOOK_SECONDS)
 
 
+def fleet_region(fleet, address):
+    name = address.partition(":")[0]
+    return fleet.daemons[name].settings.region
+
+
 def watchers(fleet):
     return choose_watchers(((name, "region") for name in fleet.scopes), "region")
 
@@ -97,6 +102,19 @@
         seconds = self.run_fleet(scenario)
         self.assertLess(seconds, LIMIT_SECONDS)
 
+    def test_region_cut_off_from_the_others_is_served_by_its_own_watchers(self):
+        async def run():
+            async with fleet_in_memory(daemons=0, peers=True) as fleet:
+                for number in range(DAEMONS):
+                    region = f"region-{number % 2}"
+                    await fleet.start_daemon(f"entry-{number + 1}", region=region)
+                await joined(fleet)
+                fleet.peers.part(lambda address: fleet_region(fleet, address))
+                version = await roll_third(fleet)
+                return await seconds_to_the_last(fleet, version)
+
+        self.assertLess(run_virtual(run), LIMIT_SECONDS)
+
     def test_store_is_down_as_soon_as_one_daemon_knows(self):
         async def scenario(fleet):
             version = await roll_third(fleet)
