Refuse early, budget retries, weigh lagging loads and slow VMs

Change: admission forecasts run and wait of the pipeline from learned times and from loads (own calls, reports discounted by age, the daemon's learned share); shares of workspaces; one retry budget; slow streams are resumed elsewhere; prefixes stay with an endpoint within a bound; optional stages are left out where the deadline needs it.

--- /dev/null
+++ b/currantdyke/admission/decide.py
@@ -0,0 +1,92 @@
+"""Refuse at once what cannot be answered in time."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from currantdyke.core import Failure, FailureKind
+
+__all__ = ["Forecast", "StageForecast", "decide"]
+
+MIN_RETRY_AFTER_SECONDS = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class StageForecast:
+    """What a stage would take now.
+
+    Attributes
+    ----------
+    run_seconds, spread_seconds : float
+        Time of a call without queueing, and its mean deviation.
+    wait_seconds : float
+        Time in the queue.
+    """
+
+    name: str
+    after: tuple[str, ...]
+    run_seconds: float
+    spread_seconds: float
+    wait_seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class Forecast:
+    """What a request would take now, along its longest path.
+
+    Attributes
+    ----------
+    run_seconds : float
+        Time without queueing, deviations included.
+    wait_seconds : float
+        Time in queues.
+    """
+
+    run_seconds: float
+    wait_seconds: float
+
+    @classmethod
+    def along(cls, stages: Sequence[StageForecast], spreads: float) -> "Forecast":
+        """Return the forecast of stages in the order they run."""
+        ends: dict[str, tuple[float, float]] = {}
+        for stage in stages:
+            before = [ends[name] for name in stage.after if name in ends]
+            run, wait = max(before, key=sum, default=(0.0, 0.0))
+            run += stage.run_seconds + spreads * stage.spread_seconds
+            ends[stage.name] = (run, wait + stage.wait_seconds)
+        run, wait = max(ends.values(), key=sum)
+        return cls(run_seconds=run, wait_seconds=wait)
+
+
+def decide(
+    forecast: Forecast, *, seconds_left: float, wait_share: float
+) -> Failure | None:
+    """Return why a request is refused, or None.
+
+    Parameters
+    ----------
+    forecast : Forecast
+        What the rest of the pipeline would take.
+    seconds_left : float
+        Time until the deadline.
+    wait_share : float
+        How much of the time that running leaves may go to queues.
+    """
+    slack = seconds_left - forecast.run_seconds
+    if slack <= 0.0:
+        return Failure(
+            kind=FailureKind.DEADLINE_TOO_SHORT,
+            detail=(
+                f"{seconds_left:.2f} s are left and the stages "
+                f"take about {forecast.run_seconds:.2f} s"
+            ),
+            retry_after=max(MIN_RETRY_AFTER_SECONDS, forecast.wait_seconds),
+        )
+    excess = forecast.wait_seconds - wait_share * slack
+    if excess <= 0.0:
+        return None
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        detail=f"the queues take about {forecast.wait_seconds:.2f} s",
+        retry_after=max(MIN_RETRY_AFTER_SECONDS, excess),
+    )
--- /dev/null
+++ b/currantdyke/admission/shares.py
@@ -0,0 +1,70 @@
+"""Recent use of capacity by workspace."""
+
+import math
+
+__all__ = ["Shares"]
+
+MEMORY_SECONDS = 15.0
+FORGET_BELOW = 0.01
+SWEEP_SECONDS = 1.0
+OVER_SHARE_FACTOR = 1.6
+
+
+class Shares:
+    """Work admitted for each workspace of late; the idle are forgotten.
+
+    Only workspaces with work in the last minute have an entry.
+
+    Examples
+    --------
+    >>> shares = Shares()
+    >>> for _ in range(9):
+    ...     shares.add("large", 1.0, 0.0)
+    >>> shares.add("small", 1.0, 0.0)
+    >>> shares.is_over("large", {}, 0.0), shares.is_over("small", {}, 0.0)
+    (True, False)
+    """
+
+    def __init__(self):
+        self.used: dict[str, float] = {}
+        self.total = 0.0
+        self.decayed_at = 0.0
+
+    def add(self, workspace: str, work: float, now: float) -> None:
+        """Count work that was admitted."""
+        self._decay(now)
+        self.used[workspace] = self.used.get(workspace, 0.0) + work
+        self.total += work
+
+    def is_over(self, workspace: str, weights: dict[str, float], now: float) -> bool:
+        """Return whether a workspace used more than its share among the active.
+
+        Parameters
+        ----------
+        weights : dict
+            Shares that are not 1.
+        """
+        self._decay(now)
+        used = self.used.get(workspace, 0.0)
+        if len(self.used) < 2 or used <= 0.0:
+            return False
+        mine = weights.get(workspace, 1.0)
+        if weights:
+            all_weights = sum(weights.get(name, 1.0) for name in self.used)
+        else:
+            all_weights = float(len(self.used))
+        fair = self.total * mine / max(all_weights, 1e-9)
+        return used > OVER_SHARE_FACTOR * fair
+
+    def _decay(self, now: float) -> None:
+        elapsed = now - self.decayed_at
+        if elapsed < SWEEP_SECONDS:
+            return
+        self.decayed_at = now
+        factor = math.exp(-elapsed / MEMORY_SECONDS)
+        self.used = {
+            name: value * factor
+            for name, value in self.used.items()
+            if value * factor > FORGET_BELOW
+        }
+        self.total = sum(self.used.values())
--- /dev/null
+++ b/currantdyke/admission/tests/test_admission.py
@@ -0,0 +1,110 @@
+import unittest
+
+import attrs
+
+from currantdyke.admission import Forecast, Shares, StageForecast, decide
+from currantdyke.bundle import Policy
+from currantdyke.core import FailureKind, Outcome
+from currantdyke.testing import fleet_in_memory, run_virtual
+from currantdyke.testing.builders import WORKSPACE_KEY, build_pipeline
+
+
+def stage(name, after=(), run=1.0, wait=0.0):
+    return StageForecast(
+        name=name, after=after, run_seconds=run, spread_seconds=0.1, wait_seconds=wait
+    )
+
+
+class DecideTest(unittest.TestCase):
+    def test_forecast_follows_the_longest_path(self):
+        stages = [stage("a"), stage("b", ("a",), run=3.0), stage("c", ("a",), wait=1.0)]
+        forecast = Forecast.along(stages, 0.0)
+        self.assertEqual((forecast.run_seconds, forecast.wait_seconds), (4.0, 0.0))
+
+    def test_refusal_says_at_once_when_to_come_back(self):
+        forecast = Forecast(run_seconds=2.0, wait_seconds=5.0)
+        refused = decide(forecast, seconds_left=6.0, wait_share=0.5)
+        self.assertIs(refused.kind, FailureKind.OVERLOADED)
+        self.assertIs(refused.outcome, Outcome.NOT_RUN)
+        self.assertAlmostEqual(refused.retry_after, 3.0)
+
+    def test_flooding_workspace_is_over_its_share_and_small_ones_are_not(self):
+        shares = Shares()
+        for number in range(100):
+            shares.add("large", 1.0, number * 0.1)
+            if number % 10 == 0:
+                shares.add(f"small-{number % 40}", 1.0, number * 0.1)
+        self.assertTrue(shares.is_over("large", {}, 10.0))
+        self.assertFalse(shares.is_over("small-0", {}, 10.0))
+        self.assertFalse(shares.is_over("new", {}, 10.0))
+
+    def test_idle_workspaces_are_forgotten(self):
+        shares = Shares()
+        for number in range(17_000):
+            shares.add(f"workspace-{number}", 1.0, number * 0.1)
+        self.assertLess(len(shares.used), 1000)
+
+    def test_share_of_an_idle_one_may_be_borrowed(self):
+        shares = Shares()
+        for number in range(100):
+            shares.add("large", 1.0, number * 0.1)
+        self.assertFalse(shares.is_over("large", {}, 10.0))
+
+
+class DeadlineTest(unittest.TestCase):
+    def test_infeasible_deadline_is_refused_before_any_dispatch(self):
+        async def scenario():
+            async with (
+                fleet_in_memory() as fleet,
+                fleet.caller("entry-1", key=WORKSPACE_KEY) as client,
+            ):
+                response = await client.post(
+                    "/v1/pipelines/notes",
+                    json={"input": "flight 12"},
+                    headers={"x-deadline-seconds": "0.1"},
+                )
+                calls = [c for s in fleet.standins.values() for c in s.calls]
+                return response, calls
+
+        response, calls = run_virtual(scenario)
+        self.assertEqual(response.status_code, 429)
+        self.assertEqual(response.json()["error"]["code"], "deadline_too_short")
+        self.assertEqual(response.json()["error"]["outcome"], "not_run")
+        self.assertGreater(int(response.headers["retry-after"]), 0)
+        self.assertEqual(calls, [])
+
+    def test_optional_stage_is_left_out_where_the_deadline_needs_it(self):
+        async def scenario():
+            stages = build_pipeline().stages
+            rerank = attrs.evolve(stages[2], optional=True)
+            pipeline = build_pipeline(stages=(*stages[:2], rerank, stages[3]))
+            services = {"reranker": {"typical_seconds": 5.0}}
+            async with (
+                fleet_in_memory(
+                    bundle={"pipelines": {"notes": pipeline}, "services": services}
+                ) as fleet,
+                fleet.caller("entry-1", key=WORKSPACE_KEY) as client,
+            ):
+                response = await client.post(
+                    "/v1/pipelines/notes",
+                    json={"input": "flight 12"},
+                    headers={"x-deadline-seconds": "3"},
+                )
+                return response, fleet.standins["reranker-1"].calls
+
+        response, calls = run_virtual(scenario)
+        self.assertEqual(response.status_code, 200)
+        self.assertEqual(calls, [])
+        self.assertIn("rerank", response.json()["left_out"])
+
+
+class PolicyTest(unittest.TestCase):
+    def test_objective_sets_what_is_not_given(self):
+        attainment, cost = Policy(), Policy(objective="cost")
+        self.assertLess(cost.wait_share, attainment.wait_share)
+        self.assertGreater(cost.affinity_bound, attainment.affinity_bound)
+        self.assertEqual(Policy(objective="cost", wait_share=0.7).wait_share, 0.7)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/bundle/schema.py
+++ b/currantdyke/bundle/schema.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+from typing import Any
 
 import attrs
 from expression import Error, Result
@@ -105,15 +106,50 @@
     )
 
 
+def _by_objective(*, attainment: float, cost: float) -> Any:
+    return attrs.Factory(
+        lambda policy: cost if policy.objective == "cost" else attainment,
+        takes_self=True,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Policy:
-    """How decisions weigh attainment against cost by stage."""
+    """How decisions weigh attainment against cost by stage.
+
+    What is not given follows from the objective.
+
+    Attributes
+    ----------
+    max_attempts : int
+        Calls of one stage of one request, the first included.
+    retry_budget_share : float
+        Attempts beyond the first, per first attempt of the daemon.
+    wait_share : float
+        How much of the time that running leaves a request may spend in queues.
+    borrow_wait_share : float
+        The same for a workspace that uses more than its share.
+    spread_factor : float
+        Mean deviations added to the time that running takes.
+    affinity_bound : float
+        Calls a slot up to which an endpoint is taken for its prefix cache.
+    """
 
     objective: str = attrs.field(
         default="attainment", validator=one_of(("attainment", "cost"))
     )
     max_attempts: int = attrs.field(default=3, validator=between(1, 10))
     retry_budget_share: float = attrs.field(default=0.1, validator=between(0.0, 1.0))
+    wait_share: float = attrs.field(
+        default=_by_objective(attainment=0.4, cost=0.3), validator=between(0.0, 1.0)
+    )
+    borrow_wait_share: float = attrs.field(
+        default=_by_objective(attainment=0.1, cost=0.05), validator=between(0.0, 1.0)
+    )
+    spread_factor: float = attrs.field(default=1.0, validator=between(0.0, 5.0))
+    affinity_bound: float = attrs.field(
+        default=_by_objective(attainment=0.7, cost=1.1), validator=between(0.0, 4.0)
+    )
 
 
 def _public_key(_, attribute: attrs.Attribute, value: str) -> None:
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -153,7 +153,12 @@
         )
         self.run_parts = RunParts(
             call_stage=http_stage_caller(client),
-            decisions=make_decisions(self.random_source),
+            decisions=make_decisions(
+                self.endpoints,
+                self.random_source,
+                daemon=settings.name,
+                zone=settings.availability_zone,
+            ),
             claims=ClaimGate(
                 claims=self.claims, requests=self.requests, metrics=self.metrics
             ),
--- a/currantdyke/endpoints/table.py
+++ b/currantdyke/endpoints/table.py
@@ -1,5 +1,7 @@
 """The endpoints of each service, with their state and load."""
 
+import math
+
 import attrs
 
 from currantdyke.bundle.schema import Bundle, EndpointSpec
@@ -7,6 +9,8 @@
 __all__ = ["Endpoint", "EndpointTable"]
 
 COST_SMOOTHING = 0.2
+PACE_SMOOTHING = 0.3
+LOAD_REPORT_TRUST_SECONDS = 2.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -23,6 +27,14 @@
         Smoothed time of a call, None before the first.
     failures_in_row : int
         Calls failed since the last that did not.
+    failed_at : float
+        Monotonic time of the last of them.
+    reported_load, reported_at, own_at_report : float, float, int
+        Calls that it held by its latest report, the time for which that was true,
+        and this daemon's own calls there when the report came.
+    pace, paced_at : float or None, float
+        Smoothed seconds of one unit of work (a token, or a call), and when it
+        was last seen.
     """
 
     service: str
@@ -31,12 +43,52 @@
     leaving: bool = False
     seconds: float | None = None
     failures_in_row: int = 0
+    failed_at: float = 0.0
+    reported_load: float | None = None
+    reported_at: float = 0.0
+    own_at_report: int = 0
+    pace: float | None = None
+    paced_at: float = 0.0
 
     @property
     def name(self) -> str:
         """Return the name of the endpoint's VM."""
         return self.spec.name
 
+    def hear_load(self, load: float, told_at: float) -> None:
+        """Take over a load report unless a newer one is known."""
+        if self.reported_load is not None and told_at < self.reported_at:
+            return
+        self.reported_load = load
+        self.reported_at = told_at
+        self.own_at_report = self.in_flight
+
+    def expected_load(self, now: float, share: float) -> float:
+        """Return the calls that it probably holds, over all daemons.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        share : float
+            This daemon's part of all calls to the service; what is left of an
+            old report's weight goes to its own calls divided by it.
+        """
+        scaled = self.in_flight / share
+        if self.reported_load is None:
+            return scaled
+        told = self.reported_load + self.in_flight - self.own_at_report
+        trust = math.exp((self.reported_at - now) / LOAD_REPORT_TRUST_SECONDS)
+        return trust * max(self.in_flight, told) + (1.0 - trust) * scaled
+
+    def observe_pace(self, seconds: float, now: float) -> None:
+        """Blend in the time of one unit of work."""
+        self.paced_at = now
+        if self.pace is None:
+            self.pace = seconds
+        else:
+            self.pace += PACE_SMOOTHING * (seconds - self.pace)
+
     def observe(self, seconds: float) -> None:
         """Blend in the time of a call that ended well."""
         self.failures_in_row = 0
@@ -51,6 +103,7 @@
 
     def __init__(self):
         self.by_service: dict[str, dict[str, Endpoint]] = {}
+        self.lists: dict[str, list[Endpoint]] = {}
 
     def follow(self, bundle: Bundle) -> None:
         """Take over a bundle's endpoints; known ones keep their state."""
@@ -58,10 +111,15 @@
             name: {spec.name: self._kept(name, spec) for spec in service.endpoints}
             for name, service in bundle.services.items()
         }
+        self.lists.clear()
 
     def of_service(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service."""
-        return list(self.by_service.get(service, {}).values())
+        """Return the endpoints of a service; a new list when they have changed."""
+        found = self.lists.get(service)
+        if found is None:
+            found = list(self.by_service.get(service, {}).values())
+            self.lists[service] = found
+        return found
 
     def named(self, name: str) -> list[Endpoint]:
         """Return the endpoints on a VM, of whatever service."""
@@ -74,6 +132,7 @@
             self.by_service[endpoint.service][name] = Endpoint(
                 service=endpoint.service, spec=endpoint.spec
             )
+            self.lists.pop(endpoint.service, None)
 
     def _kept(self, service: str, spec: EndpointSpec) -> Endpoint:
         known = self.by_service.get(service, {}).get(spec.name)
--- /dev/null
+++ b/currantdyke/estimates/learned.py
@@ -0,0 +1,57 @@
+"""Smoothed times of stage calls by service, model and size."""
+
+import collections
+
+import attrs
+
+__all__ = ["Estimate", "Estimates"]
+
+SMOOTHING = 0.1
+MAX_ENTRIES = 512
+UNKNOWN_SPREAD_SHARE = 0.25
+
+
+@attrs.define(kw_only=True)
+class Estimate:
+    """Mean and mean deviation of the seconds that a call runs, queueing left out.
+
+    Examples
+    --------
+    >>> estimate = Estimate(seconds=1.0, spread=0.0)
+    >>> estimate.observe(2.0)
+    >>> estimate.seconds
+    1.1
+    """
+
+    seconds: float
+    spread: float
+
+    def observe(self, seconds: float) -> None:
+        """Blend in one call."""
+        difference = seconds - self.seconds
+        self.seconds += SMOOTHING * difference
+        self.spread += SMOOTHING * (abs(difference) - self.spread)
+
+
+class Estimates:
+    """Estimates by (service, model, size class); the least used make room."""
+
+    def __init__(self):
+        self.entries: collections.OrderedDict[tuple[str, str, int], Estimate] = (
+            collections.OrderedDict()
+        )
+
+    def find(
+        self, service: str, model: str, size: int, typical_seconds: float
+    ) -> Estimate:
+        """Return the estimate for a call; before any is seen, the typical time."""
+        key = (service, model, size.bit_length())
+        found = self.entries.get(key)
+        if found is None:
+            found = Estimate(
+                seconds=typical_seconds, spread=UNKNOWN_SPREAD_SHARE * typical_seconds
+            )
+            self.entries[key] = found
+            if len(self.entries) > MAX_ENTRIES:
+                self.entries.popitem(last=False)
+        return found
--- a/currantdyke/pipelines/__init__.py
+++ b/currantdyke/pipelines/__init__.py
@@ -1,6 +1,7 @@
 """Running the stages of a request under one deadline."""
 
-from currantdyke.pipelines.decisions import Decisions, StageNeed, make_decisions
+from currantdyke.pipelines.deciding import make_decisions
+from currantdyke.pipelines.decisions import Decisions, StageNeed
 from currantdyke.pipelines.run import RunParts, run_request
 
 __all__ = ["Decisions", "RunParts", "StageNeed", "make_decisions", "run_request"]
--- a/currantdyke/pipelines/decisions.py
+++ b/currantdyke/pipelines/decisions.py
@@ -1,30 +1,35 @@
 """The decisions that a run asks for, as functions that can be exchanged."""
 
-import random
 from collections.abc import Callable, Collection, Sequence
 
 import anyio
 import attrs
 
-from currantdyke.bundle import Bundle, Pipeline, Policy, Service
+from currantdyke.bundle import Bundle, Pipeline, Policy, Service, Stage
 from currantdyke.core import Failure
 from currantdyke.endpoints import Endpoint
 from currantdyke.requests import Exchange
-from currantdyke.routing import choose_endpoint
 from currantdyke.stagecalls import AttemptReport
 
-__all__ = ["Decisions", "StageNeed", "make_decisions"]
+__all__ = ["Decisions", "StageNeed"]
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class StageNeed:
-    """What a decision about one stage call goes by."""
+    """What a decision about one stage call goes by.
+
+    Attributes
+    ----------
+    granted : bool
+        Whether the retry budget has already paid for the next attempt.
+    """
 
     exchange: Exchange
     service_name: str
     service: Service
     policy: Policy
     tried: Collection[str] = ()
+    granted: bool = False
 
     def seconds_left(self) -> float:
         """Return the seconds until the request's deadline."""
@@ -43,6 +48,11 @@
         Returns the endpoint for a stage call, or None.
     may_retry : callable
         Returns whether a stage whose call failed may call again.
+    should_move : callable
+        Returns whether a stream at an endpoint is so slow that it is better
+        resumed at another one; gets the tokens delivered so far.
+    keeps : callable
+        Returns whether an optional stage is still run.
     learn : callable
         Takes note of how a call ended.
     ended : callable
@@ -52,24 +62,7 @@
     admit: Callable[[Bundle, Pipeline, Exchange], Failure | None]
     choose: Callable[[StageNeed, Sequence[Endpoint]], Endpoint | None]
     may_retry: Callable[[StageNeed], bool]
+    should_move: Callable[[StageNeed, Endpoint, int], bool]
+    keeps: Callable[[Exchange, Stage], bool]
     learn: Callable[[StageNeed, Endpoint, AttemptReport], None]
     ended: Callable[[Exchange], None]
-
-
-def make_decisions(random_source: random.Random) -> Decisions:
-    """Return the decisions that daemons make."""
-
-    def choose(need: StageNeed, candidates: Sequence[Endpoint]) -> Endpoint | None:
-        return choose_endpoint(
-            candidates,
-            tried=need.tried,
-            random_source=random_source,
-        )
-
-    return Decisions(
-        admit=lambda bundle, pipeline, exchange: None,
-        choose=choose,
-        may_retry=lambda need: len(need.tried) < need.policy.max_attempts,
-        learn=lambda need, endpoint, report: None,
-        ended=lambda exchange: None,
-    )
--- a/currantdyke/pipelines/run.py
+++ b/currantdyke/pipelines/run.py
@@ -154,6 +154,11 @@
 ) -> None:
     for earlier in stage.after:
         await ended[earlier].wait()
+    if not run.parts.decisions.keeps(run.exchange, stage):
+        run.outputs[stage.name] = None
+        run.exchange.left_out.append(stage.name)
+        ended[stage.name].set()
+        return
     optional = stage.optional and stage is not run.pipeline.stages[-1]
     answer = await (_call_optional if optional else _call_stage)(run, stage)
     if answer.is_ok():
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -12,6 +12,7 @@
 from currantdyke.core import Failure, FailureKind
 from currantdyke.endpoints import Endpoint
 from currantdyke.pipelines.decisions import StageNeed
+from currantdyke.pipelines.pace import StreamPace
 from currantdyke.pipelines.parts import RunParts
 from currantdyke.requests import Exchange, StageRecord
 from currantdyke.stagecalls import (
@@ -76,7 +77,7 @@
             if endpoint is None:
                 break
             with turn.on(endpoint):
-                report = await _attempt(run, endpoint, delivered)
+                report = await _attempt(run, endpoint, delivered, need)
             await turn.judge(endpoint, report)
         if report.end is AttemptEnd.DONE:
             return Ok(report.output)
@@ -102,7 +103,7 @@
 
 
 async def _attempt(
-    run: StageRun, endpoint: Endpoint, delivered: DeliveredTokens
+    run: StageRun, endpoint: Endpoint, delivered: DeliveredTokens, need: StageNeed
 ) -> AttemptReport:
     attempt = _new_attempt(run, endpoint, len(delivered.texts))
     hear_word = functools.partial(run.parts.liveness.hear_word, endpoint)
@@ -112,8 +113,16 @@
     endpoint.in_flight += 1
     _note(run, attempt, "dispatched")
     started = anyio.current_time()
+    moved = anyio.CancelScope()
+    delivered.deliver = _paced(run, endpoint, need, moved).take
+    report = AttemptReport(
+        attempt=attempt, end=AttemptEnd.TIMED_OUT, detail="moved for being slow"
+    )
     try:
-        report = await run.parts.call_stage(open_attempt, run.service.kind, delivered)
+        with moved:
+            report = await run.parts.call_stage(
+                open_attempt, run.service.kind, delivered
+            )
     except BaseException:
         _abandon(run, open_attempt)
         raise
@@ -127,6 +136,16 @@
     return report
 
 
+def _paced(
+    run: StageRun, endpoint: Endpoint, need: StageNeed, moved: anyio.CancelScope
+) -> StreamPace:
+    def look(tokens: int) -> None:
+        if run.parts.decisions.should_move(need, endpoint, tokens):
+            moved.cancel()
+
+    return StreamPace(endpoint=endpoint, deliver=run.deliver, on_window=look)
+
+
 def _abandon(run: StageRun, open_attempt: OpenAttempt) -> None:
     open_attempt.abandon()
     report = open_attempt.report
--- a/currantdyke/routing/choose.py
+++ b/currantdyke/routing/choose.py
@@ -1,40 +1,85 @@
-"""Choose between two endpoints at random the one with less to do."""
+"""Choose an endpoint: by its prefix cache within a bound, else between two."""
 
+import functools
 import random
 from collections.abc import Collection, Sequence
 
+import xxhash
+
 from currantdyke.endpoints import Endpoint
+from currantdyke.routing.pool import Pool
 
 __all__ = ["choose_endpoint"]
 
+OTHER_ZONE_FACTOR = 1.05
+MAX_RANKED_PREFIXES = 4096
+CANDIDATES = 2
+BUSIER_THAN_MEAN = 1.1
+
 
 def choose_endpoint(
-    endpoints: Sequence[Endpoint],
+    pool: Pool,
     *,
-    tried: Collection[str] = (),
+    now: float,
     random_source: random.Random,
+    tried: Collection[str] = (),
+    zone: str = "",
+    prefix: str = "",
+    affinity_bound: float = 0.0,
 ) -> Endpoint | None:
     """Return an endpoint that takes new work, or None.
 
     Parameters
     ----------
-    endpoints : sequence of Endpoint
+    pool : Pool
         The endpoints of the service.
-    tried : collection of str
-        Names to avoid, unless no others are left.
+    now : float
+        Monotonic time in seconds.
     random_source : random.Random
         Source of the two candidates.
+    tried : collection of str
+        Names to avoid, unless no others are left.
+    zone : str
+        The daemon's availability zone, preferred by a little.
+    prefix : str
+        What the prompt begins with; empty for calls without a prefix cache.
+    affinity_bound : float
+        How busy an endpoint may be, in calls a slot, to be taken for its cache.
     """
-    able = [e for e in endpoints if not e.leaving]
-    fresh = [e for e in able if e.name not in tried] or able
+    able = [e for e in pool.open if not e.leaving]
+    fresh = [e for e in able if e.name not in tried] if tried else able
+    fresh = fresh or able
     if not fresh:
         return None
     if len(fresh) == 1:
         return fresh[0]
-    first, second = random_source.sample(fresh, 2)
-    return min(first, second, key=_load)
+    if prefix and affinity_bound > 0.0:
+        near = _by_prefix(pool, fresh, prefix, affinity_bound, now)
+        if near is not None:
+            return near
+    some = random_source.sample(fresh, min(CANDIDATES, len(fresh)))
+    return min(some, key=lambda e: _score(pool, e, zone, now))
+
+
+def _by_prefix(
+    pool: Pool, able: Sequence[Endpoint], prefix: str, bound: float, now: float
+) -> Endpoint | None:
+    digest = xxhash.xxh3_64_intdigest(prefix.encode())
+    ranked = sorted(able, key=lambda e: rank(e.name, digest))
+    limit = max(bound, BUSIER_THAN_MEAN * pool.mean_score)
+    for endpoint in ranked:
+        if pool.score(endpoint, now) <= limit:
+            return endpoint
+    return None
+
+
+@functools.lru_cache(maxsize=MAX_RANKED_PREFIXES)
+def rank(name: str, digest: int) -> int:
+    """Return the place of an endpoint for a prefix; the same at every daemon."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=digest)
 
 
-def _load(endpoint: Endpoint) -> float:
-    speed = endpoint.seconds or 0.1
-    return (endpoint.in_flight + 1) / endpoint.spec.slots * speed
+def _score(pool: Pool, endpoint: Endpoint, zone: str, now: float) -> float:
+    score = pool.score(endpoint, now)
+    other = bool(zone) and endpoint.spec.availability_zone != zone
+    return score * OTHER_ZONE_FACTOR if other else score
--- /dev/null
+++ b/currantdyke/routing/pool.py
@@ -0,0 +1,164 @@
+"""What one daemon makes of a service's endpoints taken together."""
+
+import statistics
+from collections.abc import Sequence
+
+import xxhash
+
+from currantdyke.endpoints import Endpoint
+
+__all__ = ["Pool", "Pools"]
+
+SUBSET_ENDPOINTS = 24
+REFRESH_SECONDS = 0.2
+SHARE_MEMORY = 0.98
+SHARE_PRIOR = 0.5
+SLOW_RATIO = 1.6
+MIN_WEIGHT = 0.02
+PACE_MEMORY_SECONDS = 10.0
+FAILURES_TO_SET_ASIDE = 2
+SET_ASIDE_SECONDS = 1.0
+MAX_SET_ASIDE_SECONDS = 8.0
+MAX_SET_ASIDE_SHARE = 0.5
+
+
+class Pool:
+    """The endpoints of a service that this daemon sends to, and their weights.
+
+    Parameters
+    ----------
+    daemon : str
+        The daemon's name; it picks the subset.
+    endpoints : sequence of Endpoint
+        All endpoints of the service.
+
+    Attributes
+    ----------
+    share : float
+        This daemon's part of all calls to the service, learned from reports.
+    weights : dict
+        Speed compared with the peers, 1 for an ordinary endpoint.
+    open : list of Endpoint
+        Those that are neither leaving nor set aside.
+    """
+
+    def __init__(self, *, daemon: str, endpoints: Sequence[Endpoint]):
+        self.source = endpoints
+        self.endpoints = subset(daemon, endpoints)
+        self.share: float | None = None
+        self.own_sum = 0.0
+        self.total_sum = 0.0
+        self.weights: dict[str, float] = {}
+        self.open: list[Endpoint] = list(self.endpoints)
+        self.refreshed = -1.0
+        self.load = 0.0
+        self.slots = 1.0
+        self.mean_score = 0.0
+        self.usual_pace = 0.0
+
+    def refresh(self, now: float) -> None:
+        """Bring the weights and sums up to date, a few times a second at most."""
+        if 0.0 <= now - self.refreshed < REFRESH_SECONDS:
+            return
+        self.refreshed = now
+        self._learn_share()
+        self._weigh(now)
+        able = [e for e in self.endpoints if not e.leaving]
+        most = int(MAX_SET_ASIDE_SHARE * len(able))
+        aside = sorted(
+            (e for e in able if _is_set_aside(e, now)),
+            key=lambda e: -e.failures_in_row,
+        )[:most]
+        self.open = [e for e in able if e not in aside]
+        share = self.known_share()
+        loads = [e.expected_load(now, share) for e in self.open]
+        self.load = sum(loads)
+        weighted = (e.spec.slots * self.weights[e.name] for e in self.open)
+        self.slots = max(1.0, sum(weighted))
+        self.mean_score = self.load / self.slots
+
+    def among(self, endpoints: Sequence[Endpoint], now: float) -> "Pool":
+        """Return a pool of just these, with what this one has learned."""
+        pool = Pool(daemon="", endpoints=endpoints)
+        pool.own_sum, pool.total_sum = self.own_sum, self.total_sum
+        pool.refresh(now)
+        return pool
+
+    def known_share(self) -> float:
+        """Return the share, or 1 as long as no report tells of others."""
+        return 1.0 if self.share is None else self.share
+
+    def load_now(self, waiting: int) -> float:
+        """Return the calls in the service now, with ``waiting`` own ones to come."""
+        return self.load + waiting / self.known_share()
+
+    def score(self, endpoint: Endpoint, now: float) -> float:
+        """Return how busy an endpoint is for its speed; less is better."""
+        load = endpoint.expected_load(now, self.known_share())
+        weight = self.weights.get(endpoint.name, 1.0)
+        return (load + 1.0) / (endpoint.spec.slots * weight)
+
+    def _learn_share(self) -> None:
+        told = [e for e in self.endpoints if e.reported_load is not None]
+        total = sum(e.reported_load or 0.0 for e in told)
+        if total <= 0.0:
+            return
+        own = sum(e.in_flight for e in told)
+        self.own_sum = SHARE_MEMORY * self.own_sum + min(own, total)
+        self.total_sum = SHARE_MEMORY * self.total_sum + total
+        self.share = (SHARE_PRIOR + self.own_sum) / (SHARE_PRIOR + self.total_sum)
+
+    def _weigh(self, now: float) -> None:
+        paces = [e.pace for e in self.endpoints if e.pace is not None]
+        usual = statistics.median_low(paces) if paces else 0.0
+        self.usual_pace = usual
+        self.weights = {e.name: _weight(e, usual, now) for e in self.endpoints}
+
+
+def _weight(endpoint: Endpoint, usual: float, now: float) -> float:
+    if endpoint.pace is None or usual <= 0.0:
+        return 1.0
+    memory = max(0.0, 1.0 - (now - endpoint.paced_at) / PACE_MEMORY_SECONDS)
+    ratio = endpoint.pace / usual / SLOW_RATIO
+    if ratio <= 1.0:
+        return 1.0
+    slow = max(MIN_WEIGHT, ratio**-3)
+    return max(slow, 1.0 - memory)
+
+
+def _is_set_aside(endpoint: Endpoint, now: float) -> bool:
+    extra = endpoint.failures_in_row - FAILURES_TO_SET_ASIDE
+    if extra < 0:
+        return False
+    pause = min(MAX_SET_ASIDE_SECONDS, SET_ASIDE_SECONDS * 2.0**extra)
+    return now - endpoint.failed_at < pause
+
+
+def subset(daemon: str, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+    """Return the endpoints that a daemon sends to, by rendezvous hashing."""
+    if len(endpoints) <= SUBSET_ENDPOINTS:
+        return list(endpoints)
+
+    def rank(endpoint: Endpoint) -> int:
+        return xxhash.xxh3_64_intdigest(f"{daemon} {endpoint.name}".encode())
+
+    return sorted(endpoints, key=rank)[:SUBSET_ENDPOINTS]
+
+
+class Pools:
+    """The pools of one daemon by service."""
+
+    def __init__(self, *, daemon: str):
+        self.daemon = daemon
+        self.by_service: dict[str, Pool] = {}
+
+    def find(self, service: str, endpoints: Sequence[Endpoint], now: float) -> Pool:
+        """Return the pool of a service, up to date."""
+        pool = self.by_service.get(service)
+        if pool is None or pool.source is not endpoints:
+            share = pool.share if pool else None
+            pool = Pool(daemon=self.daemon, endpoints=endpoints)
+            pool.share = share
+            self.by_service[service] = pool
+        pool.refresh(now)
+        return pool
