--- a/currantdyke/benches/decisions/figures.py
+++ b/currantdyke/benches/decisions/figures.py
@@ -172,7 +172,7 @@
         return runners - 0.75
     if name == "half pool x2":
         return runners - 0.5 * round(0.5 * runners)
-    if name == "crash, return":
+    if name == "crash and return":
         return runners - 1.0
     if name == "zone lost":
         lost = sum(engine.zone == "zone-1" for engine in cell.engines())
--- a/currantdyke/benches/decisions/scenarios.py
+++ b/currantdyke/benches/decisions/scenarios.py
@@ -115,7 +115,7 @@
         Scenario(name="burst x5", burst=(10.0, 20.0, 5.0)),
         Scenario(name="slow VM x4", play=slow(0.0, SLOW_FACTOR)),
         Scenario(name="half pool x2", play=slow(0.5, HALF_POOL_SLOW_FACTOR)),
-        Scenario(name="crash, return", play=crash_and_return),
+        Scenario(name="crash and return", play=crash_and_return),
         Scenario(name="zone lost", play=zone_lost),
         Scenario(name="stage fails 20%", play=stage_failing),
         Scenario(name="flood x10", flood=True, loads=(0.5,)),
