Keep a bounded reserve of retries for calls lost in a crash

Cause: the test of 50 innocent requests in flight at a crash failed: 50 retries are needed at once and the budget earned from first attempts held far fewer. Change: 100 attempts a daemon, refilled like the budget, for calls whose connection was lost; failures and time-outs still go by the share of first attempts. Conclusion: retries after a mass crash may pass 0.1 of first attempts for a short while, by at most 100 a daemon.

--- a/currantdyke/pipelines/deciding.py
+++ b/currantdyke/pipelines/deciding.py
@@ -22,6 +22,7 @@
 
 PIGGYBACKED_LOAD_AGE_SECONDS = 0.5
 PREFIX_CHARACTERS = 256
+CONNECTION_LOST = frozenset((AttemptEnd.CUT, AttemptEnd.NOT_HANDED))
 MOVE_PACE_RATIO = 2.0
 MOVE_AFTER_TOKENS = 8
 MOVE_SECONDS = 0.3
@@ -182,7 +183,8 @@
     estimate = _estimate(state, need.service_name, need.service, need.exchange)
     if estimate.seconds > need.seconds_left():
         return False
-    return state.budget.spend()
+    lost = need.last_end in CONNECTION_LOST
+    return state.budget.spend(connection_lost=lost)
 
 
 def _should_move(
--- a/currantdyke/pipelines/decisions.py
+++ b/currantdyke/pipelines/decisions.py
@@ -9,7 +9,7 @@
 from currantdyke.core import Failure
 from currantdyke.endpoints import Endpoint
 from currantdyke.requests import Exchange
-from currantdyke.stagecalls import AttemptReport
+from currantdyke.stagecalls import AttemptEnd, AttemptReport
 
 __all__ = ["Decisions", "StageNeed"]
 
@@ -22,6 +22,8 @@
     ----------
     granted : bool
         Whether the retry budget has already paid for the next attempt.
+    last_end : AttemptEnd or None
+        How the attempt before ended.
     """
 
     exchange: Exchange
@@ -30,6 +32,7 @@
     policy: Policy
     tried: Collection[str] = ()
     granted: bool = False
+    last_end: AttemptEnd | None = None
 
     def seconds_left(self) -> float:
         """Return the seconds until the request's deadline."""
--- a/currantdyke/pipelines/stage.py
+++ b/currantdyke/pipelines/stage.py
@@ -84,6 +84,7 @@
         failure = _stage_failed(run, report)
         if not (run.service.idempotent or report.end in SAFE_TO_REPEAT):
             break
+        need.last_end = report.end
         if not run.parts.decisions.may_retry(need):
             break
     return Error(failure)
--- a/currantdyke/retries/tests/test_budget.py
+++ b/currantdyke/retries/tests/test_budget.py
@@ -13,6 +13,11 @@
         self.assertLessEqual(budget.spent, 103)
         self.assertGreaterEqual(budget.spent, 102)
 
+    def test_calls_lost_in_a_crash_have_a_bounded_reserve(self):
+        budget = RetryBudget(saved=0.0)
+        spent = sum(budget.spend(connection_lost=True) for _ in range(1000))
+        self.assertEqual(spent, 100)
+
     def test_savings_of_quiet_times_are_bounded(self):
         budget = RetryBudget()
         for _ in range(100_000):
