--- a/currantdyke/benches/decisions/command.py
+++ b/currantdyke/benches/decisions/command.py
@@ -34,12 +34,24 @@
     return run_cell(USERS[user], SCENARIOS[scenario], load, tested, seed)
 
 
+def _cells(text: str) -> list[tuple[str, float]]:
+    found = []
+    for part in text.split(","):
+        name, _, load = part.partition("@")
+        loads = (float(load),) if load else SCENARIOS[name].loads
+        found += [(name, each) for each in loads]
+    return found
+
+
 @click.command()
 @click.option("--seeds", default=5, help="Seeds of each row.")
 @click.option("--jobs", default=3, help="Processes.")
 @click.option("--users", default=",".join(USERS), help="Users, by comma.")
-@click.option("--scenarios", default=",".join(SCENARIOS), help="By comma.")
-@click.option("--loads", default="", help="Only these loads, by comma.")
+@click.option(
+    "--scenarios",
+    default=",".join(SCENARIOS),
+    help="By comma; NAME@LOAD for one load of a scenario.",
+)
 @click.option("--policies", default=",".join(t.name for t in POLICIES))
 @click.option("--out", default="", help="Folder for JSON and plots.")
 def main(
@@ -47,18 +59,14 @@
     jobs: int,
     users: str,
     scenarios: str,
-    loads: str,
     policies: str,
     out: str,
 ) -> None:
     """Measure the decisions and print a table."""
-    only = [float(text) for text in loads.split(",") if text]
     keys: list[Key] = [
         (user, scenario, load, policy)
         for user in users.split(",")
-        for scenario in scenarios.split(",")
-        for load in SCENARIOS[scenario].loads
-        if not only or load in only
+        for scenario, load in _cells(scenarios)
         for policy in policies.split(",")
     ]
     work = [(key, FIRST_SEED + n) for key in keys for n in range(seeds)]
