Measure the time of decisions, work out unusual shares once for a bundle

Cause: admission looked through all workspaces of the bundle for each request. Change: once for each bundle; the nearest endpoint of a prefix is looked at first.

--- a/currantdyke/admission/decide.py
+++ b/currantdyke/admission/decide.py
@@ -11,7 +11,7 @@
 MIN_RETRY_AFTER_SECONDS = 0.5
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class StageForecast:
     """What a stage would take now.
 
--- /dev/null
+++ b/currantdyke/benches/decisions/micro.py
@@ -0,0 +1,98 @@
+"""Time and memory of decisions: ``python -m currantdyke.benches.decisions.micro``."""
+
+import random
+import statistics
+import time
+import tracemalloc
+
+import click
+
+from currantdyke.admission import Shares
+from currantdyke.benches.decisions.world import NG_WEST, make_bundle
+from currantdyke.bundle import Bundle, EndpointSpec, Policy, Service
+from currantdyke.endpoints import EndpointTable
+from currantdyke.pipelines import StageNeed, make_decisions
+from currantdyke.requests import Exchange
+from currantdyke.testing import run_virtual
+
+DECISIONS = 5000
+WORKSPACES = 17_000
+
+
+def bundle_of(count: int) -> Bundle:
+    """Return a configuration whose engine pool has ``count`` endpoints."""
+    bundle = make_bundle(NG_WEST, Policy())
+    endpoints = tuple(
+        EndpointSpec(name=f"engine-{n}", url=f"http://engine-{n}") for n in range(count)
+    )
+    engine = Service(kind="generate", endpoints=endpoints, model=NG_WEST.engine)
+    bundle.services[NG_WEST.engine] = engine
+    return bundle
+
+
+async def median_microseconds(count: int) -> float:
+    """Return the median time of admission and one choice."""
+    bundle = bundle_of(count)
+    table = EndpointTable()
+    table.follow(bundle)
+    decisions = make_decisions(table, random.Random(1), daemon="entry-1", zone="zone-1")
+    pipeline = bundle.pipelines["notes"]
+    found = []
+    for number in range(DECISIONS):
+        exchange = Exchange(
+            request_id=f"r{number}",
+            workspace=f"workspace-{number % 500}",
+            pipeline="notes",
+            input=f"{number % 40:08d}" * 64,
+            started=0.0,
+            deadline=6.0,
+        )
+        need = StageNeed(
+            exchange=exchange,
+            service_name=NG_WEST.engine,
+            service=bundle.services[NG_WEST.engine],
+            policy=bundle.policy,
+        )
+        began = time.perf_counter()
+        decisions.admit(bundle, pipeline, exchange)
+        decisions.choose(need, table.of_service(NG_WEST.engine))
+        found.append(time.perf_counter() - began)
+        decisions.ended(exchange)
+    return statistics.median(found) * 1e6
+
+
+def bytes_per_endpoint(count: int = 4200) -> float:
+    """Return what a known endpoint takes, its specification left out."""
+    bundle = bundle_of(count)
+    tracemalloc.start()
+    table = EndpointTable()
+    table.follow(bundle)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken / count
+
+
+def bytes_per_workspace() -> float:
+    """Return what the shares keep for a workspace that is active."""
+    names = [f"workspace-{n}" for n in range(WORKSPACES)]
+    tracemalloc.start()
+    shares = Shares()
+    for name in names:
+        shares.add(name, 1.0, 0.0)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken / WORKSPACES
+
+
+@click.command()
+def main() -> None:
+    """Print the medians and the bytes."""
+    for count in (12, 4200):
+        took = run_virtual(median_microseconds, count)
+        click.echo(f"{count} endpoints: {took:.1f} us for admission and one choice")
+    click.echo(f"{bytes_per_endpoint():.0f} bytes for each known endpoint")
+    click.echo(f"{bytes_per_workspace():.0f} bytes for each active workspace")
+
+
+if __name__ == "__main__":
+    main()
--- a/currantdyke/pipelines/deciding.py
+++ b/currantdyke/pipelines/deciding.py
@@ -40,6 +40,8 @@
         The same services by request.
     left_out : dict
         Optional stages that a request goes without.
+    shares_of, unusual_shares : Bundle or None, dict
+        Shares of workspaces that are not 1, and the bundle that they are of.
     """
 
     endpoints: EndpointTable
@@ -52,6 +54,8 @@
     to_come: dict[str, int] = attrs.field(factory=dict)
     pending: dict[str, set[str]] = attrs.field(factory=dict)
     left_out: dict[str, set[str]] = attrs.field(factory=dict)
+    shares_of: Bundle | None = None
+    unusual_shares: dict[str, float] = attrs.field(factory=dict)
 
 
 def make_decisions(
@@ -80,11 +84,7 @@
 ) -> Failure | None:
     now = anyio.current_time()
     policy = bundle.policy
-    weights = {
-        name: workspace.share
-        for name, workspace in bundle.workspaces.items()
-        if workspace.share != 1.0 and name in state.shares.used
-    }
+    weights = _unusual_shares(state, bundle)
     over = state.shares.is_over(exchange.workspace, weights, now)
     wait_share = policy.borrow_wait_share if over else policy.wait_share
     seconds_left = exchange.deadline - now
@@ -109,6 +109,18 @@
     return None
 
 
+def _unusual_shares(state: DecisionState, bundle: Bundle) -> dict[str, float]:
+    """Return the shares that are not 1, worked out once for each bundle."""
+    if state.shares_of is not bundle:
+        state.shares_of = bundle
+        state.unusual_shares = {
+            name: workspace.share
+            for name, workspace in bundle.workspaces.items()
+            if workspace.share != 1.0
+        }
+    return state.unusual_shares
+
+
 def _decide(policy, forecasts, seconds_left: float, wait_share: float):
     forecast = Forecast.along(forecasts, policy.spread_factor)
     return decide(forecast, seconds_left=seconds_left, wait_share=wait_share)
--- a/currantdyke/routing/choose.py
+++ b/currantdyke/routing/choose.py
@@ -65,9 +65,11 @@
     pool: Pool, able: Sequence[Endpoint], prefix: str, bound: float, now: float
 ) -> Endpoint | None:
     digest = xxhash.xxh3_64_intdigest(prefix.encode())
-    ranked = sorted(able, key=lambda e: rank(e.name, digest))
     limit = max(bound, BUSIER_THAN_MEAN * pool.mean_score)
-    for endpoint in ranked:
+    nearest = min(able, key=lambda e: rank(e.name, digest))
+    if pool.score(nearest, now) <= limit:
+        return nearest
+    for endpoint in sorted(able, key=lambda e: rank(e.name, digest)):
         if pool.score(endpoint, now) <= limit:
             return endpoint
     return None
