--- a/currantdyke/routing/choose.py
+++ b/currantdyke/routing/choose.py
@@ -66,8 +66,13 @@
 ) -> Endpoint | None:
     digest = xxhash.xxh3_64_intdigest(prefix.encode())
     limit = max(bound, BUSIER_THAN_MEAN * pool.mean_score)
-    nearest = min(able, key=lambda e: rank(e.name, digest))
-    if pool.score(nearest, now) <= limit:
+    nearest = pool.nearest.get(digest)
+    if nearest is None:
+        nearest = min(pool.open, key=lambda e: rank(e.name, digest))
+        if len(pool.nearest) >= MAX_RANKED_PREFIXES:
+            pool.nearest.clear()
+        pool.nearest[digest] = nearest
+    if nearest in able and pool.score(nearest, now) <= limit:
         return nearest
     for endpoint in sorted(able, key=lambda e: rank(e.name, digest)):
         if pool.score(endpoint, now) <= limit:
--- a/currantdyke/routing/pool.py
+++ b/currantdyke/routing/pool.py
@@ -40,6 +40,8 @@
         Speed compared with the peers, 1 for an ordinary endpoint.
     open : list of Endpoint
         Those that are neither leaving nor set aside.
+    nearest : dict
+        The open endpoint that comes first for a prefix, by the prefix's digest.
     """
 
     def __init__(self, *, daemon: str, endpoints: Sequence[Endpoint]):
@@ -50,6 +52,7 @@
         self.total_sum = 0.0
         self.weights: dict[str, float] = {}
         self.open: list[Endpoint] = list(self.endpoints)
+        self.nearest: dict[int, Endpoint] = {}
         self.refreshed = -1.0
         self.load = 0.0
         self.slots = 1.0
@@ -69,7 +72,10 @@
             (e for e in able if _is_set_aside(e, now)),
             key=lambda e: -e.failures_in_row,
         )[:most]
-        self.open = [e for e in able if e not in aside]
+        opened = [e for e in able if e not in aside]
+        if opened != self.open:
+            self.open = opened
+            self.nearest.clear()
         share = self.known_share()
         loads = [e.expected_load(now, share) for e in self.open]
         self.load = sum(loads)
