Start a pool's share from the number of daemons

Cause: a trace of the flood showed 45 of 134 small requests lost in its first ten seconds and nearly none later: each daemon took itself for the only one. Change: a new pool starts from one part in as many as there are daemons.

--- a/currantdyke/benches/decisions/cell.py
+++ b/currantdyke/benches/decisions/cell.py
@@ -163,6 +163,7 @@
     )
     daemon.in_force.accept(1, cell.bundle)
     daemon.tasks = tasks
+    daemon.count_daemons = lambda: DAEMONS  # type: ignore[method-assign]
     if cell.tested.replace_decisions is not None:
         daemon.run_parts.decisions = cell.tested.replace_decisions(daemon)
 
--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -158,6 +158,7 @@
                 self.random_source,
                 daemon=settings.name,
                 zone=settings.availability_zone,
+                count_daemons=lambda: self.count_daemons(),
             ),
             claims=ClaimGate(
                 claims=self.claims, requests=self.requests, metrics=self.metrics
@@ -197,6 +198,10 @@
             ],
         )
 
+    def count_daemons(self) -> int:
+        """Return how many daemons are known to live, this one included."""
+        return len(self.membership.live_members()) if self.membership else 1
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send new requests here."""
         return self.follower.is_ready() and not self.leaving
--- a/currantdyke/pipelines/deciding.py
+++ b/currantdyke/pipelines/deciding.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 import attrs
@@ -59,12 +59,17 @@
 
 
 def make_decisions(
-    endpoints: EndpointTable, random_source: random.Random, *, daemon: str, zone: str
+    endpoints: EndpointTable,
+    random_source: random.Random,
+    *,
+    daemon: str,
+    zone: str,
+    count_daemons: Callable[[], int] = lambda: 1,
 ) -> Decisions:
     """Return the decisions of a daemon, with a state of their own."""
     state = DecisionState(
         endpoints=endpoints,
-        pools=Pools(daemon=daemon),
+        pools=Pools(daemon=daemon, count_daemons=count_daemons),
         random_source=random_source,
         zone=zone,
     )
--- a/currantdyke/routing/pool.py
+++ b/currantdyke/routing/pool.py
@@ -1,7 +1,7 @@
 """What one daemon makes of a service's endpoints taken together."""
 
 import statistics
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import xxhash
 
@@ -12,7 +12,7 @@
 SUBSET_ENDPOINTS = 24
 REFRESH_SECONDS = 0.2
 SHARE_MEMORY = 0.98
-SHARE_PRIOR = 0.5
+PRIOR_CALLS = 100.0
 SLOW_RATIO = 1.6
 MIN_WEIGHT = 0.02
 PACE_MEMORY_SECONDS = 10.0
@@ -31,6 +31,8 @@
         The daemon's name; it picks the subset.
     endpoints : sequence of Endpoint
         All endpoints of the service.
+    first_share : float
+        What to take for the daemon's part until reports tell.
 
     Attributes
     ----------
@@ -44,10 +46,13 @@
         The open endpoint that comes first for a prefix, by the prefix's digest.
     """
 
-    def __init__(self, *, daemon: str, endpoints: Sequence[Endpoint]):
+    def __init__(
+        self, *, daemon: str, endpoints: Sequence[Endpoint], first_share: float = 1.0
+    ):
         self.source = endpoints
         self.endpoints = subset(daemon, endpoints)
-        self.share: float | None = None
+        self.first_share = first_share
+        self.share = first_share
         self.own_sum = 0.0
         self.total_sum = 0.0
         self.weights: dict[str, float] = {}
@@ -85,14 +90,14 @@
 
     def among(self, endpoints: Sequence[Endpoint], now: float) -> "Pool":
         """Return a pool of just these, with what this one has learned."""
-        pool = Pool(daemon="", endpoints=endpoints)
+        pool = Pool(daemon="", endpoints=endpoints, first_share=self.share)
         pool.own_sum, pool.total_sum = self.own_sum, self.total_sum
         pool.refresh(now)
         return pool
 
     def known_share(self) -> float:
-        """Return the share, or 1 as long as no report tells of others."""
-        return 1.0 if self.share is None else self.share
+        """Return the share; the first one as long as no report tells of others."""
+        return self.share
 
     def load_now(self, waiting: int) -> float:
         """Return the calls in the service now, with ``waiting`` own ones to come."""
@@ -112,7 +117,8 @@
         own = sum(e.in_flight for e in told)
         self.own_sum = SHARE_MEMORY * self.own_sum + min(own, total)
         self.total_sum = SHARE_MEMORY * self.total_sum + total
-        self.share = (SHARE_PRIOR + self.own_sum) / (SHARE_PRIOR + self.total_sum)
+        prior = PRIOR_CALLS * self.first_share
+        self.share = (prior + self.own_sum) / (PRIOR_CALLS + self.total_sum)
 
     def _weigh(self, now: float) -> None:
         paces = [e.pace for e in self.endpoints if e.pace is not None]
@@ -152,19 +158,27 @@
 
 
 class Pools:
-    """The pools of one daemon by service."""
+    """The pools of one daemon by service.
 
-    def __init__(self, *, daemon: str):
+    Parameters
+    ----------
+    daemon : str
+        The daemon's name.
+    count_daemons : callable
+        Returns how many daemons there are; a new pool starts from it.
+    """
+
+    def __init__(self, *, daemon: str, count_daemons: Callable[[], int] = lambda: 1):
         self.daemon = daemon
+        self.count_daemons = count_daemons
         self.by_service: dict[str, Pool] = {}
 
     def find(self, service: str, endpoints: Sequence[Endpoint], now: float) -> Pool:
         """Return the pool of a service, up to date."""
         pool = self.by_service.get(service)
         if pool is None or pool.source is not endpoints:
-            share = pool.share if pool else None
-            pool = Pool(daemon=self.daemon, endpoints=endpoints)
-            pool.share = share
+            share = pool.share if pool else 1.0 / max(1, self.count_daemons())
+            pool = Pool(daemon=self.daemon, endpoints=endpoints, first_share=share)
             self.by_service[service] = pool
         pool.refresh(now)
         return pool
