Let operators' commands outlast a short outage of the store

Cause: a `config` command ended with one call that the store did not answer in two seconds; seen in a run of the README's blocks on a busy machine (load 14). Ruled out: the lifecycle, which settles what it wrote. Change: the adapter can be given patience, for calls that provably did nothing; operators' commands have 10 s, daemons none. A write that may stand is not sent again there.

--- a/currantdyke/cli/config.py
+++ b/currantdyke/cli/config.py
@@ -42,6 +42,7 @@
 EXIT_LAGGING = 4
 HISTORY_VERSIONS = 20
 KEY_FILE_MODE = 0o600
+STORE_PATIENCE_SECONDS = 10.0
 
 
 @attrs.define(kw_only=True)
@@ -260,7 +261,10 @@
 ) -> Any:
     async def call() -> Any:
         async with tools.client() as client:
-            return await run(EtcdStore(client=client, url=url), client)
+            store = EtcdStore(
+                client=client, url=url, patience_seconds=STORE_PATIENCE_SECONDS
+            )
+            return await run(store, client)
 
     return tools.run(call)
 
--- a/currantdyke/store/etcd.py
+++ b/currantdyke/store/etcd.py
@@ -21,6 +21,7 @@
 __all__ = ["EtcdStore"]
 
 CALL_TIMEOUT_SECONDS = 2.0
+PATIENT_RETRY_SECONDS = 0.25
 
 
 def encode(text: str | bytes) -> str:
@@ -63,11 +64,15 @@
         The gateway's base URL.
     count : callable
         Called with duty, call and result after each call.
+    patience_seconds : float
+        How long a call that provably did nothing is tried again.  Daemons have
+        none: their duties know better when to come back.
     """
 
     client: httpx.AsyncClient
     url: str
     count: Callable[[str, str, str], None] = lambda duty, call, result: None
+    patience_seconds: float = 0.0
 
     async def get(self, key: str, *, duty: str) -> Result[Entry | None, Unavailable]:
         """Return the entry of a key, or None."""
@@ -157,7 +162,7 @@
             "success": [operation],
             "failure": [{"request_range": {"key": encode(key)}}],
         }
-        answer = await self._post("/v3/kv/txn", question)
+        answer = await self._patient_post("/v3/kv/txn", question, is_read=False)
         if answer.is_error():
             self.count(duty, call, _result_label(answer))
             return Error(answer.error)
@@ -172,10 +177,26 @@
     async def _read(
         self, duty: str, call: str, path: str, question: dict[str, Any]
     ) -> Result[dict[str, Any], Unavailable]:
-        answer = await self._post(path, question)
+        answer = await self._patient_post(path, question, is_read=True)
         self.count(duty, call, _result_label(answer))
         return answer.map_error(lambda error: Unavailable(detail=error.detail))
 
+    async def _patient_post(
+        self, path: str, question: dict[str, Any], *, is_read: bool
+    ) -> Result[dict[str, Any], Unavailable | Unknown]:
+        """Post until there is an answer, or patience ends.
+
+        A write that may stand is never sent again here: see ``settled_swap``.
+        """
+        ends = anyio.current_time() + self.patience_seconds
+        while True:
+            answer = await self._post(path, question)
+            if answer.is_ok() or anyio.current_time() >= ends:
+                return answer
+            if not is_read and isinstance(answer.error, Unknown):
+                return answer
+            await anyio.sleep(PATIENT_RETRY_SECONDS)
+
     async def _post(
         self, path: str, question: dict[str, Any]
     ) -> Result[dict[str, Any], Unavailable | Unknown]:
