Never leave out the last stage, and take the daemon's start apart

Cause: a decision to leave out an optional stage was asked for the last stage too; a bundle that marks it optional would have got an empty answer. Change: one place asks, and only for stages that are optional and not the last.

Figures: the new test fails before (the answer's output is null) and passes after. Conclusion: a whole answer always has its last stage.

--- a/currantdyke/daemon/daemon.py
+++ b/currantdyke/daemon/daemon.py
@@ -100,22 +100,50 @@
         self.metrics = metrics or Metrics()
         self.timers = TimerService(random_source=self.random_source)
         self.timeline = Timeline(daemon=settings.name)
+        self._hold_configuration()
+        self._know_endpoints()
+        self.platform_list = platform_list
+        self.limits = FleetLimits(now=anyio.current_time, limit_of=self._limit_of)
+        self.quarantine = self._new_quarantine()
+        self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
+        self.relay = Relay(
+            identity=self.identity, client=client, find_daemon=self._running_at
+        )
+        self.request_ids = self.identity.request_ids()
+        self.leaving = False
+        self.draining = False
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.membership: Membership | None = None
+        self.claims = Claims(
+            store=store,
+            daemon=settings.name,
+            wall_clock=wall_clock,
+            random_source=self.random_source,
+        )
+        turns = Turns(quarantine=self.quarantine, can_connect=can_connect)
+        self.run_parts = self._new_run_parts(client, turns)
+
+    def _hold_configuration(self) -> None:
+        """Make what holds the version in force, and what brings the next."""
         self.in_force = BundleInForce()
         self.configuration = ConfigurationFeed(
             in_force=self.in_force, random_source=self.random_source
         )
         self.follower = Follower(
-            store=store,
+            store=self.store,
             feed=self.configuration,
-            name=settings.name,
-            region=settings.region,
+            name=self.settings.name,
+            region=self.settings.region,
             random_source=self.random_source,
         )
         self.collector = Collector(
-            store=store,
+            store=self.store,
             feed=self.configuration,
             is_collector=self.follower.is_collector,
         )
+
+    def _know_endpoints(self) -> None:
+        """Make the table of endpoints, which follows the version in force."""
         self.endpoints = EndpointTable()
         self.in_force.subscribe(self.endpoints.follow)
         self.liveness = EndpointLiveness(
@@ -124,48 +152,38 @@
             note=self._note_leaving,
         )
         self.in_force.subscribe(lambda bundle: self.liveness.follow())
-        self.platform_list = platform_list
-        self.limits = FleetLimits(now=anyio.current_time, limit_of=self._limit_of)
-        self.quarantine = Quarantine(
-            daemon=settings.name,
-            facts=FactStore(
-                origin=settings.name,
-                clock=self.timeline.clock,
-                now=anyio.current_time,
-            ),
+
+    def _new_quarantine(self) -> Quarantine:
+        facts = FactStore(
+            origin=self.settings.name,
+            clock=self.timeline.clock,
+            now=anyio.current_time,
+        )
+        return Quarantine(
+            daemon=self.settings.name,
+            facts=facts,
             now=anyio.current_time,
             note=self._note_quarantine,
         )
-        self.requests = RequestTable(keep_seconds=settings.answer_keep_seconds)
-        self.relay = Relay(
-            identity=self.identity, client=client, find_daemon=self._running_at
+
+    def _new_run_parts(self, client: httpx.AsyncClient, turns: Turns) -> RunParts:
+        decisions = make_decisions(
+            self.endpoints,
+            self.random_source,
+            daemon=self.settings.name,
+            zone=self.settings.availability_zone,
+            count_daemons=self.count_daemons,
         )
-        self.request_ids = self.identity.request_ids()
-        self.leaving = False
-        self.draining = False
-        self.tasks: anyio.abc.TaskGroup | None = None
-        self.membership: Membership | None = None
-        self.claims = Claims(
-            store=store,
-            daemon=settings.name,
-            wall_clock=wall_clock,
-            random_source=self.random_source,
+        gate = ClaimGate(
+            claims=self.claims, requests=self.requests, metrics=self.metrics
         )
-        self.run_parts = RunParts(
+        return RunParts(
             call_stage=http_stage_caller(client),
-            decisions=make_decisions(
-                self.endpoints,
-                self.random_source,
-                daemon=settings.name,
-                zone=settings.availability_zone,
-                count_daemons=lambda: self.count_daemons(),
-            ),
-            claims=ClaimGate(
-                claims=self.claims, requests=self.requests, metrics=self.metrics
-            ),
+            decisions=decisions,
+            claims=gate,
             endpoints=self.endpoints,
             liveness=self.liveness,
-            turns=Turns(quarantine=self.quarantine, can_connect=can_connect),
+            turns=turns,
             metrics=self.metrics,
             timeline=self.timeline,
             random_source=self.random_source,
--- a/currantdyke/pipelines/run.py
+++ b/currantdyke/pipelines/run.py
@@ -154,22 +154,32 @@
 ) -> None:
     for earlier in stage.after:
         await ended[earlier].wait()
-    if not run.parts.decisions.keeps(run.exchange, stage):
-        run.outputs[stage.name] = None
-        run.exchange.left_out.append(stage.name)
-        ended[stage.name].set()
-        return
+    failure = await _take_stage(run, stage)
+    if failure is not None and run.failure is None:
+        run.failure = failure
+        scope.cancel()
+    ended[stage.name].set()
+
+
+async def _take_stage(run: RequestRun, stage: Stage) -> Failure | None:
+    """Run a stage or leave it out; return why the request cannot go on."""
     optional = stage.optional and stage is not run.pipeline.stages[-1]
+    if optional and not run.parts.decisions.keeps(run.exchange, stage):
+        _leave_out(run, stage)
+        return None
     answer = await (_call_optional if optional else _call_stage)(run, stage)
     if answer.is_ok():
         run.outputs[stage.name] = answer.ok
-    elif optional:
-        run.outputs[stage.name] = None
-        run.exchange.left_out.append(stage.name)
-    elif run.failure is None:
-        run.failure = answer.error
-        scope.cancel()
-    ended[stage.name].set()
+        return None
+    if not optional:
+        return answer.error
+    _leave_out(run, stage)
+    return None
+
+
+def _leave_out(run: RequestRun, stage: Stage) -> None:
+    run.outputs[stage.name] = None
+    run.exchange.left_out.append(stage.name)
 
 
 async def _call_optional(run: RequestRun, stage: Stage) -> Result[Any, Failure]:
--- a/currantdyke/pipelines/tests/test_whole_path.py
+++ b/currantdyke/pipelines/tests/test_whole_path.py
@@ -132,6 +132,26 @@
 
         self.assertEqual(run_virtual(scenario).status_code, 200)
 
+    def test_decisions_leave_out_optional_stages_and_never_the_last(self):
+        async def scenario():
+            stages = tuple(
+                attrs.evolve(stage, optional=stage.name in ("rerank", "generate"))
+                for stage in build_pipeline().stages
+            )
+            pipeline = build_pipeline(stages=stages)
+            async with fleet_in_memory(
+                bundle={"pipelines": {"notes": pipeline}}
+            ) as fleet:
+                parts = fleet.daemons["entry-1"].run_parts
+                parts.decisions = attrs.evolve(
+                    parts.decisions, keeps=lambda exchange, stage: False
+                )
+                return await submit(fleet)
+
+        response = run_virtual(scenario)
+        self.assertEqual(response.json()["left_out"], ["rerank"])
+        self.assertEqual(response.json()["output"]["tokens"], 16)
+
     def test_wrong_key_is_refused(self):
         async def scenario():
             async with (
