Count the calls to come once for each stage

Cause: admission counts the stage calls of admitted requests that have not begun; by request it kept the services as a set. A pipeline with two stages of one service, such as two retrievals that are joined, counted two and took off one: a call to come more for good with each request, until admission refuses all. Found on reading the code. Besides, a pipeline whose only stage is optional made the forecast of no stage fail.

Change: a list, once for each stage; the last stage is never spare. The decisions can be made on a state, for tests.

Conclusion: the count returns to nothing.

--- a/currantdyke/pipelines/deciding.py
+++ b/currantdyke/pipelines/deciding.py
@@ -18,7 +18,7 @@
 from currantdyke.routing import Pools, choose_endpoint
 from currantdyke.stagecalls import AttemptEnd, AttemptReport
 
-__all__ = ["DecisionState", "make_decisions"]
+__all__ = ["DecisionState", "decisions_of", "make_decisions"]
 
 PIGGYBACKED_LOAD_AGE_SECONDS = 0.5
 PREFIX_CHARACTERS = 256
@@ -37,7 +37,7 @@
     to_come : dict
         For each service, the stage calls of admitted requests not yet begun.
     pending : dict
-        The same services by request.
+        The same services by request, once for each stage.
     left_out : dict
         Optional stages that a request goes without.
     shares_of, unusual_shares : Bundle or None, dict
@@ -52,7 +52,7 @@
     budget: RetryBudget = attrs.field(factory=RetryBudget)
     shares: Shares = attrs.field(factory=Shares)
     to_come: dict[str, int] = attrs.field(factory=dict)
-    pending: dict[str, set[str]] = attrs.field(factory=dict)
+    pending: dict[str, list[str]] = attrs.field(factory=dict)
     left_out: dict[str, set[str]] = attrs.field(factory=dict)
     shares_of: Bundle | None = None
     unusual_shares: dict[str, float] = attrs.field(factory=dict)
@@ -73,6 +73,11 @@
         random_source=random_source,
         zone=zone,
     )
+    return decisions_of(state)
+
+
+def decisions_of(state: DecisionState) -> Decisions:
+    """Return the decisions that work on a state."""
     return Decisions(
         admit=functools.partial(_admit, state),
         choose=functools.partial(_choose, state),
@@ -96,19 +101,18 @@
     forecasts = [_forecast(state, bundle, s, exchange, now) for s in pipeline.stages]
     stages = list(pipeline.stages)
     refused = _decide(policy, forecasts, seconds_left, wait_share)
-    needed = [stage for stage in stages if not stage.optional]
-    if refused is not None and len(needed) < len(stages):
-        kept = [f for f, s in zip(forecasts, stages, strict=True) if not s.optional]
+    spare = {stage.name for stage in stages[:-1] if stage.optional}
+    if refused is not None and spare:
+        kept = [forecast for forecast in forecasts if forecast.name not in spare]
         refused = _decide(policy, kept, seconds_left, wait_share)
         if refused is None:
-            left_out = {stage.name for stage in stages if stage.optional}
-            state.left_out[exchange.request_id] = left_out
-            stages = needed
+            state.left_out[exchange.request_id] = spare
+            stages = [stage for stage in stages if stage.name not in spare]
     if refused is not None:
         return refused
     work = sum(forecast.run_seconds for forecast in forecasts)
     state.shares.add(exchange.workspace, work, now)
-    state.pending[exchange.request_id] = {stage.service for stage in stages}
+    state.pending[exchange.request_id] = [stage.service for stage in stages]
     for stage in stages:
         state.to_come[stage.service] = state.to_come.get(stage.service, 0) + 1
     return None
--- /dev/null
+++ b/currantdyke/pipelines/tests/test_deciding.py
@@ -0,0 +1,91 @@
+import random
+import unittest
+
+import attrs
+
+from currantdyke.bundle import Stage
+from currantdyke.endpoints import EndpointTable
+from currantdyke.pipelines.deciding import DecisionState, decisions_of
+from currantdyke.pipelines.decisions import StageNeed
+from currantdyke.routing import Pools
+from currantdyke.testing import run_virtual
+from currantdyke.testing.builders import (
+    build_bundle,
+    build_exchange,
+    build_pipeline,
+)
+
+
+def build_state(bundle):
+    table = EndpointTable()
+    table.follow(bundle)
+    return DecisionState(
+        endpoints=table,
+        pools=Pools(daemon="entry-1"),
+        random_source=random.Random(1),
+        zone="jos-a",
+    )
+
+
+def build_need(bundle, exchange, service):
+    return StageNeed(
+        exchange=exchange,
+        service_name=service,
+        service=bundle.services[service],
+        policy=bundle.policy,
+        tried=[],
+    )
+
+
+class TestCallsToCome(unittest.TestCase):
+    def test_two_stages_of_one_service_are_counted_off_one_by_one(self):
+        async def scenario():
+            bundle = build_bundle({"encoder": ["http://encoder-1:1"]})
+            stages = tuple(Stage(name=n, service="encoder") for n in ("notes", "rules"))
+            pipeline = build_pipeline(stages=stages)
+            state = build_state(bundle)
+            decisions = decisions_of(state)
+            seen = []
+            exchange = build_exchange()
+            self.assertIsNone(decisions.admit(bundle, pipeline, exchange))
+            seen.append(state.to_come["encoder"])
+            candidates = state.endpoints.of_service("encoder")
+            for _ in stages:
+                decisions.choose(build_need(bundle, exchange, "encoder"), candidates)
+                seen.append(state.to_come["encoder"])
+            decisions.ended(exchange)
+            return [*seen, state.to_come["encoder"]]
+
+        self.assertEqual(run_virtual(scenario), [2, 1, 0, 0])
+
+    def test_request_that_ends_before_its_stages_leaves_nothing_to_come(self):
+        async def scenario():
+            bundle = build_bundle({"encoder": ["http://encoder-1:1"]})
+            stages = tuple(Stage(name=n, service="encoder") for n in ("notes", "rules"))
+            state = build_state(bundle)
+            decisions = decisions_of(state)
+            exchange = build_exchange()
+            decisions.admit(bundle, build_pipeline(stages=stages), exchange)
+            decisions.ended(exchange)
+            return state.to_come["encoder"], state.pending
+
+        self.assertEqual(run_virtual(scenario), (0, {}))
+
+
+class TestLastStage(unittest.TestCase):
+    def test_forecast_always_holds_the_last_stage(self):
+        async def scenario():
+            bundle = build_bundle({"encoder": ["http://encoder-1:1"]})
+            slow = attrs.evolve(bundle.services["encoder"], typical_seconds=60.0)
+            bundle = attrs.evolve(bundle, services={"encoder": slow})
+            only = Stage(name="notes", service="encoder", optional=True)
+            decisions = decisions_of(build_state(bundle))
+            return decisions.admit(
+                bundle, build_pipeline(stages=(only,)), build_exchange()
+            )
+
+        self.assertIsNotNone(run_virtual(scenario))
+
+
+if __name__ == "__main__":
+    unittest.main()
