--- a/currantdyke/modelcheck/__main__.py
+++ b/currantdyke/modelcheck/__main__.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Iterator
 
+from currantdyke.bundle.model import models as configuration_models
 from currantdyke.modelcheck.check import (
     MAX_STATES_WITH_FAULT,
     ModelReport,
@@ -18,6 +19,9 @@
         yield check_model(claim_model(requests=requests))
     for fenced in (False, True):
         yield check_model(order_model(fenced=fenced))
+    for model, must_hold in configuration_models():
+        if must_hold:
+            yield check_model(model)
 
 
 def faulty_reports() -> Iterator[ModelReport]:
@@ -28,6 +32,9 @@
     for fenced, faults in ((False, UNFENCED_FAULTS), (True, FENCED_FAULTS)):
         for fault in faults:
             yield check_model(order_model(fenced=fenced, faults=frozenset((fault,))))
+    for model, must_hold in configuration_models():
+        if not must_hold:
+            yield check_model(model, MAX_STATES_WITH_FAULT)
 
 
 def main() -> int:
