Let a copy that gives up waiting leave another copy's trial alone

Cause: copies of a request that is suspected of crashing endpoints run one after another. One that was cancelled while it waited took the mark of the one that ran, so that a third ran beside it. Found on reading the code. Change: the mark is a count, raised and lowered by the copy that runs.

Figures: the new test gives copies 1 and 3 running before, copy 1 alone after. Conclusion: a caller that hangs up cannot widen a trial.

--- /dev/null
+++ b/currantdyke/quarantine/tests/test_turns.py
@@ -0,0 +1,59 @@
+import unittest
+
+import anyio
+
+from currantdyke.endpoints import EndpointTable
+from currantdyke.events import HybridClock
+from currantdyke.membership import FactStore
+from currantdyke.quarantine import Quarantine, Turns, fingerprint_of
+from currantdyke.testing import run_virtual
+from currantdyke.testing.builders import build_bundle, build_exchange
+
+
+async def connects(url):
+    return True
+
+
+def build_turns(exchange):
+    now = anyio.current_time
+    facts = FactStore(origin="entry-1", clock=HybridClock(), now=now)
+    quarantine = Quarantine(daemon="entry-1", facts=facts, now=now)
+    quarantine.count_crash(
+        fingerprint_of(exchange), alone=False, crowd=2, service="encoder"
+    )
+    return Turns(quarantine=quarantine, can_connect=connects)
+
+
+def build_endpoints():
+    table = EndpointTable()
+    table.follow(build_bundle({"encoder": [f"http://encoder-{n}:1" for n in "1234"]}))
+    return table.of_service("encoder")
+
+
+class TestTrials(unittest.TestCase):
+    def test_copy_that_gives_up_waiting_does_not_end_the_trial_of_another(self):
+        async def scenario():
+            exchange = build_exchange(deadline=anyio.current_time() + 60.0)
+            turns, endpoints = build_turns(exchange), build_endpoints()
+            running = []
+
+            async def copy(number, seconds):
+                async with turns.turn(exchange, endpoints):
+                    running.append(number)
+                    await anyio.sleep(seconds)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(copy, 1, 10.0)
+                await anyio.sleep(2.0)
+                with anyio.move_on_after(1.0):
+                    await copy(2, 10.0)
+                tasks.start_soon(copy, 3, 1.0)
+                await anyio.sleep(3.0)
+                tasks.cancel_scope.cancel()
+            return running
+
+        self.assertEqual(run_virtual(scenario), [1])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/quarantine/turns.py
+++ b/currantdyke/quarantine/turns.py
@@ -4,6 +4,7 @@
 endpoint that takes nothing else; after a second crash it runs alone.
 """
 
+import collections
 import contextlib
 import math
 from collections.abc import (
@@ -94,8 +95,8 @@
         The suspects that each endpoint is kept for.
     trials : dict
         How many copies of each suspect are here, and wait or run.
-    trying : set
-        Suspects of which a copy runs.
+    trying : Counter
+        How many copies of each suspect run.
     cuts : dict
         Fingerprints cut of late at each endpoint, with the time.
     """
@@ -105,7 +106,7 @@
     running: dict[str, list[Exchange]] = attrs.field(factory=dict)
     groups: dict[str, "Group"] = attrs.field(factory=dict)
     trials: dict[str, int] = attrs.field(factory=dict)
-    trying: set[str] = attrs.field(factory=set)
+    trying: collections.Counter[str] = attrs.field(factory=collections.Counter)
     cuts: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     @contextlib.asynccontextmanager
@@ -192,15 +193,24 @@
             with anyio.move_on_after(WAIT_SHARE_OF_REST * rest):
                 while self._is_tried(exchange, suspicion):
                     await anyio.sleep(POLL_SECONDS)
-            self.trying.add(fingerprint)
-            yield
+            with self._running_copy(fingerprint):
+                yield
         finally:
-            self.trying.discard(fingerprint)
             self.trials[fingerprint] -= 1
             if self.trials[fingerprint] == 0:
                 del self.trials[fingerprint]
                 self.quarantine.end_trial(fingerprint)
 
+    @contextlib.contextmanager
+    def _running_copy(self, fingerprint: str) -> Iterator[None]:
+        self.trying[fingerprint] += 1
+        try:
+            yield
+        finally:
+            self.trying[fingerprint] -= 1
+            if not self.trying[fingerprint]:
+                del self.trying[fingerprint]
+
     def _is_tried(self, exchange: Exchange, suspicion: Suspicion) -> bool:
         """Return whether another copy of a suspect goes first."""
         if self.quarantine.suspicion_of(exchange) is None:
