Draw the order of tasks in virtual time from a fixed seed

Cause: trio shuffles the tasks that are ready at one instant from a source that nobody seeded, so a run in virtual time could differ from the one before, and a race that failed a test would not come again. Change: `run_virtual` seeds it.

Conclusion: the same verdict each time, as far as time is virtual.

--- a/currantdyke/testing/virtual.py
+++ b/currantdyke/testing/virtual.py
@@ -5,10 +5,13 @@
 from typing import Any, TypeVar
 
 import anyio
+import trio._core._run as trio_run
 import trio.testing
 
 __all__ = ["run_virtual"]
 
+SCHEDULE_SEED = 1
+
 T = TypeVar("T")
 
 
@@ -17,6 +20,9 @@
 ) -> T:
     """Run ``function`` on a clock that jumps whenever all tasks wait.
 
+    The order of tasks within an instant is drawn from a fixed seed, so that a run
+    that fails fails again.
+
     Examples
     --------
     >>> async def nap():
@@ -26,6 +32,9 @@
     >>> run_virtual(nap)
     3600.0
     """
+    # trio shuffles the tasks of an instant; with a seed a run repeats exactly.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
+    trio_run._r.seed(SCHEDULE_SEED)
     clock = trio.testing.MockClock(autojump_threshold=0)
     return anyio.run(
         functools.partial(function, *arguments, **keywords),
