--- a/currantdyke/cli/config.py
+++ b/currantdyke/cli/config.py
@@ -13,7 +13,7 @@
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from currantdyke.bundle import Bundle, check_bundle
+from currantdyke.bundle import check_bundle
 from currantdyke.bundle.change import Proposal, Signer, edits_between
 from currantdyke.bundle.content import Content
 from currantdyke.bundle.lifecycle import (
@@ -32,12 +32,12 @@
     history_lines,
     status_lines,
 )
+from currantdyke.cli.files import EXIT_INVALID, read_checked
 from currantdyke.store import EtcdStore, Store
 
 __all__ = ["Tools", "config"]
 
 EXIT_REFUSED = 1
-EXIT_INVALID = 2
 EXIT_LOST_RACE = 3
 EXIT_LAGGING = 4
 HISTORY_VERSIONS = 20
@@ -116,7 +116,7 @@
 @file_argument
 def check_command(file: str) -> None:
     """Check the bundle in FILE and show what is wrong with it."""
-    _bundle(file)
+    read_checked(file, check_bundle)
     click.echo(f"{file}: valid")
 
 
@@ -126,7 +126,7 @@
 @click.pass_obj
 def diff_command(tools: Tools, file: str, store_url: str) -> None:
     """Show what FILE would change in the version at the head."""
-    content = Content.of_bundle(_bundle(file))
+    content = Content.of_bundle(read_checked(file, check_bundle))
 
     async def run(store: Store, client: httpx.AsyncClient):
         return await current_version(store)
@@ -147,7 +147,7 @@
     tools: Tools, file: str, comment: str, store_url: str, **signer: Any
 ) -> None:
     """Propose that the bundle in FILE takes the place of the version at the head."""
-    bundle, proposer = _bundle(file), _signer(signer)
+    bundle, proposer = read_checked(file, check_bundle), _signer(signer)
     bootstrap = _bootstrap(signer)
 
     async def run(store: Store, client: httpx.AsyncClient):
@@ -277,15 +277,6 @@
     raise SystemExit(EXIT_LOST_RACE if lost else EXIT_REFUSED)
 
 
-def _bundle(file: str) -> Bundle:
-    checked = check_bundle(pathlib.Path(file).read_text())
-    if checked.is_ok():
-        return checked.ok
-    for problem in checked.error:
-        click.echo(f"{file}: {problem}", err=True)
-    raise SystemExit(EXIT_INVALID)
-
-
 def _signer(options: dict[str, Any]) -> Signer:
     raw = pathlib.Path(options["key_file"]).read_bytes()
     load = functools.partial(serialization.load_pem_private_key, password=None)
--- a/currantdyke/quarantine/tests/test_quarantine.py
+++ b/currantdyke/quarantine/tests/test_quarantine.py
@@ -1,3 +1,4 @@
+import contextlib
 import unittest
 
 import anyio
@@ -29,6 +30,17 @@
                 restart(fleet, name, crashes)
 
 
+@contextlib.asynccontextmanager
+async def crashing_fleet(endpoints):
+    """Run six daemons that know each other before endpoints that die and return."""
+    crashes = []
+    async with fleet_in_memory(daemons=6, endpoints=endpoints, peers=True) as fleet:
+        await anyio.sleep(5.0)
+        make_crashing(fleet, "entry-desk", crashes)
+        fleet.tasks.start_soon(keep_up, fleet, crashes)
+        yield fleet, crashes
+
+
 def build_quarantine(time):
     facts = FactStore(
         origin="entry-1", clock=HybridClock(), now=lambda: time["seconds"]
@@ -102,11 +114,7 @@
 class TestFleet(unittest.TestCase):
     def test_crashes_are_bounded_however_and_wherever_it_is_sent_again(self):
         async def scenario():
-            crashes = []
-            async with fleet_in_memory(daemons=6, endpoints=4, peers=True) as fleet:
-                await anyio.sleep(5.0)
-                make_crashing(fleet, "entry-desk", crashes)
-                fleet.tasks.start_soon(keep_up, fleet, crashes)
+            async with crashing_fleet(endpoints=4) as (fleet, crashes):
                 codes = []
                 for number in range(24):
                     answer = await submit(fleet, f"entry-{number % 6 + 1}")
@@ -120,11 +128,7 @@
 
     def test_copies_in_close_succession_through_all_daemons_are_bounded(self):
         async def scenario():
-            crashes = []
-            async with fleet_in_memory(daemons=6, endpoints=8, peers=True) as fleet:
-                await anyio.sleep(5.0)
-                make_crashing(fleet, "entry-desk", crashes)
-                fleet.tasks.start_soon(keep_up, fleet, crashes)
+            async with crashing_fleet(endpoints=8) as (fleet, crashes):
                 async with anyio.create_task_group() as tasks:
                     for number in range(24):
                         tasks.start_soon(submit, fleet, f"entry-{number % 6 + 1}")
@@ -135,11 +139,7 @@
 
     def test_copies_at_once_through_all_daemons_crash_at_most_one_each_more(self):
         async def scenario():
-            crashes = []
-            async with fleet_in_memory(daemons=6, endpoints=8, peers=True) as fleet:
-                await anyio.sleep(5.0)
-                make_crashing(fleet, "entry-desk", crashes)
-                fleet.tasks.start_soon(keep_up, fleet, crashes)
+            async with crashing_fleet(endpoints=8) as (fleet, crashes):
                 async with anyio.create_task_group() as tasks:
                     for number in range(6):
                         tasks.start_soon(submit, fleet, f"entry-{number + 1}")
--- a/currantdyke/routing/pool.py
+++ b/currantdyke/routing/pool.py
@@ -81,8 +81,7 @@
         if opened != self.open:
             self.open = opened
             self.nearest.clear()
-        share = self.known_share()
-        loads = [e.expected_load(now, share) for e in self.open]
+        loads = [e.expected_load(now, self.share) for e in self.open]
         self.load = sum(loads)
         weighted = (e.spec.slots * self.weights[e.name] for e in self.open)
         self.slots = max(1.0, sum(weighted))
@@ -95,17 +94,13 @@
         pool.refresh(now)
         return pool
 
-    def known_share(self) -> float:
-        """Return the share; the first one as long as no report tells of others."""
-        return self.share
-
     def load_now(self, waiting: int) -> float:
         """Return the calls in the service now, with ``waiting`` own ones to come."""
-        return self.load + waiting / self.known_share()
+        return self.load + waiting / self.share
 
     def score(self, endpoint: Endpoint, now: float) -> float:
         """Return how busy an endpoint is for its speed; less is better."""
-        load = endpoint.expected_load(now, self.known_share())
+        load = endpoint.expected_load(now, self.share)
         weight = self.weights.get(endpoint.name, 1.0)
         return (load + 1.0) / (endpoint.spec.slots * weight)
 
