Work out a request's fingerprint once

Cause: as long as any request is under suspicion, every other one was asked for its fingerprint at admission, at each stage and every 20 ms while a suspect waits for its turn; each time its whole input was encoded and hashed. Change: the fingerprint is kept with the request.

Conclusion: suspicion of one costs the others no hot path.

--- a/currantdyke/quarantine/tests/test_quarantine.py
+++ b/currantdyke/quarantine/tests/test_quarantine.py
@@ -1,11 +1,13 @@
 import contextlib
 import unittest
+from unittest import mock
 
 import anyio
+import msgspec
 
 from currantdyke.events import HybridClock
 from currantdyke.membership import FactStore
-from currantdyke.quarantine import Quarantine, fingerprint_of
+from currantdyke.quarantine import Quarantine, fingerprint, fingerprint_of
 from currantdyke.quarantine.tests.builders import POISON, make_crashing, restart
 from currantdyke.testing import fleet_in_memory, run_virtual
 from currantdyke.testing.builders import build_exchange
@@ -64,6 +66,18 @@
         self.assertEqual(prints[0], prints[1])
         self.assertEqual(len(set(prints)), 4)
 
+    def test_input_is_read_once_however_often_it_is_asked_for(self):
+        async def scenario():
+            exchange = build_exchange(input={"a": 1})
+            with mock.patch.object(
+                fingerprint.msgspec.json, "encode", wraps=msgspec.json.encode
+            ) as encode:
+                found = {fingerprint_of(exchange) for _ in range(3)}
+            return found, encode.call_count
+
+        found, calls = run_virtual(scenario)
+        self.assertEqual((len(found), calls), (1, 1))
+
 
 class TestVerdict(unittest.TestCase):
     def test_crashes_among_others_alone_never_refuse(self):
--- a/currantdyke/requests/exchange.py
+++ b/currantdyke/requests/exchange.py
@@ -39,6 +39,8 @@
         Why it did not end well.
     left_out : list of str
         Optional stages that failed or were dropped.
+    fingerprint : str
+        What it has in common with its copies; worked out when first asked for.
     readers : int
         Callers that read it just now.
     cancelled : bool
@@ -61,6 +63,7 @@
     output: Any = None
     first_token: float | None = None
     ended: float | None = None
+    fingerprint: str = ""
     readers: int = 0
     grown: anyio.Event | None = None
     cancelled: bool = False
