Never hand out one idle connection twice, and let the ablest VMs own groups

While `take` waited for a stale connection's close, `close_stale` replaced the list that `take` still held: it went on with connections that the other task was closing, and could take one that stayed in the new list, too, for a second request. Ruled out: `forget`, which pops the list before it waits.

Change: `take` looks the list up anew after each wait; `close_stale` empties it before its first wait; a closed connection is not quiet. A fault in a stage call, a release or a peer's question is logged as `internal_error` and ends that alone. Daemons register their processor time, and owners are the ablest ones first. Settings that nothing read (drain, contact, heartbeat, min_lease) are gone; the tests that read `drain` read `grace` and `retry_window` in its place, the unreadable value too.

--- a/currantdyke/conductor/client.py
+++ b/currantdyke/conductor/client.py
@@ -29,15 +29,12 @@
 
     Attributes
     ----------
-    own_name : str
-        This daemon's name in the order of owners.
     groups : dict of str to str
         The group of each service, by the configuration in force.
     placed_by : dict of str to str
         Which daemon placed a request, by attempt id; empty for this one.
     """
 
-    own_name: str
     peers: Peers
     local: Conductor
     log: DecisionLog
@@ -94,12 +91,11 @@
 
     def _owners(self, service: str) -> list[tuple[str, str]]:
         """Return daemons by name and IP, the owner first; this one has no IP."""
-        ips = {
-            daemon.name: daemon.ip
-            for daemon in self.peers.others()
-            if not daemon.leaving
-        }
+        others = [daemon for daemon in self.peers.others() if not daemon.leaving]
+        ips = {daemon.name: daemon.ip for daemon in others}
+        cores = {daemon.name: daemon.cores for daemon in others}
         if not (ips and self.is_leaving()):
-            ips[self.own_name] = ""
+            own = self.peers.own
+            ips[own.name], cores[own.name] = "", own.cores
         group = self.groups.get(service, service)
-        return [(name, ips[name]) for name in owner_order(group, ips)]
+        return [(name, ips[name]) for name in owner_order(group, cores)]
--- a/currantdyke/conductor/stages.py
+++ b/currantdyke/conductor/stages.py
@@ -16,7 +16,7 @@
 from currantdyke.conductor.stagecall import CallOutcome, FreeResults, RunPieces
 from currantdyke.conductor.urgency import rest_seconds, urgency
 from currantdyke.conductor.workers import Worker
-from currantdyke.decisionlog import DecisionLog
+from currantdyke.decisionlog import DecisionLog, note_fault
 from currantdyke.directory import Directory
 from currantdyke.forward.budget import RepeatBudget
 from currantdyke.platform.stagecalls import PieceCall, PieceFailure, PieceResult
@@ -71,7 +71,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Dispatch waiting work when released results make room."""
-        self.results = HeldResults(free_results=self.free_results, freed=self.dispatch)
+        self.results = HeldResults(free_results=self._free_results, freed=self.dispatch)
 
     async def run(self) -> None:
         """Run calls until cancelled."""
@@ -276,7 +276,7 @@
         started = anyio.current_time()
         calls = [self._piece_call(piece, started) for piece in pieces]
         timeout = expected * SILENT_FACTOR + SILENT_EXTRA_SECONDS
-        outcome = await self.run_pieces(worker.endpoint, calls, timeout)
+        outcome = await self._run_pieces(worker, calls, timeout)
         now = anyio.current_time()
         worker.calls -= 1
         worker.reserved -= sum(piece.result_bytes for piece in pieces)
@@ -292,6 +292,24 @@
             self._advance(chain)
         self.dispatch(worker.endpoint.service)
 
+    async def _run_pieces(
+        self, worker: Worker, calls: list[PieceCall], timeout: float
+    ) -> CallOutcome:
+        try:
+            return await self.run_pieces(worker.endpoint, calls, timeout)
+        except Exception as error:
+            # A fault in one call must not end the stages of other requests.
+            note_fault(self.log, error, where="a stage call")
+            return CallOutcome(reason="internal error")
+
+    async def _free_results(self, endpoint: Endpoint, handles: list[str]) -> bool:
+        try:
+            return await self.free_results(endpoint, handles)
+        except Exception as error:
+            # A fault in one call must not end the stages of other requests.
+            note_fault(self.log, error, where="a release of results")
+            return False
+
     def _piece_call(self, piece: Piece, now: float) -> PieceCall:
         chain = piece.chain
         first = not piece.step.after
--- a/currantdyke/conductor/tests/test_stages.py
+++ b/currantdyke/conductor/tests/test_stages.py
@@ -113,6 +113,29 @@
         _, answers = run_virtual(place, [REQUEST], prepare=break_all)
         self.assertIsInstance(answers["r"], Refusal)
 
+    def test_error_of_our_own_in_one_call_ends_no_other_request(self):
+        def prepare(fleet):
+            made = fleet.stages.run_pieces
+            calls = []
+
+            async def run_pieces(endpoint, pieces, timeout):
+                calls.append(endpoint)
+                if len(calls) == 2:
+                    raise ValueError("a fault of the program")
+                return await made(endpoint, pieces, timeout)
+
+            async def free_results(endpoint, handles):
+                raise ValueError("a fault of the program")
+
+            fleet.stages.run_pieces = run_pieces
+            fleet.stages.free_results = free_results
+
+        requests = [attrs.evolve(REQUEST, attempt_id=f"r{n}") for n in range(4)]
+        with self.assertLogs("absl", "ERROR"):
+            _, answers = run_virtual(lambda: place(requests, prepare=prepare))
+        for answer in answers.values():
+            self.assertIsInstance(answer, Placement)
+
     def test_all_results_are_given_up_when_a_chain_ends(self):
         fleet, answers = run_virtual(place, [attrs.evolve(REQUEST, deadline=0.4)])
         self.assertIsInstance(answers["r"], Refusal)
--- a/currantdyke/forward/connections.py
+++ b/currantdyke/forward/connections.py
@@ -53,9 +53,9 @@
         ConnectionLostError
             If the endpoint can't be reached.
         """
-        waiting = self.idle.get(endpoint.instance, [])
         now = anyio.current_time()
-        while waiting:
+        # The list is looked up anew after each close, which lets other tasks run.
+        while waiting := self.idle.get(endpoint.instance):
             candidate = waiting.pop()
             limit = candidate.keep_alive
             if once:
@@ -103,13 +103,16 @@
     async def close_stale(self) -> None:
         """Close the connections that have been idle for too long."""
         now = anyio.current_time()
+        all_stale: list[IdleConnection] = []
         for instance, kept in list(self.idle.items()):
             stale = [one for one in kept if now - one.since >= one.keep_alive]
-            self.idle[instance] = [one for one in kept if one not in stale]
-            if not self.idle[instance]:
-                del self.idle[instance]
             for one in stale:
-                await one.connection.close()
+                kept.remove(one)
+            if not kept:
+                del self.idle[instance]
+            all_stale += stale
+        for one in all_stale:
+            await one.connection.close()
 
     async def _open(self, endpoint: Endpoint) -> Http1Connection:
         host, _, port = endpoint.address.rpartition(":")
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -22,7 +22,7 @@
 )
 from currantdyke.conductor.stagecall import free_results, run_pieces
 from currantdyke.conductor.stages import StageQueues
-from currantdyke.decisionlog import DecisionLog
+from currantdyke.decisionlog import DecisionLog, note_fault
 from currantdyke.directory import Directory, Follower
 from currantdyke.forward.budget import RepeatBudget
 from currantdyke.forward.context import ForwardContext
@@ -97,6 +97,7 @@
             ip=settings.ip,
             availability_zone=settings.availability_zone,
             incarnation=uuid.uuid4().hex[:12],
+            cores=settings.cores,
         )
         self.peers = Peers(
             own=self.own,
@@ -148,7 +149,6 @@
             directory=self.directory, stages=self.stages, log=log
         )
         self.client = ConductorClient(
-            own_name=settings.name,
             peers=self.peers,
             local=self.conductor,
             log=log,
@@ -336,6 +336,14 @@
         return budget
 
     async def _answer_peer(self, link: Link, content: Content) -> Content:
+        try:
+            return await self._answer_question(link, content)
+        except Exception as error:
+            # A fault in one question must not end those of other daemons.
+            note_fault(self.log, error, where="a question of a daemon")
+            return Unknown()
+
+    async def _answer_question(self, link: Link, content: Content) -> Content:
         if isinstance(content, ChangesAsked):
             return self.follower.since(content.revision)
         if isinstance(content, PlacementRequest) and self.directory.complete:
--- a/currantdyke/gateway/entrance.py
+++ b/currantdyke/gateway/entrance.py
@@ -4,10 +4,10 @@
 import anyio.abc
 import attrs
 import h11
-from absl import logging
 
 from currantdyke.catalog import CallerLimits
 from currantdyke.core import Failure, FailureKind
+from currantdyke.decisionlog import note_fault
 from currantdyke.directory import Directory
 from currantdyke.gateway.caller import (
     CallerConnection,
@@ -93,10 +93,7 @@
             return
         except Exception as error:
             # A fault in one request must not end those of other callers.
-            self.handler.log.write(
-                "internal_error", failure=True, reason=repr(error)[:500]
-            )
-            logging.exception("a caller's connection failed")
+            note_fault(self.handler.log, error, where="a caller's connection")
         finally:
             self.connections.discard(connection)
             await connection.close()
--- a/currantdyke/gateway/reload.py
+++ b/currantdyke/gateway/reload.py
@@ -14,8 +14,6 @@
 # Fields that a running process takes over; the others need a restart.
 TAKEN_OVER = frozenset(
     (
-        "drain",
-        "contact",
         "grace",
         "retry_ratio",
         "retry_window",
--- a/currantdyke/gateway/settings.py
+++ b/currantdyke/gateway/settings.py
@@ -7,18 +7,11 @@
 
 @attrs.frozen(kw_only=True)
 class StoreSettings:
-    """The platform's store and the rates that all daemons share.
-
-    Attributes
-    ----------
-    min_lease : float
-        Shortest lease that the store grants, in seconds.
-    """
+    """The platform's store and the rates that all daemons share."""
 
     address: str
     writes_per_second: float
     reads_per_second: float
-    min_lease: float
 
 
 @attrs.frozen(kw_only=True)
@@ -31,17 +24,13 @@
         Port of the links between daemons, the same on every VM.
     seed_ips : tuple of str
         A few VMs that may run daemons; they may be stale.
-    heartbeat : float
-        How often an endpoint renews its entry.
     grace : float
         Time from SIGTERM to SIGKILL.
-    drain : float
-        Time after which an endpoint that leaves takes no more requests.
-    contact : float
-        Time without trouble after which bounds hold again.
     retry_ratio, retry_window, retry_slack : float
         Repeats that all daemons together may send to a service in a window, as a
         share of its requests, and on top of that.
+    cores : float
+        Processor time that the VM gives this process.
     """
 
     name: str
@@ -51,13 +40,11 @@
     readiness_address: str
     peer_port: int
     seed_ips: tuple[str, ...]
-    heartbeat: float
     grace: float
-    drain: float
-    contact: float
     retry_ratio: float
     retry_window: float
     retry_slack: float
+    cores: float
     memory_bytes: int
     file_descriptors: int
     store: StoreSettings
--- a/currantdyke/gateway/tests/test_fleet.py
+++ b/currantdyke/gateway/tests/test_fleet.py
@@ -207,7 +207,8 @@
     for gateway in started:
         await until(lambda g=gateway: len(g.directory.daemons) == count)
     by_name = {gateway.settings.name: gateway for gateway in started}
-    return [by_name[name] for name in owner_order("engine", by_name)]
+    cores = {name: gateway.settings.cores for name, gateway in by_name.items()}
+    return [by_name[name] for name in owner_order("engine", cores)]
 
 
 class TestOwner(unittest.TestCase):
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -119,6 +119,8 @@
         if self.state.trailing_data[0]:
             return False
         raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return False
         poll = select.poll()
         poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
--- a/currantdyke/platform/records.py
+++ b/currantdyke/platform/records.py
@@ -30,6 +30,8 @@
     ----------
     incarnation : str
         Names one life of the process.
+    cores : float
+        Processor time that its VM gives it.
     leaving : bool
         Whether it is stopping and schedules nothing new for others.
     """
@@ -38,6 +40,7 @@
     ip: str
     availability_zone: str
     incarnation: str
+    cores: float = 1.0
     leaving: bool = False
 
 
@@ -116,6 +119,7 @@
         ip=str(document["ip"]),
         availability_zone=str(document.get("availability_zone", "")),
         incarnation=str(document["incarnation"]),
+        cores=float(document.get("cores", 1.0)),
         leaving=bool(document.get("leaving", False)),
     )
 
@@ -126,6 +130,7 @@
         "ip": entry.ip,
         "availability_zone": entry.availability_zone,
         "incarnation": entry.incarnation,
+        "cores": entry.cores,
         "leaving": entry.leaving,
     }
     return DAEMONS_PREFIX + entry.name, msgspec.json.encode(document)
--- a/currantdyke/platform/settings.py
+++ b/currantdyke/platform/settings.py
@@ -57,20 +57,18 @@
             str(address).rpartition(":")[0]
             for address in document.get("seed_nodes") or ()
         ),
-        heartbeat=_seconds(document.get("heartbeat_ms"), 1_200),
         grace=float(bounds.get("grace_s", 8)),
-        drain=_seconds(bounds.get("drain_ms"), 2_000),
-        contact=_seconds(bounds.get("contact_ms"), 3_000),
         retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
         retry_window=float(bounds.get("retry_window_s", 10)),
         retry_slack=float(bounds.get("retry_budget_slack", 0)),
+        # The quota is of one core, and `cpu_cores` times as fast.
+        cores=float(limits.get("cpu_quota", 1.0)) * float(limits.get("cpu_cores", 1)),
         memory_bytes=int(limits.get("memory_mb", 222)) * 1_000_000,
         file_descriptors=int(limits.get("max_fds", 1_024)),
         store=StoreSettings(
             address=str(store["address"]),
             writes_per_second=float(store.get("writes_per_s", 100)),
             reads_per_second=float(store.get("reads_per_s", 500)),
-            min_lease=_seconds(store.get("min_ttl_ms"), 1_000),
         ),
     )
 
--- a/currantdyke/platform/tests/test_adapter.py
+++ b/currantdyke/platform/tests/test_adapter.py
@@ -222,14 +222,14 @@
     def test_settings_are_read_and_unknown_fields_pass(self):
         settings = self.read(SETTINGS).ok
         self.assertEqual(settings.caller_address, "10.1.0.41:1")
-        self.assertEqual((settings.drain, settings.grace), (2.0, 8.0))
+        self.assertEqual((settings.retry_window, settings.grace), (10.0, 8.0))
         self.assertEqual(settings.seed_ips, ("10.2.0.25",))
 
     def test_unreadable_settings_name_the_place_and_the_remedy(self):
         for text, part in (
             ("a: [1", "line 1"),
             ("node_name: x", "'listen' is missing"),
-            (SETTINGS.replace("drain_ms: 2000", "drain_ms: soon"), "'soon'"),
+            (SETTINGS.replace("grace_s: 8", "grace_s: soon"), "'soon'"),
             ("- 1", "node.yaml"),
         ):
             message = self.read(text).error
--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -118,20 +118,17 @@
         readiness_address=f"{ip}:{_free_port(ip)}",
         peer_port=PEER_PORT,
         seed_ips=seeds,
-        heartbeat=1.2,
         grace=8.0,
-        drain=2.0,
-        contact=3.0,
         retry_ratio=0.2,
         retry_window=10.0,
         retry_slack=100.0,
+        cores=0.7,
         memory_bytes=200_000_000,
         file_descriptors=1_500,
         store=StoreSettings(
             address=store.address,
             writes_per_second=400.0,
             reads_per_second=2_000.0,
-            min_lease=1.0,
         ),
     )
 
