Count the missing results of a stage instead of looking at each piece

Cause: at 110 VMs the owner placed 71 streams a second; admission looked at every piece of every chain for each of them. Ruled out: another admission rule (the figures of the loads in virtual time stay the same).

Change: a chain counts the results that are still missing by stage.

Figures (cProfile, grown load x1.5 in virtual time, 20 s): 24.1 s before, 18.8 s after, of it `Conductor.place` 12.4 s and 6.6 s; shares in time and refusals the same.

--- a/currantdyke/conductor/admission.py
+++ b/currantdyke/conductor/admission.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from currantdyke.conductor.chain import bytes_to_set_aside
 from currantdyke.conductor.messages import PlacementRequest, Refusal
 from currantdyke.conductor.stages import StageQueues
 from currantdyke.conductor.workers import Worker
@@ -126,11 +127,10 @@
     results = [0, 0]
     for chain in stages.live.values():
         late = int(chain.target_at < now)
-        for step, stage_pieces in zip(chain.request.steps, chain.pieces, strict=True):
+        for step, missing in zip(chain.request.steps, chain.missing, strict=True):
             if step.service == service:
-                missing = [piece for piece in stage_pieces if piece.handle is None]
-                pieces[late] += len(missing)
-                results[late] += sum(piece.result_bytes for piece in missing)
+                pieces[late] += missing
+                results[late] += missing * bytes_to_set_aside(step)
     share = limits.call_seconds / limits.batch + limits.piece_seconds
     seconds = [
         QUEUE_FACTOR * count * share / (len(workers) * limits.slots) for count in pieces
--- a/currantdyke/conductor/chain.py
+++ b/currantdyke/conductor/chain.py
@@ -6,13 +6,18 @@
 from currantdyke.catalog import StageStep
 from currantdyke.conductor.messages import PlacementRequest, Refusal
 
-__all__ = ["Chain", "Piece", "StageWork"]
+__all__ = ["Chain", "Piece", "StageWork", "bytes_to_set_aside"]
 
 # The configured size of a result is approximate; a piece that finds no room is lost
 # time, so that some more is set aside.
 RESULT_SIZE_MARGIN = 1.15
 
 
+def bytes_to_set_aside(step: StageStep) -> int:
+    """Return the memory to set aside for one result of a stage."""
+    return int(step.result_bytes * RESULT_SIZE_MARGIN)
+
+
 @attrs.define(kw_only=True, eq=False)
 class Piece:
     """One piece of a stage's work.
@@ -39,7 +44,18 @@
     @property
     def result_bytes(self) -> int:
         """Memory to set aside for the result."""
-        return int(self.step.result_bytes * RESULT_SIZE_MARGIN)
+        return bytes_to_set_aside(self.step)
+
+    def take(self, handle: str) -> None:
+        """Record the result."""
+        self.handle = handle
+        self.chain.missing[self.stage] -= 1
+
+    def lose(self) -> None:
+        """Forget the result, which must be made again."""
+        if self.handle is not None:
+            self.handle = None
+            self.chain.missing[self.stage] += 1
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -73,6 +89,8 @@
         Steady times in seconds.
     home : str
         The availability zone in which its stages should run.
+    missing : list of int
+        How many results of each stage are still to be made.
     ended : Event
         Set when all results are there, or the chain has failed.
     """
@@ -82,6 +100,7 @@
     deadline_at: float
     home: str = ""
     pieces: list[list[Piece]] = attrs.field(factory=list)
+    missing: list[int] = attrs.field(factory=list)
     started: set[int] = attrs.field(factory=set)
     released: set[int] = attrs.field(factory=set)
     refusal: Refusal | None = None
@@ -100,11 +119,12 @@
             [Piece(chain=chain, stage=stage, index=index) for index in range(count)]
             for stage, count in enumerate(request.pieces)
         ]
+        chain.missing = list(request.pieces)
         return chain
 
     def is_done(self, stage: int) -> bool:
         """Whether all results of a stage are there; a stage left out is done."""
-        return all(piece.handle is not None for piece in self.pieces[stage])
+        return self.missing[stage] == 0
 
     def ready_stages(self) -> list[int]:
         """Return the stages that should start now and have not.
--- a/currantdyke/conductor/homes.py
+++ b/currantdyke/conductor/homes.py
@@ -45,9 +45,8 @@
         count[worker.zone] = count.get(worker.zone, 0) + 1
     pieces: dict[str, int] = {}
     for chain in stages.live.values():
-        for step, stage_pieces in zip(chain.request.steps, chain.pieces, strict=True):
+        for step, missing in zip(chain.request.steps, chain.missing, strict=True):
             if step.service == service:
-                missing = sum(piece.handle is None for piece in stage_pieces)
                 pieces[chain.home] = pieces.get(chain.home, 0) + missing
     zones = dict.fromkeys([*loads, *count])
     share = limits.call_seconds / limits.batch + limits.piece_seconds
--- a/currantdyke/conductor/stages.py
+++ b/currantdyke/conductor/stages.py
@@ -337,7 +337,7 @@
             if piece.chain.ended.is_set() or piece.handle is not None:
                 self.results.give_up(result.handle)
             else:
-                piece.handle = result.handle
+                piece.take(result.handle)
             return
         if piece.chain.ended.is_set():
             return
@@ -425,7 +425,7 @@
         chain.released.clear()
         for pieces in chain.pieces:
             for piece in pieces:
-                piece.handle = None
+                piece.lose()
 
     def _advance(self, chain: Chain) -> None:
         """Release the results that are no longer needed and start what can start."""
