Let a few daemons of a large fleet read the store for the others

Ruled out: a slower watch for all (it delays leaving endpoints and configurations for everyone, and still grows with the fleet).

Change: beyond 24 daemons, eight of them, ranked as owners are, watch the store; the others ask one of those at the same pace, and read the store themselves in the same round if none answers or the answer is older than 1.2 s by the store. Leases last 20 s in place of 10: a dead daemon is told by its links, not by its lease.

--- a/currantdyke/conductor/client.py
+++ b/currantdyke/conductor/client.py
@@ -6,7 +6,6 @@
 import attrs
 
 from currantdyke.conductor.conductor import Conductor
-from currantdyke.conductor.groups import owner_order
 from currantdyke.conductor.messages import (
     Placement,
     PlacementRequest,
@@ -15,6 +14,7 @@
     Refusal,
 )
 from currantdyke.decisionlog import DecisionLog
+from currantdyke.directory import rank_daemons
 from currantdyke.links import LinkLostError, Peers
 
 __all__ = ["ConductorClient"]
@@ -98,4 +98,4 @@
             own = self.peers.own
             ips[own.name], cores[own.name] = "", own.cores
         group = self.groups.get(service, service)
-        return [(name, ips[name]) for name in owner_order(group, cores)]
+        return [(name, ips[name]) for name in rank_daemons(group, cores)]
--- a/currantdyke/directory/__init__.py
+++ b/currantdyke/directory/__init__.py
@@ -3,6 +3,15 @@
 from currantdyke.directory.directory import Directory
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.directory.follow import Follower
+from currantdyke.directory.ranking import rank_daemons, relay_ips
 from currantdyke.directory.replica import ChangeSet, Replica
 
-__all__ = ["ChangeSet", "Directory", "EndpointTable", "Follower", "Replica"]
+__all__ = [
+    "ChangeSet",
+    "Directory",
+    "EndpointTable",
+    "Follower",
+    "Replica",
+    "rank_daemons",
+    "relay_ips",
+]
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -1,4 +1,8 @@
-"""Keep the directory up to date from the store, or from a peer while it is away."""
+"""Keep the directory up to date from the store, or from other daemons.
+
+In a large fleet a few daemons read the store and the others ask them. While the store
+is away any peer is asked.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -7,6 +11,7 @@
 
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory.directory import Directory
+from currantdyke.directory.ranking import MAX_READERS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.platform.store import (
     HistoryGoneError,
@@ -36,6 +41,9 @@
     ----------
     ask_peer : callable
         Returns a peer's changes after a revision, or None if none answered.
+    ask_relay : callable
+        The same of a daemon that reads the store for this one, or None if this one is
+        to read it itself.
     answered_at : float
         When the store last answered.
     lost_since : float or None
@@ -47,6 +55,7 @@
     log: DecisionLog
     reads_per_second: float
     ask_peer: Callable[[int], Awaitable[ChangeSet | None]]
+    ask_relay: Callable[[int], Awaitable[ChangeSet | None]]
     answered_at: float = -1.0
     lost_since: float | None = None
     watching: bool = False
@@ -77,13 +86,13 @@
     def since(self, revision: int) -> ChangeSet:
         """Return what a peer asks for."""
         changes = self.directory.replica.since(revision)
-        return attrs.evolve(changes, settling=self.settling)
+        return attrs.evolve(changes, settling=self.settling, age=self.age)
 
     async def _follow_store(self) -> None:
         while True:
             started = anyio.current_time()
             try:
-                changes = await self._read_store()
+                changes = await self._read()
             except HistoryGoneError:
                 self.log.write(
                     "store_history_gone", after=self.directory.replica.revision
@@ -94,7 +103,7 @@
             except StoreUnavailableError as error:
                 self._lost(str(error))
             else:
-                self._answered()
+                self._answered(changes.age)
                 self.directory.apply(changes, source="store")
                 self.watching = True
             self.directory.drop_departed()
@@ -105,6 +114,14 @@
                 await self.hurried.wait()
             self.hurried = anyio.Event()
 
+    async def _read(self) -> ChangeSet:
+        """Read the store, or ask a daemon that does so."""
+        if self.watching:
+            changes = await self.ask_relay(self.directory.replica.revision)
+            if changes is not None and changes.age < STORE_LOST_SECONDS:
+                return changes
+        return await self._read_store()
+
     async def _read_store(self) -> ChangeSet:
         if not self.watching:
             items, revision = await self.store.list_all()
@@ -114,14 +131,14 @@
         return ChangeSet(changes=tuple(changes), revision=revision)
 
     def _pace(self) -> float:
-        daemons = max(1, len(self.directory.daemons))
-        return max(MIN_PACE_SECONDS, daemons / (self.reads_per_second * READ_SHARE))
+        readers = min(MAX_READERS, len(self.directory.daemons))
+        return max(MIN_PACE_SECONDS, readers / (self.reads_per_second * READ_SHARE))
 
-    def _answered(self) -> None:
-        self.answered_at = anyio.current_time()
+    def _answered(self, age: float = 0.0) -> None:
+        self.answered_at = anyio.current_time() - age
         if self.lost_since is None:
             return
-        away = self.answered_at - self.lost_since
+        away = max(0.0, self.answered_at - self.lost_since)
         self.lost_since = None
         self.directory.endpoints.store_returned()
         self.log.write("store_regained", seconds_away=round(away, 3))
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -23,12 +23,15 @@
     settling : bool
         Whether the store returned a moment ago, so that removals may be of entries
         that lapsed while it was away.
+    age : float
+        Seconds since the store itself answered, where a daemon passes changes on.
     """
 
     changes: tuple[Change, ...]
     revision: int
     whole: bool = False
     settling: bool = False
+    age: float = 0.0
 
 
 class Replica:
--- /dev/null
+++ b/currantdyke/directory/tests/test_ranking.py
@@ -0,0 +1,68 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from currantdyke.directory.ranking import MAX_READERS, RELAYS, rank_daemons, relay_ips
+from currantdyke.platform.records import DaemonEntry
+
+CORES = st.dictionaries(st.text(max_size=5), st.sampled_from([0.361, 0.717, 2.151]))
+
+
+class TestRankDaemons(unittest.TestCase):
+    def test_owner_is_one_of_the_ablest_daemons(self):
+        cores = {f"small-{n}": 0.361 for n in range(102)}
+        cores |= {f"large-{n}": 2.151 for n in range(8)}
+        for group in ("llm", "desk", "rank"):
+            order = rank_daemons(group, cores)
+            self.assertTrue(all(name.startswith("large") for name in order[:8]))
+            self.assertEqual(sorted(order), sorted(cores))
+
+    @given(CORES, st.data())
+    def test_daemon_that_leaves_moves_no_other_before_its_peers(self, cores, data):
+        if not cores:
+            self.assertEqual(rank_daemons("llm", cores), [])
+            return
+        gone = data.draw(st.sampled_from(sorted(cores)))
+        rest = {name: found for name, found in cores.items() if name != gone}
+        able = [n for n in rest if rest[n] == max(rest.values())]
+        before = [n for n in rank_daemons("llm", cores) if n in able]
+        after = [n for n in rank_daemons("llm", rest) if n in able]
+        self.assertEqual(before, after)
+        self.assertEqual(set(after), set(rank_daemons("llm", rest)[: len(able)]))
+
+
+def build_daemons(count):
+    return [
+        DaemonEntry(
+            name=f"entry-{n}",
+            ip=f"10.0.0.{n}",
+            availability_zone="a",
+            incarnation="x",
+            cores=2.0 if n < 4 else 0.4,
+        )
+        for n in range(count)
+    ]
+
+
+class TestRelays(unittest.TestCase):
+    def test_small_fleet_reads_the_store_itself(self):
+        daemons = build_daemons(MAX_READERS)
+        self.assertTrue(all(not relay_ips(own, daemons) for own in daemons))
+
+    def test_large_fleet_has_a_few_readers_that_the_others_ask(self):
+        daemons = build_daemons(110)
+        asked = [relay_ips(own, daemons) for own in daemons]
+        readers = {d.ip for d, ips in zip(daemons, asked, strict=True) if not ips}
+        self.assertEqual(len(readers), RELAYS)
+        self.assertTrue(all(ips == readers for ips in asked if ips))
+        self.assertTrue({d.ip for d in daemons[:4]} <= readers)
+
+    def test_daemon_without_an_entry_yet_asks_the_same_relays(self):
+        *daemons, fresh = build_daemons(111)
+        asked = [relay_ips(own, daemons) for own in daemons]
+        self.assertIn(relay_ips(fresh, daemons), asked)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -116,6 +116,7 @@
             log=log,
             reads_per_second=settings.store.reads_per_second,
             ask_peer=self.peers.ask_changes,
+            ask_relay=self.peers.ask_relay,
         )
         self.registration = Registration(
             entry=self.own,
--- a/currantdyke/gateway/registration.py
+++ b/currantdyke/gateway/registration.py
@@ -15,7 +15,7 @@
 
 # An entry outlives an outage of a few seconds; other daemons notice a dead one by its
 # links long before.
-LEASE_SECONDS = 10.0
+LEASE_SECONDS = 20.0
 RENEWALS_IN_A_LEASE = 4
 RETRY_SECONDS = 0.5
 
--- a/currantdyke/gateway/tests/test_fleet.py
+++ b/currantdyke/gateway/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from currantdyke.conductor.groups import owner_order
+from currantdyke.directory import rank_daemons
 from currantdyke.emulator import (
     Caller,
     EngineEmulator,
@@ -208,7 +208,7 @@
         await until(lambda g=gateway: len(g.directory.daemons) == count)
     by_name = {gateway.settings.name: gateway for gateway in started}
     cores = {name: gateway.settings.cores for name, gateway in by_name.items()}
-    return [by_name[name] for name in owner_order("engine", cores)]
+    return [by_name[name] for name in rank_daemons("engine", cores)]
 
 
 class TestOwner(unittest.TestCase):
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -158,6 +158,7 @@
     built.revision = changes.revision
     built.whole = changes.whole
     built.settling = changes.settling
+    built.ageMilliseconds = _milliseconds(changes.age)
     items = built.init("items", len(changes.changes))
     for index, change in enumerate(changes.changes):
         items[index].key = change.key
@@ -228,6 +229,7 @@
         revision=read.revision,
         whole=read.whole,
         settling=read.settling,
+        age=read.ageMilliseconds / 1000,
         changes=tuple(
             Change(
                 key=item.key,
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -24,6 +24,7 @@
   whole @1 :Bool;
   settling @2 :Bool;
   items @3 :List(Item);
+  ageMilliseconds @4 :UInt32;
 }
 
 struct Item {
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -8,7 +8,7 @@
 import attrs
 
 from currantdyke.decisionlog import DecisionLog
-from currantdyke.directory import ChangeSet, Directory
+from currantdyke.directory import ChangeSet, Directory, relay_ips
 from currantdyke.links.codec import ChangesAsked, Content
 from currantdyke.links.link import Link, LinkLostError, open_link, serve_link
 from currantdyke.platform.records import DaemonEntry
@@ -106,6 +106,22 @@
         ips = {daemon.ip for daemon in self.others()}
         if not ips:
             ips = set(self.seed_ips) - {self.own.ip}
+        return await self._ask_changes(revision, ips)
+
+    async def ask_relay(self, revision: int) -> ChangeSet | None:
+        """Return the same from a daemon that reads the store for this one.
+
+        Returns
+        -------
+        ChangeSet or None
+            None if this daemon is to read the store itself, or no other one answers.
+        """
+        relays = relay_ips(self.own, self.directory.daemons.values())
+        if relays:
+            relays &= {daemon.ip for daemon in self.others()}
+        return await self._ask_changes(revision, relays)
+
+    async def _ask_changes(self, revision: int, ips: set[str]) -> ChangeSet | None:
         if not ips:
             return None
         ip = self.random_source.choice(sorted(ips))
