--- a/currantdyke/conductor/tests/builders.py
+++ b/currantdyke/conductor/tests/builders.py
@@ -7,7 +7,13 @@
 from currantdyke.platform.requests import PromptPart
 from currantdyke.testing.stage_fleet import RequestKind, StageFleet
 
-__all__ = ["ZONES", "entries_fleet", "entries_kinds"]
+__all__ = [
+    "LARGE_LOAD",
+    "ZONES",
+    "entries_fleet",
+    "entries_kinds",
+    "large_entries_fleet",
+]
 
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 
@@ -35,6 +41,33 @@
     ),
 }
 
+# The same deployment once grown to 110 VMs: more and larger endpoints, and so many
+# times the requests.
+LARGE_SERVICES = {
+    "score": StageLimits(
+        batch=8,
+        call_seconds=0.15,
+        piece_seconds=0.016,
+        result_room_bytes=43_000_000,
+        result_ttl=4.0,
+    ),
+    "roll": StageLimits(
+        batch=32,
+        call_seconds=0.15,
+        piece_seconds=0.0040375,
+        result_room_bytes=5_552_940,
+        result_ttl=4.0,
+    ),
+    "notice": StageLimits(
+        batch=56,
+        call_seconds=0.15,
+        piece_seconds=0.0023,
+        result_room_bytes=990_000,
+        result_ttl=4.0,
+    ),
+}
+LARGE_LOAD = 4.94
+
 SCORES = StageStep(service="score", result_bytes=3_000_000)
 CHAIN = (
     StageStep(service="score", result_bytes=8_000),
@@ -61,6 +94,11 @@
     return StageFleet(services=SERVICES, zones=ZONES, engines=9, seed=seed)
 
 
+def large_entries_fleet(seed: int = 1) -> StageFleet:
+    """Return a fleet of two endpoints a zone and stage, and 45 engines."""
+    return StageFleet(services=LARGE_SERVICES, zones=2 * ZONES, engines=45, seed=seed)
+
+
 def entries_kinds() -> list[RequestKind]:
     """Return large dossiers, urgent notes with a chain, and small replies."""
     return [
--- a/currantdyke/conductor/tests/test_bursts.py
+++ b/currantdyke/conductor/tests/test_bursts.py
@@ -9,7 +9,12 @@
 
 import anyio
 
-from currantdyke.conductor.tests.builders import entries_fleet, entries_kinds
+from currantdyke.conductor.tests.builders import (
+    LARGE_LOAD,
+    entries_fleet,
+    entries_kinds,
+    large_entries_fleet,
+)
 from currantdyke.testing.virtual import run_virtual
 
 SECONDS = 30.0
@@ -115,5 +120,28 @@
         self.assertGreater(figures.share("dossier"), 0.85)
 
 
+class TestLargeFleet(unittest.TestCase):
+    """One owner for the stages of 110 VMs."""
+
+    def play(self, load):
+        return run_virtual(
+            large_entries_fleet().run,
+            entries_kinds(),
+            seconds=10.0,
+            load=lambda kind, now: LARGE_LOAD * load(kind, now),
+        )
+
+    def test_calm_load_is_served_in_time(self):
+        figures = self.play(lambda kind, now: 1.0)
+        for name in ("dossier", "notes", "reply"):
+            self.assertGreater(figures.share(name), 0.97, name)
+
+    def test_burst_of_all_is_served_in_time_but_for_small_replies(self):
+        figures = self.play(lambda kind, now: 1.7 if 3 <= now < 6 else 1.0)
+        self.assertGreater(figures.share("notes"), 0.97)
+        self.assertGreater(figures.share("dossier"), 0.95)
+        self.assertGreater(figures.share("reply"), 0.6)
+
+
 if __name__ == "__main__":
     unittest.main()
