--- a/currantdyke/gateway/registration.py
+++ b/currantdyke/gateway/registration.py
@@ -29,6 +29,7 @@
     log: DecisionLog
     lease: int | None = None
     withdrawn: bool = False
+    failing: bool = False
 
     async def run(self) -> None:
         """Register and renew until cancelled or withdrawn."""
@@ -43,9 +44,10 @@
                 self.lease = None
                 continue
             except StoreUnavailableError as error:
-                self.log.write("registration_failed", failure=True, reason=str(error))
+                self._failed(str(error))
                 await anyio.sleep(RETRY_SECONDS)
                 continue
+            self._succeeded()
             await anyio.sleep(LEASE_SECONDS / RENEWALS_IN_A_LEASE)
 
     async def withdraw(self) -> None:
@@ -61,6 +63,16 @@
             # The lease ends by itself.
             self.log.write("withdrawal_failed", failure=True, reason=str(error))
 
+    def _failed(self, reason: str) -> None:
+        if not self.failing:
+            self.log.write("registration_failed", failure=True, reason=reason)
+        self.failing = True
+
+    def _succeeded(self) -> None:
+        if self.failing:
+            self.log.write("registration_regained", lease=self.lease)
+        self.failing = False
+
     async def _register(self) -> None:
         lease, _ = await self.store.grant_lease(LEASE_SECONDS)
         key, value = daemon_item(self.entry)
--- a/currantdyke/gateway/tests/test_registration.py
+++ b/currantdyke/gateway/tests/test_registration.py
@@ -87,6 +87,19 @@
         store = run_virtual(play, outage)
         self.assertEqual(len(store.leases), 1)
 
+    def test_outage_is_told_once_and_its_end_once(self):
+        lines = []
+
+        async def outage(store, registration):
+            registration.log.write = lambda event, **fields: lines.append(event)
+            store.down = True
+            await anyio.sleep(15)
+            store.down = False
+
+        run_virtual(play, outage)
+        told = [event for event in lines if event != "registered"]
+        self.assertEqual(told, ["registration_failed", "registration_regained"])
+
 
 if __name__ == "__main__":
     unittest.main()
