Wait for an owner that is starting, and trust a daemon that started anew

Two owners placed chains until 40 s and competed for the stages' memory: 230 pieces without room, chains of up to 5.9 s. Ruled out: a shorter suspicion (a frozen or cut-off owner would be asked again and again).

Change: in the first second of its life a daemon tries an owner that refuses connections again until that second is over; a suspicion holds for one incarnation of a daemon.

--- a/currantdyke/conductor/client.py
+++ b/currantdyke/conductor/client.py
@@ -21,6 +21,10 @@
 
 # Other daemons that are asked before this one schedules the request itself.
 MAX_OWNERS_ASKED = 2
+# Daemons that start together are up within this time of each other; until then an
+# owner that refuses connections is waited for, since a second owner would compete with
+# it for the stages' memory.
+START_SPREAD_SECONDS = 1.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -31,6 +35,8 @@
     ----------
     groups : dict of str to str
         The group of each service, by the configuration in force.
+    started_at : float
+        When this daemon started.
     placed_by : dict of str to str
         Which daemon placed a request, by attempt id; empty for this one.
     """
@@ -39,6 +45,7 @@
     local: Conductor
     log: DecisionLog
     is_leaving: Callable[[], bool]
+    started_at: float = float("-inf")
     groups: dict[str, str] = attrs.field(factory=dict)
     placed_by: dict[str, str] = attrs.field(factory=dict)
 
@@ -58,7 +65,9 @@
             self.placed_by[request.attempt_id] = ip
             started = anyio.current_time()
             try:
-                answer = await self.peers.ask(ip, request)
+                answer = await self.peers.ask(
+                    ip, request, patience=self._patience(started)
+                )
             except LinkLostError:
                 self.log.write(
                     "owner_lost",
@@ -76,6 +85,10 @@
         self.placed_by[request.attempt_id] = ""
         return await self.local.place(request)
 
+    def _patience(self, now: float) -> float:
+        """Return for how many seconds an owner is waited for that is not up."""
+        return max(0.0, self.started_at + START_SPREAD_SECONDS - now)
+
     def progress(self, attempt_id: str, kind: ProgressKind) -> None:
         """Report a request's progress to the daemon that placed it."""
         ip = self.placed_by.get(attempt_id)
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -192,6 +192,7 @@
             address=self.settings.caller_address,
             availability_zone=self.settings.availability_zone,
         )
+        self.client.started_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             for part in self._parts():
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -19,9 +19,27 @@
 # twice as long each further time: one that is cut off stays so for seconds.
 SUSPECT_SECONDS = 1.5
 MAX_SUSPECT_SECONDS = 12.0
+OPEN_AGAIN_SECONDS = 0.05
 ASK_CHANGES_SECONDS = 0.6
 
 
+@attrs.define(kw_only=True)
+class Suspicion:
+    """A daemon that did not answer, and for how long it is avoided.
+
+    Attributes
+    ----------
+    incarnation : str
+        The life of it that did not answer; a daemon that started anew is asked again.
+    failures : int
+        Times in a row that it did not answer.
+    """
+
+    incarnation: str
+    until: float
+    failures: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class Peers:
     """Opens links when they are first needed, and keeps them.
@@ -34,8 +52,8 @@
         VMs to ask while no other daemon is known.
     answer, notice : callable
         Take questions and notices of peers.
-    suspects : dict of str to float
-        Until when a daemon that did not answer is avoided, by IP.
+    suspects : dict of str to Suspicion
+        Daemons that did not answer, by IP.
     """
 
     own: DaemonEntry
@@ -49,8 +67,7 @@
     tasks: anyio.abc.TaskGroup | None = None
     links: dict[str, Link] = attrs.field(factory=dict)
     opening: dict[str, anyio.Lock] = attrs.field(factory=dict)
-    suspects: dict[str, float] = attrs.field(factory=dict)
-    failures: dict[str, int] = attrs.field(factory=dict)
+    suspects: dict[str, Suspicion] = attrs.field(factory=dict)
     random_source: random.Random = attrs.field(factory=random.Random)
 
     async def run(self) -> None:
@@ -73,20 +90,38 @@
         return [
             daemon
             for daemon in self.directory.daemons.values()
-            if daemon.ip != self.own.ip and self.suspects.get(daemon.ip, 0.0) <= now
+            if daemon.ip != self.own.ip and not self._is_suspected(daemon, now)
         ]
 
     async def ask(
-        self, ip: str, content: Content, *, timeout: float = float("inf")
+        self,
+        ip: str,
+        content: Content,
+        *,
+        timeout: float = float("inf"),
+        patience: float = 0.0,
     ) -> Content:
-        """Ask a daemon; raises `LinkLostError`, and suspects it, if it is gone."""
+        """Ask a daemon.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds that it may take to answer.
+        patience : float
+            Seconds for which a connection is tried again, if it is refused.
+
+        Raises
+        ------
+        LinkLostError
+            If the daemon is gone; it is suspected from then on.
+        """
         try:
-            link = await self._link_to(ip)
+            link = await self._link_within(ip, patience)
             answer = await link.ask(content, timeout=timeout)
         except LinkLostError:
             self._suspect(ip)
             raise
-        self.failures.pop(ip, None)
+        self.suspects.pop(ip, None)
         return answer
 
     def tell(self, ip: str, content: Content) -> None:
@@ -140,6 +175,16 @@
         else:
             link.tell(content)
 
+    async def _link_within(self, ip: str, patience: float) -> Link:
+        gives_up_at = anyio.current_time() + patience
+        while True:
+            try:
+                return await self._link_to(ip)
+            except LinkLostError:
+                if anyio.current_time() >= gives_up_at:
+                    raise
+            await anyio.sleep(OPEN_AGAIN_SECONDS)
+
     async def _link_to(self, ip: str) -> Link:
         async with self.opening.setdefault(ip, anyio.Lock()):
             link = self.links.get(ip)
@@ -160,11 +205,24 @@
             del self.links[ip]
         self.log.write("peer_link_lost", peer=ip)
 
+    def _is_suspected(self, daemon: DaemonEntry, now: float) -> bool:
+        found = self.suspects.get(daemon.ip)
+        if found is None or found.incarnation != daemon.incarnation:
+            return False
+        return found.until > now
+
     def _suspect(self, ip: str) -> None:
         now = anyio.current_time()
-        if self.suspects.get(ip, 0.0) > now:
-            return
-        failures = self.failures[ip] = self.failures.get(ip, 0) + 1
+        entries = self.directory.daemons.values()
+        incarnation = next((d.incarnation for d in entries if d.ip == ip), "")
+        failures = 1
+        known = self.suspects.get(ip)
+        if known is not None and known.incarnation == incarnation:
+            if known.until > now:
+                return
+            failures += known.failures
         seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2 ** (failures - 1))
-        self.suspects[ip] = now + seconds
+        self.suspects[ip] = Suspicion(
+            incarnation=incarnation, until=now + seconds, failures=failures
+        )
         self.log.write("peer_suspected", peer=ip, seconds=seconds, failures=failures)
