Add a fault soak of gateways as processes of their own

Callers keep open connections until the process is gone. Promises are judged while it runs: an answer is the attempt's own, a once-only request runs once, "not run" is true, a stop loses no answer, a leaving endpoint gets no new work, a configuration is in force in time and never goes back.

Not there: links between gateways have no proxy (their addresses are the VMs' own), clocks are not stepped.

--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,9 @@
 .PHONY: model-check
 model-check: setup
 	$(BIN)/python -m currantdyke.modelcheck
+
+SEED ?= 1
+MINUTES ?= 0.5
+.PHONY: soak
+soak: setup
+	$(BIN)/python -m currantdyke.soak --seed $(SEED) --minutes $(MINUTES)
--- a/currantdyke/emulator/__init__.py
+++ b/currantdyke/emulator/__init__.py
@@ -10,6 +10,7 @@
     StageEmulator,
 )
 from currantdyke.emulator.http import Reply, serve_http
+from currantdyke.emulator.nodes import node_settings
 from currantdyke.emulator.store import StoreEmulator
 
 __all__ = [
@@ -20,5 +21,6 @@
     "Reply",
     "StageEmulator",
     "StoreEmulator",
+    "node_settings",
     "serve_http",
 ]
--- /dev/null
+++ b/currantdyke/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: gateways as processes, under faults from outside them."""
--- /dev/null
+++ b/currantdyke/soak/__main__.py
@@ -0,0 +1,41 @@
+"""Run the soak: ``make soak SEED=1 MINUTES=1``."""
+
+import sys
+
+import anyio
+import click
+
+from currantdyke.soak.planted import PLANTED
+from currantdyke.soak.world import soak
+
+SECONDS_PER_MINUTE = 60.0
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", default=1, show_default=True, help="How many, one by one.")
+@click.option("--minutes", default=0.5, show_default=True, help="Of each seed.")
+@click.option(
+    "--planted",
+    type=click.Choice(sorted(PLANTED)),
+    default=None,
+    help="Plant a fault in the gateways.",
+)
+def main(seed: int, seeds: int, minutes: float, planted: str | None) -> None:
+    """Run gateways under faults and print what was seen; exit 1 if a promise broke."""
+    red = False
+    for number in range(seed, seed + seeds):
+        seconds = minutes * SECONDS_PER_MINUTE
+        report = anyio.run(run_one, number, seconds, planted or "")
+        print(report.text(), flush=True)
+        red = red or bool(report.broken)
+    sys.exit(1 if red else 0)
+
+
+async def run_one(seed: int, seconds: float, planted: str):
+    """Run one seed."""
+    return await soak(seed, seconds, planted=planted)
+
+
+if __name__ == "__main__":
+    main()
