Keep the platform's names out of the soak

Cause: the soak wrote headers and keys of the platform itself. Change: the emulator, which is the platform, offers them by what they mean; a stopped gateway's next life is judged only once it had time to follow the store.

--- a/currantdyke/emulator/__init__.py
+++ b/currantdyke/emulator/__init__.py
@@ -3,7 +3,7 @@
 It speaks the published protocol on real sockets of one machine, and misbehaves as told.
 """
 
-from currantdyke.emulator.callers import Caller, CallerAnswer
+from currantdyke.emulator.callers import Caller, CallerAnswer, caller_headers
 from currantdyke.emulator.endpoints import (
     EngineEmulator,
     PlainEmulator,
@@ -21,6 +21,7 @@
     "Reply",
     "StageEmulator",
     "StoreEmulator",
+    "caller_headers",
     "node_settings",
     "serve_http",
 ]
--- a/currantdyke/emulator/callers.py
+++ b/currantdyke/emulator/callers.py
@@ -9,7 +9,7 @@
 
 from currantdyke.http1 import ConnectionLostError, Http1Connection
 
-__all__ = ["Caller", "CallerAnswer"]
+__all__ = ["Caller", "CallerAnswer", "caller_headers"]
 
 WAIT_SECONDS = 10.0
 
@@ -30,6 +30,34 @@
     whole: bool
     seconds: float = 0.0
 
+    @property
+    def signed(self) -> bool:
+        """Whether the answer is an endpoint's own."""
+        return "x-server-signature" in self.headers
+
+    @property
+    def attempt_id(self) -> str:
+        """The attempt that the answer is for."""
+        return self.headers.get("x-attempt-id", "")
+
+    @property
+    def says_when_to_retry(self) -> bool:
+        """Whether the caller is told when to come back."""
+        return "retry-after" in self.headers
+
+
+def caller_headers(attempt_id: str, *, key: str, streams: bool) -> dict[str, str]:
+    """Return the headers of a request, of a stream with two pieces of a stage too."""
+    headers = {"authorization": f"Token {key}", "x-attempt-id": attempt_id}
+    if streams:
+        headers |= {
+            "x-token-usage": "100,50",
+            "x-prefix-hash": "ab:60,cd:40",
+            "x-chunk-count": "2",
+            "x-chunk-key": "k",
+        }
+    return headers
+
 
 class Caller:
     """Sends requests over one connection.
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -30,6 +30,11 @@
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def attempt_id(self) -> str:
+        """The attempt that the request is part of; empty if it names none."""
+        return self.headers.get("x-attempt-id", "")
+
 
 class Reply:
     """Ways to answer a request, or not to.
--- a/currantdyke/emulator/store.py
+++ b/currantdyke/emulator/store.py
@@ -70,6 +70,18 @@
         self._note(item)
         return self.revision
 
+    def configure(self, document: object) -> None:
+        """Write the configuration as the operators would."""
+        self.put("op/config", document)
+
+    def announce(self, instance: str, entry: dict) -> None:
+        """Write an endpoint's entry as it would itself."""
+        self.put(f"servers/{instance}", entry)
+
+    def withdraw(self, instance: str) -> None:
+        """Remove an endpoint's entry."""
+        self.remove(f"servers/{instance}")
+
     def remove(self, key: str) -> None:
         """Remove an item."""
         if self.items.pop(key, None) is not None:
--- a/currantdyke/soak/callers.py
+++ b/currantdyke/soak/callers.py
@@ -7,22 +7,16 @@
 import attrs
 import h11
 
-from currantdyke.emulator import Caller, CallerAnswer
+from currantdyke.emulator import Caller, CallerAnswer, caller_headers
 from currantdyke.http1 import ConnectionLostError
 from currantdyke.soak.gateways import GatewayProcess, Life
 
-__all__ = ["KEY", "Attempt", "call_on_and_on"]
+__all__ = ["Attempt", "call_on_and_on"]
 
-KEY = {"authorization": "Token k1"}
+KEY = "k1"
 THINK_SECONDS = 0.15
 AGAIN_SECONDS = 0.05
 MAX_BODY_BYTES = 3_000
-STREAM_HEADERS = {
-    "x-token-usage": "100,50",
-    "x-prefix-hash": "ab:60,cd:40",
-    "x-chunk-count": "2",
-    "x-chunk-key": "k",
-}
 NUMBERS = itertools.count(1)
 # What is raised where a connection ends or stands still before its answer.
 LOST = (OSError, ConnectionLostError, TimeoutError, h11.RemoteProtocolError)
@@ -92,9 +86,7 @@
         life=life,
         sent_at=anyio.current_time(),
     )
-    headers = KEY | {"x-attempt-id": attempt.attempt_id}
-    if kind == "stream":
-        headers |= STREAM_HEADERS
+    headers = caller_headers(attempt.attempt_id, key=KEY, streams=kind == "stream")
     world.attempts.append(attempt)
     try:
         await caller.send("POST", attempt.target, body=attempt.body, headers=headers)
--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -61,6 +61,8 @@
         gateway.send(signal.SIGTERM)
         code = await life.process.wait()
         seconds = anyio.current_time() - started
+        # The next life begins with what the store shows just then.
+        world.promises.disturb()
         world.promises.judge_exit(gateway, code, seconds)
         await gateway.wait_ready(READY_SECONDS)
         world.promises.disturb()
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -67,7 +67,7 @@
             self._judge_answer(attempt)
         elif answer.status in (429, 503):
             self.counts["said not to have run"] += 1
-            if "retry-after" not in answer.headers:
+            if not answer.says_when_to_retry:
                 self._broken(f"{attempt.attempt_id}: a refusal without Retry-After")
             self.judge_runs(attempt)
 
@@ -108,7 +108,7 @@
     def _judge_answer(self, attempt: Attempt) -> None:
         answer = attempt.answer
         assert answer is not None
-        if "x-server-signature" not in answer.headers:
+        if not answer.signed:
             self._broken(f"{attempt.attempt_id}: 200 without an endpoint's signature")
         expected = b"POST " + attempt.target.encode() + b" " + attempt.body
         if attempt.kind == "stream":
@@ -119,7 +119,7 @@
             self._broken(f"{attempt.attempt_id} got another answer than its own")
         elif not answer.whole and not expected.startswith(answer.body):
             self._broken(f"{attempt.attempt_id} got bytes that are not its own")
-        if answer.whole and answer.headers["x-attempt-id"] != attempt.attempt_id:
+        if answer.whole and answer.attempt_id != attempt.attempt_id:
             self._broken(f"{attempt.attempt_id} got another attempt's id")
 
     def _judge_loss(self, attempt: Attempt) -> None:
