Do not storm a store that is down

While the store is lost each daemon tried it twice a second, and its registration twice a second too. Ruled out: trying less in small fleets, where one daemon's view of the store may be the only one.

Change: daemons of a fleet of more than 24 try a lost store every 1.5 s; peers tell them in 0.4 s what others hear. A lease that is still held (20 s) is renewed again after 2 s, a registration tried again after 1 s.

Tests: test_lost_store_is_not_stormed, and a bound in the outage of test_registration; both failed before.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -31,6 +31,8 @@
 # The store counts as lost after this long without an answer, and peers are asked.
 STORE_LOST_SECONDS = 1.2
 PEER_PACE_SECONDS = 0.4
+# Daemons of a large fleet try a lost store this often; peers tell them what others hear.
+LOST_PACE_SECONDS = 1.5
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -131,6 +133,8 @@
         return ChangeSet(changes=tuple(changes), revision=revision)
 
     def _pace(self) -> float:
+        if self.lost_since is not None and len(self.directory.daemons) > MAX_READERS:
+            return LOST_PACE_SECONDS
         readers = min(MAX_READERS, len(self.directory.daemons))
         return max(MIN_PACE_SECONDS, readers / (self.reads_per_second * READ_SHARE))
 
--- a/currantdyke/gateway/registration.py
+++ b/currantdyke/gateway/registration.py
@@ -17,7 +17,9 @@
 # links long before.
 LEASE_SECONDS = 20.0
 RENEWALS_IN_A_LEASE = 4
-RETRY_SECONDS = 0.5
+RETRY_SECONDS = 1.0
+# A lease that is still held is not renewed in a hurry: all daemons try at once.
+HELD_RETRY_SECONDS = 2.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -45,7 +47,8 @@
                 continue
             except StoreUnavailableError as error:
                 self._failed(str(error))
-                await anyio.sleep(RETRY_SECONDS)
+                held = self.lease is not None
+                await anyio.sleep(HELD_RETRY_SECONDS if held else RETRY_SECONDS)
                 continue
             self._succeeded()
             await anyio.sleep(LEASE_SECONDS / RENEWALS_IN_A_LEASE)
--- a/currantdyke/gateway/tests/test_registration.py
+++ b/currantdyke/gateway/tests/test_registration.py
@@ -18,6 +18,7 @@
         self.written = []
         self.down = False
         self.granted = 0
+        self.refused = 0
 
     async def grant_lease(self, ttl):
         self._answer()
@@ -40,6 +41,7 @@
 
     def _answer(self):
         if self.down:
+            self.refused += 1
             raise StoreUnavailableError("down")
 
 
@@ -86,6 +88,9 @@
 
         store = run_virtual(play, outage)
         self.assertEqual(len(store.leases), 1)
+        # All daemons of a fleet try; each more than once in two seconds would be
+        # hundreds of calls a second at the size to design for.
+        self.assertLess(store.refused, 15 / 1.5)
 
     def test_outage_is_told_once_and_its_end_once(self):
         lines = []
--- a/currantdyke/gateway/tests/test_relays.py
+++ b/currantdyke/gateway/tests/test_relays.py
@@ -3,7 +3,7 @@
 
 import anyio
 
-from currantdyke.directory import ranking, relay_ips
+from currantdyke.directory import follow, ranking, relay_ips
 from currantdyke.emulator import PlainEmulator
 from currantdyke.testing.gateways import (
     configuration,
@@ -14,6 +14,7 @@
 )
 
 COUNT = 3
+LOST_SECONDS = 3.0
 # The users' bound on the time until a configuration is in force.
 IN_FORCE_SECONDS = 2.0
 
@@ -33,6 +34,7 @@
     return all(g.directory.routes.catalog.version == version for g in gateways)
 
 
+@mock.patch.object(follow, "MAX_READERS", 1)
 @mock.patch.object(ranking, "MAX_READERS", 1)
 @mock.patch.object(ranking, "RELAYS", 1)
 class TestRelays(unittest.TestCase):
@@ -64,6 +66,23 @@
             await until(lambda: in_force([relay], 2), seconds=IN_FORCE_SECONDS)
             self.assertTrue(all(g.follower.lost_since is None for g in others))
 
+    @over_sockets
+    async def test_lost_store_is_not_stormed(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            relay, others = await start(deployment)
+            deployment.store.trouble = "busy"
+            fleet = [relay, *others]
+            await until(lambda: all(g.follower.lost_since for g in fleet))
+            before = [g.store.calls for g in fleet]
+            await anyio.sleep(LOST_SECONDS)
+            spent = [g.store.calls - b for g, b in zip(fleet, before, strict=True)]
+            deployment.store.trouble = ""
+            await until(
+                lambda: all(g.follower.lost_since is None for g in fleet),
+                seconds=IN_FORCE_SECONDS,
+            )
+        self.assertLessEqual(max(spent), LOST_SECONDS)
+
     @over_sockets
     async def test_endpoint_that_leaves_while_the_relay_is_gone_gets_no_new_work(self):
         async with run_deployment(configuration(1, [plain_route()])) as deployment:
