Measure what the gateway holds, and write the capacity page anew

Cause: docs/CAPACITY.md and `make capacity` spoke of what has been taken away. Change: the states that are weighed are the gateway's (workspaces, endpoints, daemons, chains); the page says what was run and what was worked out.

--- a/currantdyke/benches/capacity/page.py
+++ b/currantdyke/benches/capacity/page.py
@@ -11,15 +11,15 @@
 BEGIN = "<!-- state begins -->"
 END = "<!-- state ends -->"
 MEBIBYTE = 1024 * 1024
-KEEP_SECONDS = 60.0
-TIMELINE_EVENTS = 20_000
+# Streams a second that one owner is known to carry, for the second that a chain takes.
+CHAINS_AT_AN_OWNER = 160
 
 # How many of each a daemon holds at the plan's size.
 AT_PLAN = {
     "workspace in force": PLAN.workspaces,
     "endpoint known": PLAN.runners,
-    "answered request kept": round(PLAN.requests_per_daemon * KEEP_SECONDS),
-    "event of the time line": TIMELINE_EVENTS,
+    "daemon known": PLAN.daemons,
+    "chain at an owner": CHAINS_AT_AN_OWNER,
 }
 
 
@@ -37,11 +37,7 @@
             f"| {slope.per_item:.0f} | {slope.spread:.1%} | {count:,} "
             f"| {mebibytes:.1f} | {slope.seconds_per_item * 1e6:.1f} |"
         )
-    control = sum(
-        slope.per_item * AT_PLAN[slope.name] / MEBIBYTE
-        for slope in slopes
-        if slope.name != "answered request kept"
-    )
+    control = sum(slope.per_item * AT_PLAN[slope.name] / MEBIBYTE for slope in slopes)
     lines.append("")
     lines.append(
         f"State for control at the plan: {control:.1f} MiB of the "
--- a/currantdyke/benches/capacity/state.py
+++ b/currantdyke/benches/capacity/state.py
@@ -3,30 +3,34 @@
 import concurrent.futures
 import gc
 import multiprocessing
+import os
 import time
 from collections.abc import Callable
 from typing import Any
 
+import anyio
 import attrs
+import msgspec
 import numpy as np
 import psutil
 
-from currantdyke.bundle import (
-    Bundle,
-    BundleInForce,
-    EndpointSpec,
-    Service,
-    Workspace,
-    hash_key,
+from currantdyke.catalog import StageStep
+from currantdyke.conductor.chain import Chain
+from currantdyke.conductor.messages import PlacementRequest
+from currantdyke.decisionlog import DecisionLog
+from currantdyke.directory import ChangeSet, Directory
+from currantdyke.emulator import PlainEmulator
+from currantdyke.platform.records import (
+    CONFIGURATION_KEY,
+    ENDPOINTS_PREFIX,
+    DaemonEntry,
+    daemon_item,
 )
-from currantdyke.endpoints import EndpointTable
-from currantdyke.events import Timeline
-from currantdyke.requests import Exchange, RequestTable
+from currantdyke.platform.store import Change
+from currantdyke.testing.gateways import configuration, plain_route
 
 __all__ = ["STATES", "Slope", "measure_slope"]
 
-TOKENS_PER_REQUEST = 200
-
 
 @attrs.frozen(kw_only=True)
 class Slope:
@@ -50,78 +54,91 @@
     spread: float
 
 
-def build_workspaces(count: int) -> Any:
-    """Put a bundle of ``count`` workspaces in force."""
-    workspaces = {
-        f"workspace-{i:05}": Workspace(key_hashes=(hash_key(str(i)),))
+def build_workspaces(count: int) -> Directory:
+    """Put a configuration of ``count`` workspaces in force."""
+    tenants = [
+        {"name": f"workspace-{i:05}", "api_keys": [f"key-{i}"], "priority": 1}
         for i in range(count)
-    }
-    bundle = Bundle(services={}, workspaces=workspaces)
-    in_force = BundleInForce()
-    in_force.accept(1, bundle)
-    return in_force
+    ]
+    document = configuration(1, [plain_route()], tenants=tenants)
+    return _directory([(CONFIGURATION_KEY, msgspec.json.encode(document))])
 
 
-def build_endpoints(count: int) -> Any:
+def build_endpoints(count: int) -> Directory:
     """Know ``count`` endpoints."""
-    specs = tuple(
-        EndpointSpec(
-            name=f"runner-{i:05}",
-            url=f"http://10.1.{i // 250}.{i % 250}:8000",
+    items = []
+    for number in range(count):
+        instance = f"i-{number:010x}"
+        endpoint = PlainEmulator(
+            instance=instance,
+            service=f"service-{number % 23}",
+            host=f"10.1.{number // 250}.{number % 250}",
+            port=8_000,
+        )
+        value = msgspec.json.encode(endpoint.entry())
+        items.append((ENDPOINTS_PREFIX + instance, value))
+    return _directory(items)
+
+
+def build_daemons(count: int) -> Directory:
+    """Know ``count`` daemons."""
+    entries = [
+        DaemonEntry(
+            name=f"edge-{i}",
+            ip=f"10.2.{i // 250}.{i % 250}",
             availability_zone=f"zone-{i % 16}",
+            incarnation=f"{i:012x}",
         )
         for i in range(count)
-    )
-    table = EndpointTable()
-    table.follow(Bundle(services={"llm": Service(kind="generate", endpoints=specs)}))
-    return table
+    ]
+    return _directory([daemon_item(entry) for entry in entries])
 
 
-def build_kept_requests(count: int) -> Any:
-    """Keep ``count`` answered requests of 200 tokens for rejoin."""
-    table = RequestTable(keep_seconds=60.0)
-    for number in range(count):
-        exchange = Exchange(
-            request_id=f"entry-1.ab.{number}.cd",
-            workspace="jos",
-            pipeline="notes",
-            input="flight 12",
-            started=0.0,
-            deadline=6.0,
+def build_chains(count: int) -> list[Chain]:
+    """Hold ``count`` requests whose stages run."""
+    steps = (
+        StageStep(service="score", result_bytes=8_000),
+        StageStep(service="roll", after=(0,), result_bytes=60_000),
+        StageStep(service="notice", after=(1,), result_bytes=6_000),
+    )
+    return [
+        Chain.of(
+            request=PlacementRequest(
+                attempt_id=f"{number:016x}",
+                service="engine",
+                steps=steps,
+                pieces=(1, 8, 16),
+                stage_key=f"{number:012x}",
+            ),
+            now=0.0,
         )
-        table.open(exchange)
-        for token in range(TOKENS_PER_REQUEST):
-            exchange.append("token", {"text": f"token {token} "})
-        exchange.settle(output={"text": "token " * TOKENS_PER_REQUEST}, now=1.0)
-    return table
+        for number in range(count)
+    ]
 
 
-def build_timeline(count: int) -> Any:
-    """Keep ``count`` events of the time line."""
-    timeline = Timeline(daemon="entry-1", capacity=count)
-    for number in range(count):
-        timeline.record(
-            "stages",
-            "done",
-            request_id=f"entry-1.ab.{number}.cd",
-            stage="encode",
-            attempt_id=f"entry-1.ab.a{number}",
-            endpoint="encoder-1",
-            seconds=0.1,
-        )
-    return timeline
+def _directory(items: list[tuple[str, bytes]]) -> Directory:
+    log = DecisionLog(daemon="bench", descriptor=os.open(os.devnull, os.O_WRONLY))
+    directory = Directory(log=log)
+    changes = tuple(
+        Change(key=key, value=value, revision=number)
+        for number, (key, value) in enumerate(items, start=1)
+    )
+    changed = ChangeSet(changes=changes, revision=len(items), whole=True)
+    directory.apply(changed, source="store")
+    log.waiting.clear()
+    return directory
 
 
 STATES: dict[str, tuple[Callable[[int], Any], tuple[int, ...]]] = {
     "workspace in force": (build_workspaces, (2_000, 6_000, 12_000, 17_000)),
     "endpoint known": (build_endpoints, (500, 1_500, 3_000, 4_200)),
-    "answered request kept": (build_kept_requests, (100, 300, 600, 1_000)),
-    "event of the time line": (build_timeline, (2_000, 8_000, 14_000, 20_000)),
+    "daemon known": (build_daemons, (50, 150, 300, 490)),
+    "chain at an owner": (build_chains, (50, 150, 300, 600)),
 }
 
 
-def weigh(name: str, count: int) -> tuple[float, float]:
-    """Return the bytes and processor seconds of a state; run in a fresh process."""
+async def _weigh(name: str, count: int) -> tuple[float, float]:
+    """Build a state and return its bytes and processor seconds."""
     build, _ = STATES[name]
     process = psutil.Process()
     build(10)
@@ -136,6 +153,11 @@
     return grown, seconds
 
 
+def weigh(name: str, count: int) -> tuple[float, float]:
+    """Return the bytes and processor seconds of a state; run in a fresh process."""
+    return anyio.run(_weigh, name, count)
+
+
 def measure_slope(name: str) -> Slope:
     """Weigh a state at its sizes and lay a line through the points."""
     _, sizes = STATES[name]
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -31,7 +31,7 @@
 # The store counts as lost after this long without an answer, and peers are asked.
 STORE_LOST_SECONDS = 1.2
 PEER_PACE_SECONDS = 0.4
-# Daemons of a large fleet try a lost store this often; peers tell them what others hear.
+# Daemons of a large fleet try a lost store this often; peers tell what others hear.
 LOST_PACE_SECONDS = 1.5
 
 
