Judge in the soak how a gateway ends that nobody killed

Cause: on reading, exit codes were kept and looked at by nobody, so that a gateway that ended by itself would have been started again unseen. Change: every end is judged: by itself, with another code than 0 after SIGTERM, after more than the grace time. The soak's tests pass.

--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -57,13 +57,11 @@
     async with gateway.busy:
         if not await gateway.wait_ready(READY_SECONDS):
             return
-        life, started = gateway.life, anyio.current_time()
+        life = gateway.life
         gateway.send(signal.SIGTERM)
-        code = await life.process.wait()
-        seconds = anyio.current_time() - started
+        await life.process.wait()
         # The next life begins with what the store shows just then.
         world.promises.disturb()
-        world.promises.judge_exit(gateway, code, seconds)
         await gateway.wait_ready(READY_SECONDS)
         world.promises.disturb()
 
--- a/currantdyke/soak/gateways.py
+++ b/currantdyke/soak/gateways.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 import sys
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -15,7 +16,7 @@
 from currantdyke.platform.names import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from currantdyke.platform.settings import SETTINGS_VARIABLE
 
-__all__ = ["GatewayProcess", "Life"]
+__all__ = ["ROTATION_SECONDS", "GatewayProcess", "Life", "gateway_command"]
 
 POLL_SECONDS = 0.05
 PAGE_SECONDS = 0.5
@@ -52,8 +53,8 @@
     ----------
     command : list of str
         What runs it.
-    exits : list of (Life, int)
-        Lives that have ended, and their exit codes.
+    ended : callable
+        Called with this gateway, a life of it that has ended, and its exit code.
     busy : Lock
         Held by whoever pauses, kills or stops it.
     """
@@ -64,8 +65,8 @@
     store_port: int
     seed_ips: list[str]
     command: list[str]
+    ended: Callable[["GatewayProcess", Life, int], None]
     lives: list[Life] = attrs.field(factory=list)
-    exits: list[tuple[Life, int]] = attrs.field(factory=list)
     busy: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     @property
@@ -111,7 +112,7 @@
                     process.kill()
                     with anyio.CancelScope(shield=True):
                         await process.wait()
-            self.exits.append((self.life, code))
+            self.ended(self, self.life, code)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it still runs."""
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -6,7 +6,7 @@
 import attrs
 
 from currantdyke.soak.callers import Attempt
-from currantdyke.soak.gateways import GatewayProcess
+from currantdyke.soak.gateways import ROTATION_SECONDS, GatewayProcess, Life
 
 __all__ = ["Promises"]
 
@@ -14,6 +14,8 @@
 # work, this long after the store has it, in seconds.
 IN_FORCE_SECONDS = 2.0
 LEAVING_SECONDS = 2.0
+# The platform kills a process this long after SIGTERM, as its settings say.
+GRACE_SECONDS = 8.0
 STREAM_EVENTS = 5
 
 
@@ -80,12 +82,18 @@
         if told and runs:
             self._broken(f"{attempt.attempt_id} was said not to have run, and ran")
 
-    def judge_exit(self, gateway: GatewayProcess, code: int, seconds: float) -> None:
-        """Judge how a gateway ended that was told to stop."""
+    def judge_end(self, gateway: GatewayProcess, life: Life, code: int) -> None:
+        """Judge how a gateway ended, unless it was killed."""
+        if life.disturbed:
+            return
+        if life.told_to_stop is None:
+            self._broken(f"{gateway.name} ended by itself with {code}")
+            return
         self.counts["stops"] += 1
+        seconds = anyio.current_time() - life.told_to_stop
         if code != 0:
             self._broken(f"{gateway.name} ended with {code} after SIGTERM")
-        if seconds > 8.0:
+        if seconds > GRACE_SECONDS:
             self._broken(f"{gateway.name} took {seconds:.1f} s to stop")
 
     async def judge_version(self, gateway: GatewayProcess, newest: int) -> None:
@@ -127,7 +135,7 @@
         life = attempt.life
         if life.told_to_stop is None or life.disturbed:
             return
-        if attempt.sent_at < life.told_to_stop + 2.0:
+        if attempt.sent_at < life.told_to_stop + ROTATION_SECONDS:
             self._broken(
                 f"{attempt.attempt_id} at {attempt.gateway.name}, which was told to "
                 f"stop, got no answer ({attempt.lost})"
--- a/currantdyke/soak/tests/test_soak.py
+++ b/currantdyke/soak/tests/test_soak.py
@@ -100,6 +100,23 @@
         found = judged(build_attempt(life=stopped))
         self.assertIn("told to stop, got no answer", " ".join(found))
 
+    def test_process_that_ends_by_itself_or_badly_is_found(self):
+        async def scenario(life, code):
+            promises = Promises()
+            promises.judge_end(FakeGateway(), life, code)
+            return promises.broken
+
+        stopped = FakeLife(told_to_stop=0.0)
+        for life, code, words in (
+            (FakeLife(), 1, "ended by itself"),
+            (stopped, 1, "after SIGTERM"),
+            (FakeLife(told_to_stop=-9.0), 0, "9.0 s to stop"),
+        ):
+            with self.subTest(words):
+                self.assertIn(words, run_virtual(scenario, life, code)[0])
+        self.assertEqual(run_virtual(scenario, stopped, 0), [])
+        self.assertEqual(run_virtual(scenario, FakeLife(disturbed=True), -9), [])
+
     def test_configuration_that_goes_back_or_is_late_is_found(self):
         async def scenario():
             promises, gateway = Promises(), FakeGateway(shown=4)
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -111,6 +111,7 @@
                 store_port=self.store_proxy.port,
                 seed_ips=ips,
                 command=command,
+                ended=self.promises.judge_end,
             )
             self.gateways.append(gateway)
             await self.tasks.start(gateway.run)
