Play the fault matrix of one daemon anew

Its first play had 8 red pairs, "a caller was left without an answer", all with the daemon killed twice: the caller of the matrix gave up after 20 tries of 0.3 s, and two outages last 8 s. Ruled out by the same play with 40 tries: a daemon that is back and does not answer.

--- a/currantdyke/benches/capacity/plan.py
+++ b/currantdyke/benches/capacity/plan.py
@@ -14,11 +14,6 @@
     workspaces: int = 17_000
     requests_per_second: float = 33_000.0
 
-    @property
-    def requests_per_daemon(self) -> float:
-        """Return requests a second at one daemon at the peak."""
-        return self.requests_per_second / self.daemons
-
 
 @attrs.frozen(kw_only=True)
 class Budget:
--- a/currantdyke/matrix/callers.py
+++ b/currantdyke/matrix/callers.py
@@ -15,8 +15,8 @@
 DAEMON = "entry-1"
 REJOIN_AFTER_SECONDS = 0.3
 PATIENCE_SECONDS = 20.0
-# A daemon that was killed is back after 4 s.
-TRIES = 20
+# A daemon that was killed is back after 4 s, and may be killed twice.
+TRIES = 40
 MID_STREAM_TOKENS = 6
 
 
