--- a/currantdyke/emulator/callers.py
+++ b/currantdyke/emulator/callers.py
@@ -146,7 +146,10 @@
             await self.leave()
         return CallerAnswer(
             status=head.status_code,
-            headers={key.decode(): value.decode() for key, value in head.headers},
+            headers={
+                key.decode("latin-1"): value.decode("latin-1")
+                for key, value in head.headers
+            },
             body=body,
             whole=whole,
         )
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -52,7 +52,7 @@
         self, status: int, headers: dict[str, str] | None = None, body: bytes = b""
     ) -> None:
         """Send an answer with its length."""
-        lines = [*(headers or {}).items(), ("content-length", str(len(body)))]
+        lines = _encoded(headers or {}) + [(b"content-length", b"%d" % len(body))]
         await self.connection.send(
             h11.Response(status_code=status, headers=lines),
             h11.Data(data=body),
@@ -61,7 +61,7 @@
 
     async def begin(self, status: int, headers: dict[str, str]) -> None:
         """Send a head; the body follows in chunks."""
-        lines = [*headers.items(), ("transfer-encoding", "chunked")]
+        lines = _encoded(headers) + [(b"transfer-encoding", b"chunked")]
         await self.connection.send(h11.Response(status_code=status, headers=lines))
 
     async def part(self, data: bytes) -> None:
@@ -89,6 +89,13 @@
         await self.close()
 
 
+def _encoded(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+    ]
+
+
 Handler = Callable[[Request, Reply], Awaitable[None]]
 
 
@@ -123,9 +130,12 @@
         return False
     body = await read_body(connection, MAX_BODY_BYTES)
     request = Request(
-        method=head.method.decode(),
-        target=head.target.decode(),
-        headers={key.decode(): value.decode() for key, value in head.headers},
+        method=head.method.decode("latin-1"),
+        target=head.target.decode("latin-1"),
+        headers={
+            key.decode("latin-1"): value.decode("latin-1")
+            for key, value in head.headers
+        },
         body=body,
     )
     closed = False
