--- a/currantdyke/cli/ready.py
+++ b/currantdyke/cli/ready.py
@@ -11,6 +11,7 @@
 
 __all__ = ["ready_command"]
 
+# A daemon that answers no page for so long serves nobody either.
 CALL_TIMEOUT_SECONDS = 3.0
 EXIT_NOT_READY = 1
 EXIT_INCOMPLETE = 3
--- a/currantdyke/decisionlog/faults.py
+++ b/currantdyke/decisionlog/faults.py
@@ -6,6 +6,7 @@
 
 __all__ = ["note_fault"]
 
+# Bounds a line whose error quotes what it could not take.
 MAX_REASON_CHARACTERS = 500
 
 
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -19,6 +19,7 @@
 # twice as long each further time: one that is cut off stays so for seconds.
 SUSPECT_SECONDS = 1.5
 MAX_SUSPECT_SECONDS = 12.0
+# A small part of the time in which a process starts, some 0.8 s.
 OPEN_AGAIN_SECONDS = 0.05
 ASK_CHANGES_SECONDS = 0.6
 
--- a/currantdyke/soak/callers.py
+++ b/currantdyke/soak/callers.py
@@ -14,6 +14,7 @@
 __all__ = ["Attempt", "call_on_and_on"]
 
 KEY = "k1"
+# Short enough that each connection of a stopping gateway gets an answer that ends it.
 THINK_SECONDS = 0.15
 AGAIN_SECONDS = 0.05
 MAX_BODY_BYTES = 3_000
--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -11,9 +11,11 @@
 
 __all__ = ["FAULTS", "one_after_the_other"]
 
+# Longer than it takes to find a silent peer or store, and shorter than deadlines.
 LONGEST_SECONDS = 2.0
 LONGEST_CALM_SECONDS = 1.5
 READY_SECONDS = 20.0
+# A second beyond the bound for work at a leaving endpoint, so that late work shows.
 LEAVE_SECONDS = 3.0
 STORE_TROUBLES = ("busy", "reset", "silent")
 MODES = tuple(mode for mode in Mode if mode is not Mode.PASS)
--- a/currantdyke/soak/proxy.py
+++ b/currantdyke/soak/proxy.py
@@ -13,6 +13,7 @@
 __all__ = ["Mode", "Proxy"]
 
 READ_BYTES = 65_536
+# Half of the plain route's target: late answers, but answers.
 DELAY_SECONDS = 0.15
 
 
