Let one piece of code do what stood twice

The emulator and the soak's proxy each set a socket to reset on close: `reset_on_close`. Idempotency keys and fingerprints each hashed parts with their lengths: `core.digest_of`; the digests are the same. The tests' gateways and the soak each worked out loopback addresses: `loopback_ip`. A wrapper around `soak` is gone.

No behaviour changes, and the gateway's own code is not touched.

--- a/currantdyke/core/__init__.py
+++ b/currantdyke/core/__init__.py
@@ -1,5 +1,6 @@
 """The words that every slice shares: outcomes, failures and identities."""
 
+from currantdyke.core.digest import digest_of
 from currantdyke.core.failure import Failure, FailureKind, Outcome
 from currantdyke.core.identity import (
     DaemonIdentity,
@@ -15,6 +16,7 @@
     "FailureKind",
     "Outcome",
     "RequestNumber",
+    "digest_of",
     "is_deeper_than",
     "new_incarnation",
     "parse_request_id",
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -11,7 +11,7 @@
 
 from currantdyke.http1 import ConnectionLostError, Http1Connection, read_body
 
-__all__ = ["Handler", "Reply", "Request", "serve_http"]
+__all__ = ["Handler", "Reply", "Request", "reset_on_close", "serve_http"]
 
 MAX_BODY_BYTES = 16_000_000
 
@@ -83,10 +83,16 @@
 
     async def reset(self) -> None:
         """Reset the connection."""
-        raw = self.connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        reset_on_close(self.connection.stream)
+        await self.close()
+
+
+def reset_on_close(stream: anyio.abc.ByteStream) -> None:
+    """Let the connection be reset when it is closed."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    if raw.fileno() >= 0:
         linger = struct.pack("ii", 1, 0)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        await self.close()
 
 
 def _encoded(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
--- a/currantdyke/quarantine/fingerprint.py
+++ b/currantdyke/quarantine/fingerprint.py
@@ -1,9 +1,8 @@
 """What two copies of a request have in common."""
 
-import hashlib
-
 import msgspec
 
+from currantdyke.core import digest_of
 from currantdyke.requests import Exchange
 
 __all__ = ["fingerprint_of"]
@@ -24,8 +23,5 @@
 
 def _digest(exchange: Exchange) -> str:
     content = msgspec.json.encode(exchange.input, order="sorted")
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (exchange.workspace.encode(), exchange.pipeline.encode(), content):
-        digest.update(len(part).to_bytes(8))
-        digest.update(part)
-    return digest.hexdigest()
+    workspace, pipeline = exchange.workspace.encode(), exchange.pipeline.encode()
+    return digest_of(workspace, pipeline, content, size=FINGERPRINT_BYTES).hex()
--- a/currantdyke/requests/keys.py
+++ b/currantdyke/requests/keys.py
@@ -1,15 +1,13 @@
 """Idempotency keys: a request runs at most once for its key while its daemon lives."""
 
 import collections
-import hashlib
 from collections.abc import Callable
-from typing import Any
 
 import anyio
 import attrs
 import msgspec
 
-from currantdyke.core import Failure, FailureKind, Outcome
+from currantdyke.core import Failure, FailureKind, Outcome, digest_of
 from currantdyke.requests.exchange import Exchange
 
 __all__ = ["KeyTable"]
@@ -183,20 +181,13 @@
 
 
 def _key_digest(exchange: Exchange) -> bytes:
-    return _digest(exchange.workspace.encode(), exchange.idempotency_key.encode())
+    workspace, key = exchange.workspace, exchange.idempotency_key
+    return digest_of(workspace.encode(), key.encode(), size=DIGEST_BYTES)
 
 
 def _body_digest(exchange: Exchange) -> bytes:
-    content: Any = msgspec.json.encode(exchange.input, order="sorted")
-    return _digest(exchange.pipeline.encode(), content)
-
-
-def _digest(*parts: bytes) -> bytes:
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in parts:
-        digest.update(len(part).to_bytes(8))
-        digest.update(part)
-    return digest.digest()
+    content = msgspec.json.encode(exchange.input, order="sorted")
+    return digest_of(exchange.pipeline.encode(), content, size=DIGEST_BYTES)
 
 
 def _full(count: int) -> Failure:
--- a/currantdyke/soak/__main__.py
+++ b/currantdyke/soak/__main__.py
@@ -1,5 +1,6 @@
 """Run the soak: ``make soak SEED=1 MINUTES=1``."""
 
+import functools
 import sys
 
 import anyio
@@ -26,16 +27,12 @@
     red = False
     for number in range(seed, seed + seeds):
         seconds = minutes * SECONDS_PER_MINUTE
-        report = anyio.run(run_one, number, seconds, planted or "")
+        run = functools.partial(soak, number, seconds, planted=planted or "")
+        report = anyio.run(run)
         print(report.text(), flush=True)
         red = red or bool(report.broken)
     sys.exit(1 if red else 0)
 
 
-async def run_one(seed: int, seconds: float, planted: str):
-    """Run one seed."""
-    return await soak(seed, seconds, planted=planted)
-
-
 if __name__ == "__main__":
     main()
--- a/currantdyke/soak/proxy.py
+++ b/currantdyke/soak/proxy.py
@@ -1,13 +1,12 @@
 """A loopback proxy that delays, resets, cuts one way or silences connections."""
 
 import enum
-import socket
-import struct
 
 import anyio
 import anyio.abc
 import attrs
 
+from currantdyke.emulator.http import reset_on_close
 from currantdyke.http1 import BROKEN
 
 __all__ = ["Mode", "Proxy"]
@@ -112,8 +111,5 @@
 
 
 async def _reset(stream: anyio.abc.SocketStream) -> None:
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    if raw.fileno() >= 0:
-        linger = struct.pack("ii", 1, 0)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    reset_on_close(stream)
     await anyio.aclose_forcefully(stream)
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -2,7 +2,6 @@
 
 import functools
 import itertools
-import os
 import pathlib
 import random
 import tempfile
@@ -23,11 +22,17 @@
 from currantdyke.soak.gateways import GatewayProcess, gateway_command
 from currantdyke.soak.promises import IN_FORCE_SECONDS, Promises
 from currantdyke.soak.proxy import Proxy
-from currantdyke.testing.gateways import configuration, plain_route, stream_route
+from currantdyke.testing.gateways import (
+    configuration,
+    loopback_ip,
+    plain_route,
+    stream_route,
+)
 
 __all__ = ["Report", "soak"]
 
 GATEWAYS = 3
+FIRST_ADDRESS = 200
 CALLERS = 12
 SERIES = 5
 ENDPOINTS = ((PlainEmulator, "plain", 3), (EngineEmulator, "engine", 3))
@@ -98,11 +103,7 @@
         for kind, service, count in (*ENDPOINTS, STAGES):
             for _ in range(count):
                 await self.start_endpoint(kind, service)
-        process = os.getpid()
-        ips = [
-            f"127.{1 + process // 250 % 250}.{process % 250}.{200 + number}"
-            for number in range(GATEWAYS)
-        ]
+        ips = [loopback_ip(FIRST_ADDRESS + number) for number in range(GATEWAYS)]
         for ip in ips:
             gateway = GatewayProcess(
                 name=f"gateway-{len(self.gateways) + 1}",
--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -27,6 +27,7 @@
 __all__ = [
     "Deployment",
     "configuration",
+    "loopback_ip",
     "over_sockets",
     "plain_route",
     "run_deployment",
@@ -105,11 +106,16 @@
     } | changes
 
 
+def loopback_ip(number: int) -> str:
+    """Return a loopback address that no other test process uses."""
+    process = os.getpid()
+    return f"127.{1 + process // 250 % 250}.{process % 250}.{number}"
+
+
 def gateway_settings(store: StoreEmulator, seeds: tuple[str, ...]) -> GatewaySettings:
     """Return the settings of one gateway on a loopback address of its own."""
     number = next(ADDRESSES)
-    process = os.getpid()
-    ip = f"127.{1 + process // 250 % 250}.{process % 250}.{number}"
+    ip = loopback_ip(number)
     return GatewaySettings(
         name=f"gateway-{number}",
         ip=ip,
