--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -1,5 +1,6 @@
 """The configuration, endpoints and daemons that are known to this daemon."""
 
+import time
 from collections.abc import Callable
 
 import anyio
@@ -78,34 +79,37 @@
         if change.value is None:
             self._apply_removal(kind.endpoint, kind.daemon, source)
             return
+        started = time.monotonic()
         decoded = decode_record(change.key, change.value)
         if decoded.is_error():
             self._log_unreadable(change, decoded.error, source)
             return
         record = decoded.ok
         if isinstance(record, Catalog):
-            self._configured(record, source)
+            self._configured(record, source, started)
         elif isinstance(record, Endpoint):
             self._apply_endpoint(record, source)
         else:
             self.daemons[record.name] = record
             self.departed.pop(record.name, None)
 
-    def _configured(self, catalog: Catalog, source: str) -> None:
+    def _configured(self, catalog: Catalog, source: str, started: float) -> None:
+        """Put a newer configuration in force; its decoding started at ``started``."""
         before = -1 if self.routes is None else self.routes.catalog.version
         if catalog.version <= before:
             return
         self.routes = RouteTable.of(catalog=catalog)
         self.configuration_applied_at = anyio.current_time()
+        for callback in self.on_configuration:
+            callback(catalog)
         self.log.write(
             "configuration_in_force",
             version=catalog.version,
             before=before,
             routes=len(catalog.routes),
             source=source,
+            seconds=round(time.monotonic() - started, 3),
         )
-        for callback in self.on_configuration:
-            callback(catalog)
 
     def _apply_endpoint(self, endpoint: Endpoint, source: str) -> None:
         previous = self.endpoints.known.get(endpoint.instance)
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -179,5 +179,8 @@
                 new = self.directory.apply(changes, source="peer")
                 if new:
                     self.log.write(
-                        "followed_peer", changes=new, revision=changes.revision
+                        "followed_peer",
+                        changes=new,
+                        revision=changes.revision,
+                        age=round(changes.age, 3),
                     )
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -47,11 +47,11 @@
 def _accept_older_configuration() -> None:
     configured: Any = Directory._configured
 
-    def accept_any_version(self: Directory, catalog, source: str) -> None:
+    def accept_any_version(self: Directory, *record: Any) -> None:
         self.routes = None
-        configured(self, catalog, source)
+        configured(self, *record)
 
-    Directory._configured = accept_any_version  # type: ignore[method-assign]
+    Directory._configured = accept_any_version  # type: ignore[method-assign, assignment]
 
 
 def _use_leaving_endpoints() -> None:
