Log why a peer's changes were not received

Cause: when a daemon asked a peer for changes and got none, only `peer_suspected` was written. Change: `changes_not_received` with the peer, the reason (no connection, link lost, time limit), the seconds and the bytes received of the unfinished frame; one line until the reason changes or the peer answers. `LinkLostError` carries the reason and the bytes. No decision changes. The builders of the tests of links have a module of their own. Tests: test_changes.py; without the change its three tests fail, as there is no line.

--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -1,5 +1,6 @@
 """A connection between two daemons, with requests, responses and notifications."""
 
+import enum
 import itertools
 import math
 from collections.abc import Awaitable, Callable
@@ -20,7 +21,7 @@
     encode_frame,
 )
 
-__all__ = ["Link", "LinkLostError", "open_link", "serve_link"]
+__all__ = ["Link", "LinkLostError", "LossReason", "open_link", "serve_link"]
 
 READ_BYTES = 65_536
 LENGTH_PREFIX_BYTES = 4
@@ -36,8 +37,32 @@
 PING_INTERVAL_SECONDS = 0.15
 
 
+class LossReason(enum.Enum):
+    """Why a response was not received."""
+
+    NO_CONNECTION = "no connection"
+    LINK_LOST = "link lost"
+    TIME_LIMIT = "time limit"
+
+
 class LinkLostError(Exception):
-    """The peer is gone, frozen or unreachable, or did not respond in time."""
+    """The peer is gone, frozen or unreachable, or did not respond in time.
+
+    Attributes
+    ----------
+    peer : str
+        Name of the peer.
+    reason : LossReason
+        Why there is no response.
+    received_bytes : int
+        Bytes received of the frame that was unfinished then.
+    """
+
+    def __init__(self, peer: str, *, reason: LossReason, received_bytes: int = 0):
+        super().__init__(f"{peer}: {reason.value}")
+        self.peer = peer
+        self.reason = reason
+        self.received_bytes = received_bytes
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -55,6 +80,8 @@
     silent_since : float
         Time from which a silence of the peer counts: when it last sent data, or when
         a request was sent while no other one was pending.
+    incoming : bytearray
+        The part of an unfinished frame that has been received.
     """
 
     peer: str
@@ -66,6 +93,7 @@
     outgoing: list[bytes] = attrs.field(factory=list)
     frames_queued: anyio.Event = attrs.field(factory=anyio.Event)
     silent_since: float = 0.0
+    incoming: bytearray = attrs.field(factory=bytearray)
     closed: bool = False
 
     async def request(self, content: Content, *, timeout: float = math.inf) -> Content:
@@ -77,7 +105,7 @@
             If the link breaks first, or the time limit passes.
         """
         if self.closed:
-            raise LinkLostError(self.peer)
+            raise self._lost(LossReason.LINK_LOST)
         number = next(self.request_numbers)
         request = PendingRequest()
         if not self.pending:
@@ -90,7 +118,9 @@
         finally:
             self.pending.pop(number, None)
         if request.content is None:
-            raise LinkLostError(self.peer)
+            raise self._lost(
+                LossReason.LINK_LOST if self.closed else LossReason.TIME_LIMIT
+            )
         return request.content
 
     def notify(self, content: Content) -> None:
@@ -114,6 +144,11 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self.stream)
 
+    def _lost(self, reason: LossReason) -> LinkLostError:
+        return LinkLostError(
+            self.peer, reason=reason, received_bytes=len(self.incoming)
+        )
+
     def _enqueue(self, frame: Frame) -> None:
         if len(self.outgoing) >= MAX_QUEUED_FRAMES:
             self.closed = True
@@ -144,7 +179,7 @@
             self._enqueue(Frame(number=0, content=Ping()))
 
     async def _receive_frames(self, tasks: anyio.abc.TaskGroup) -> None:
-        buffer = bytearray()
+        buffer = self.incoming
         while True:
             try:
                 buffer += await self.stream.receive(READ_BYTES)
@@ -217,7 +252,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
             stream = await anyio.connect_tcp(host, port)
     except (OSError, TimeoutError) as error:
-        raise LinkLostError(peer) from error
+        raise LinkLostError(peer, reason=LossReason.NO_CONNECTION) from error
     set_socket_options(stream)
     return Link(
         peer=peer,
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -10,7 +10,13 @@
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet, Directory, relay_ips
 from currantdyke.links.codec import ChangesRequest, Content
-from currantdyke.links.link import Link, LinkLostError, open_link, serve_link
+from currantdyke.links.link import (
+    Link,
+    LinkLostError,
+    LossReason,
+    open_link,
+    serve_link,
+)
 from currantdyke.platform.records import DaemonEntry
 
 __all__ = ["Peers"]
@@ -56,6 +62,8 @@
         Handlers of requests and notifications from peers.
     suspects : dict of str to Suspicion
         Daemons that did not respond, by IP.
+    changes_losses : dict of str to LossReason
+        Why the last request for changes to a daemon failed, by IP, if it did.
     """
 
     own: DaemonEntry
@@ -70,6 +78,7 @@
     links: dict[str, Link] = attrs.field(factory=dict)
     connect_locks: dict[str, anyio.Lock] = attrs.field(factory=dict)
     suspects: dict[str, Suspicion] = attrs.field(factory=dict)
+    changes_losses: dict[str, LossReason] = attrs.field(factory=dict)
     random_source: random.Random = attrs.field(factory=random.Random)
 
     async def run(self) -> None:
@@ -168,12 +177,29 @@
             return None
         ip = self.random_source.choice(sorted(ips))
         request = ChangesRequest(revision=revision)
+        started = anyio.current_time()
         try:
             content = await self.request(ip, request, timeout=CHANGES_TIMEOUT_SECONDS)
-        except LinkLostError:
+        except LinkLostError as error:
+            self._log_changes_loss(ip, error, anyio.current_time() - started)
             return None
+        self.changes_losses.pop(ip, None)
         return content if isinstance(content, ChangeSet) else None
 
+    def _log_changes_loss(self, ip: str, error: LinkLostError, seconds: float) -> None:
+        """Log why the changes were not received, unless the last time was the same."""
+        if self.changes_losses.get(ip) == error.reason:
+            return
+        self.changes_losses[ip] = error.reason
+        self.log.write(
+            "changes_not_received",
+            failure=True,
+            peer=ip,
+            reason=error.reason.value,
+            seconds=round(seconds, 3),
+            received_bytes=error.received_bytes,
+        )
+
     async def _connect_and_notify(self, ip: str, content: Content) -> None:
         try:
             link = await self._connect(ip)
@@ -204,7 +230,7 @@
                 )
                 self.links[ip] = link
                 if self.tasks is None:
-                    raise LinkLostError(ip)
+                    raise LinkLostError(ip, reason=LossReason.NO_CONNECTION)
                 self.tasks.start_soon(self._run_link, ip, link)
             return link
 
--- /dev/null
+++ b/currantdyke/links/tests/test_changes.py
@@ -0,0 +1,77 @@
+import unittest
+
+import anyio
+
+from currantdyke.links.tests.builders import PORT, build_entry, build_peers
+from currantdyke.testing.gateways import record_lines, run_on_sockets
+
+
+async def never_respond(link, content):
+    await anyio.sleep_forever()
+
+
+def losses(lines):
+    """Return the lines on changes that were not received."""
+    return [line for line in lines if line["event"] == "changes_not_received"]
+
+
+class TestLogOfMissingChanges(unittest.TestCase):
+    # Guards against a slow transfer, a busy peer and a dead one that look the same in
+    # the log.
+
+    @run_on_sockets
+    async def test_daemon_that_refuses_connections_is_logged_once(self):
+        asking = build_peers(11, known=[build_entry(12)])
+        lines = record_lines(asking.log)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(asking.run)
+            for _ in range(3):
+                asking.suspects.clear()
+                self.assertIsNone(await asking.ask_changes(1))
+            tasks.cancel_scope.cancel()
+        (line,) = losses(lines)
+        self.assertEqual(line["peer"], build_entry(12).ip)
+        self.assertEqual(line["reason"], "no connection")
+        self.assertEqual(line["received_bytes"], 0)
+
+    @run_on_sockets
+    async def test_busy_daemon_is_logged_as_over_the_time_limit(self):
+        asking = build_peers(13, known=[build_entry(14)])
+        lines = record_lines(asking.log)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(build_peers(14, handle_request=never_respond).run)
+            tasks.start_soon(asking.run)
+            await anyio.wait_all_tasks_blocked()
+            self.assertIsNone(await asking.ask_changes(1))
+            tasks.cancel_scope.cancel()
+        (line,) = losses(lines)
+        self.assertEqual(line["reason"], "time limit")
+        self.assertGreaterEqual(line["seconds"], 0.5)
+
+    @run_on_sockets
+    async def test_received_part_of_a_lost_response_is_logged(self):
+        async def send_part(stream):
+            await stream.receive()
+            await stream.send((100_000).to_bytes(4, "big") + bytes(5_000))
+            await anyio.sleep(0.1)
+            await stream.aclose()
+
+        silent = build_entry(16)
+        asking = build_peers(15, known=[silent])
+        lines = record_lines(asking.log)
+        listener = await anyio.create_tcp_listener(
+            local_host=silent.ip, local_port=PORT
+        )
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, send_part)
+            tasks.start_soon(asking.run)
+            await anyio.wait_all_tasks_blocked()
+            self.assertIsNone(await asking.ask_changes(1))
+            tasks.cancel_scope.cancel()
+        (line,) = losses(lines)
+        self.assertEqual(line["reason"], "link lost")
+        self.assertEqual(line["received_bytes"], 5_004)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/links/tests/test_peers.py
+++ b/currantdyke/links/tests/test_peers.py
@@ -1,48 +1,15 @@
-import os
 import unittest
 
 import anyio
 import attrs
 
-from currantdyke.decisionlog import DecisionLog
-from currantdyke.directory import Directory
-from currantdyke.links import ChangesRequest, LinkLostError, Peers, Unknown
-from currantdyke.platform.records import DaemonEntry
+from currantdyke.links import ChangesRequest, LinkLostError, Unknown
+from currantdyke.links.tests.builders import build_entry, build_peers
 
-PORT = 17_741
 START_DELAY_SECONDS = 0.3
 REQUEST = ChangesRequest(revision=1)
 
 
-def build_entry(number, incarnation="first"):
-    return DaemonEntry(
-        name=f"entry-{number}",
-        ip=f"127.77.{os.getpid() % 250}.{number}",
-        availability_zone="a",
-        incarnation=incarnation,
-    )
-
-
-async def answer(link, content):
-    return Unknown()
-
-
-def build_peers(number, known=()):
-    log = DecisionLog(daemon="d", descriptor=os.open(os.devnull, os.O_WRONLY))
-    directory = Directory(log=log)
-    directory.daemons = {entry.name: entry for entry in known}
-    return Peers(
-        own=build_entry(number),
-        port=PORT,
-        seed_ips=(),
-        directory=directory,
-        log=log,
-        handle_request=answer,
-        handle_notification=lambda link, content: None,
-        on_link_lost=lambda link: None,
-    )
-
-
 class TestStartingDaemons(unittest.TestCase):
     def test_connection_to_a_starting_daemon_is_retried(self):
         async def scenario():
