Say how far a failed call to the store came

Change: the reason names the part that was missing: another call in progress, no connection, no answer, or an incomplete answer with the bytes received and, if announced, expected; each with the seconds since the call. No change of logic.

--- a/currantdyke/http1/messages.py
+++ b/currantdyke/http1/messages.py
@@ -1,5 +1,7 @@
 """Header fields and bodies of HTTP messages."""
 
+from collections.abc import Callable
+
 import h11
 
 from currantdyke.http1.connection import ConnectionLostError, Http1Connection
@@ -40,9 +42,19 @@
     return values[0] if values else None
 
 
-async def read_body(connection: Http1Connection, max_bytes: int) -> bytes:
+async def read_body(
+    connection: Http1Connection,
+    max_bytes: int,
+    *,
+    on_data: Callable[[int], None] | None = None,
+) -> bytes:
     """Read the body of a message.
 
+    Parameters
+    ----------
+    on_data : callable, optional
+        Called with the size in bytes of each part of the body when it arrives.
+
     Raises
     ------
     MessageTooLargeError
@@ -56,6 +68,8 @@
         event = await connection.next_event()
         if isinstance(event, h11.Data):
             size += len(event.data)
+            if on_data is not None:
+                on_data(len(event.data))
             if size > max_bytes:
                 raise MessageTooLargeError(f"the body is over {max_bytes} bytes")
             parts.append(bytes(event.data))
--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -12,6 +12,7 @@
     ConnectionLostError,
     Http1Connection,
     MessageTooLargeError,
+    one_value,
     read_body,
     set_socket_options,
 )
@@ -62,6 +63,48 @@
     revision: int
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Transfer:
+    """Progress of one call.
+
+    Attributes
+    ----------
+    started_at : float
+        Monotonic time of the call, in seconds.
+    awaiting : str
+        What has not been completed yet.
+    received : int
+        Bytes of the answer's body that have arrived.
+    length : int or None
+        Size of the whole body in bytes; None if it is not announced.
+    """
+
+    started_at: float
+    awaiting: str = "another call in progress"
+    received: int = 0
+    length: int | None = None
+
+    def record_head(self, response: h11.Response) -> None:
+        """Record the arrival of the head of the answer."""
+        self.awaiting = "incomplete answer"
+        length = one_value(response.headers, b"content-length")
+        self.length = None if length is None else int(length)
+
+    def record_data(self, size: int) -> None:
+        """Record the arrival of a part of the body."""
+        self.received += size
+
+    def describe_failure(self, error: Exception) -> str:
+        """Return what was missing when the call failed."""
+        seconds = anyio.current_time() - self.started_at
+        cause = str(error) or type(error).__name__
+        text = f"{self.awaiting} after {seconds:.2f} s"
+        if self.awaiting == "incomplete answer":
+            total = "" if self.length is None else f" of {self.length}"
+            text += f", {self.received}{total} bytes"
+        return f"{text}: {cause}"
+
+
 class StoreClient:
     """Runs calls one at a time over a single connection.
 
@@ -162,15 +205,15 @@
         extra_timeout: float = 0.0,
     ) -> dict:
         self.calls += 1
+        transfer = _Transfer(started_at=anyio.current_time())
         try:
             with anyio.fail_after(CALL_TIMEOUT_SECONDS + extra_timeout):
                 async with self.lock:
-                    status, data = await self._exchange(method, target, body)
+                    status, data = await self._exchange(transfer, method, target, body)
         except (TimeoutError, OSError, ConnectionLostError) as error:
             # A connection cannot be used again after an answer on it was lost.
             await self.close()
-            reason = str(error) or type(error).__name__
-            raise StoreUnavailableError(reason) from error
+            raise StoreUnavailableError(transfer.describe_failure(error)) from error
         except (h11.ProtocolError, MessageTooLargeError) as error:
             await self.close()
             raise StoreUnavailableError(f"malformed response: {error}") from error
@@ -186,9 +229,11 @@
             raise StoreUnavailableError(f"malformed response: {error}") from error
 
     async def _exchange(
-        self, method: str, target: str, body: dict | None
+        self, transfer: _Transfer, method: str, target: str, body: dict | None
     ) -> tuple[int, bytes]:
+        transfer.awaiting = "no connection"
         connection = await self._get_connection()
+        transfer.awaiting = "no answer"
         data = b"" if body is None else msgspec.json.encode(body)
         headers = [
             (b"host", f"{self.host}:{self.port}".encode()),
@@ -204,7 +249,10 @@
         response = await connection.next_event()
         if not isinstance(response, h11.Response):
             raise ConnectionLostError("the store closed the connection")
-        answer = await read_body(connection, MAX_ANSWER_BYTES)
+        transfer.record_head(response)
+        answer = await read_body(
+            connection, MAX_ANSWER_BYTES, on_data=transfer.record_data
+        )
         if connection.reusable:
             connection.state.start_next_cycle()
         else:
