Emulate gateways behind slow links

A gateway of a test can have a bandwidth that all connections which it opens share, in both directions. Bytes that were not read yet stay in the socket, as on a slow link, and an answer that was given up still fills the link.

Its connections come from its own address, so that the emulated store can refuse this gateway alone (affected_hosts).

--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -23,9 +23,15 @@
 )
 from currantdyke.gateway.daemon import GatewayDaemon
 from currantdyke.gateway.settings import GatewaySettings, StoreSettings
+from currantdyke.testing.throttle import (
+    Bandwidth,
+    limit_bandwidth,
+    throttle_connections,
+)
 
 __all__ = [
     "Deployment",
+    "bulk_routes",
     "configuration",
     "loopback_ip",
     "run_on_sockets",
@@ -74,6 +80,14 @@
     )
 
 
+def bulk_routes(count: int) -> list[dict]:
+    """Return plain routes ``/bulk/0/`` and so on, each of about 0.2 KB of JSON."""
+    return [
+        plain_route(name=f"r-bulk-{number}", prefix=f"/bulk/{number}/")
+        for number in range(count)
+    ]
+
+
 def configuration(version: int, routes: list[dict], **changes: object) -> dict:
     """Return a configuration of one workspace in the platform's format."""
     stage = {
@@ -175,17 +189,50 @@
         self.store.put(f"servers/{instance}", endpoint.entry())
         return endpoint
 
-    async def gateway(self, *, seeds: tuple[str, ...] = ()) -> GatewayDaemon:
-        """Start a gateway and wait until it is ready."""
-        settings = gateway_settings(self.store, seeds)
+    async def gateway(
+        self,
+        *,
+        seeds: tuple[str, ...] = (),
+        bytes_per_second: float | None = None,
+        cores: float = 0.7,
+    ) -> GatewayDaemon:
+        """Start a gateway and wait until it is ready; see `start_gateway`."""
+        daemon = self.start_gateway(
+            seeds=seeds, bytes_per_second=bytes_per_second, cores=cores
+        )
+        await wait_until(lambda: daemon.directory.complete)
+        return daemon
+
+    def start_gateway(
+        self,
+        *,
+        seeds: tuple[str, ...] = (),
+        bytes_per_second: float | None = None,
+        cores: float = 0.7,
+    ) -> GatewayDaemon:
+        """Start a gateway.
+
+        Parameters
+        ----------
+        bytes_per_second : float or None
+            Bandwidth of all connections that it opens together, which then come from
+            its own address; None for no limit.
+        cores : float
+            Processor time that its entry states, which determines its roles.
+        """
+        settings = attrs.evolve(gateway_settings(self.store, seeds), cores=cores)
         log = DecisionLog(
             daemon=settings.name, descriptor=os.open(os.devnull, os.O_WRONLY)
         )
         daemon = GatewayDaemon(settings=settings, log=log)
         self.lines[settings.name] = record_lines(log)
-        self.tasks.start_soon(daemon.run)
         self.gateways.append(daemon)
-        await wait_until(lambda: daemon.directory.complete)
+        if bytes_per_second is None:
+            self.tasks.start_soon(daemon.run)
+            return daemon
+        bandwidth = Bandwidth(bytes_per_second=bytes_per_second, local_host=settings.ip)
+        with limit_bandwidth(bandwidth):
+            self.tasks.start_soon(daemon.run)
         return daemon
 
     def caller(self, number: int = 0) -> Caller:
@@ -209,12 +256,13 @@
 @contextlib.asynccontextmanager
 async def run_deployment(document: dict) -> AsyncIterator[Deployment]:
     """Run a store with a configuration; the test adds endpoints and gateways."""
-    async with anyio.create_task_group() as tasks:
-        store = StoreEmulator()
-        await tasks.start(store.run)
-        store.put("op/config", document)
-        yield Deployment(store=store, tasks=tasks)
-        tasks.cancel_scope.cancel()
+    with throttle_connections():
+        async with anyio.create_task_group() as tasks:
+            store = StoreEmulator()
+            await tasks.start(store.run)
+            store.put("op/config", document)
+            yield Deployment(store=store, tasks=tasks)
+            tasks.cancel_scope.cancel()
 
 
 def run_on_sockets(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
