Limit the time without progress of a call to the store, not its whole answer

Cause: a call to the store had 1.5 s (a watch 2 s) for its whole answer, whatever its size. At the limit the data received was discarded, and the next call began anew. Change: the limit applies to the time until the head of the answer and then between parts of its body; the wait of a watch extends the time until the head only. The deadline moves on as data arrives, so nothing received is thrown away while the transfer makes progress. Bound: an answer may not take longer than the limit and its size at 10 KB/s, which is what a daemon may use for coordination (CONTRIBUTING.md); a trickle below that cannot keep a daemon up to date. 500 KB may take 52 s, the largest answer of 8 MB 802 s. StoreClient.received_at tells the follower that a transfer is in progress.

--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store."""
 
 import base64
+import math
 from urllib.parse import quote
 
 import anyio
@@ -27,8 +28,13 @@
     "StoreUnavailableError",
 ]
 
-# A call normally takes 4 ms; a store that is 50 times slower still answers in time.
+# Limit on the time without progress: until the head of the answer has arrived, and
+# between parts of its body. A call normally takes 4 ms; a store that is 50 times slower
+# still answers in time.
 CALL_TIMEOUT_SECONDS = 1.5
+# What a daemon may use for coordination; changes that arrive more slowly than this do
+# not keep it up to date, and the call fails.
+MIN_ANSWER_BYTES_PER_SECOND = 10_000
 CONNECT_TIMEOUT_SECONDS = 0.5
 # A page holds at most 1 MB, to which base64 adds a third.
 MAX_ANSWER_BYTES = 8_000_000
@@ -69,8 +75,10 @@
 
     Attributes
     ----------
-    started_at : float
-        Monotonic time of the call, in seconds.
+    started_at, head_at : float
+        Monotonic times of the call and of the arrival of the answer's head, in seconds.
+    scope : CancelScope
+        Its deadline moves on while the answer arrives.
     awaiting : str
         What has not been completed yet.
     received : int
@@ -80,19 +88,24 @@
     """
 
     started_at: float
+    scope: anyio.CancelScope
+    head_at: float = math.inf
     awaiting: str = "another call in progress"
     received: int = 0
     length: int | None = None
 
     def record_head(self, response: h11.Response) -> None:
         """Record the arrival of the head of the answer."""
+        self.head_at = anyio.current_time()
         self.awaiting = "incomplete answer"
         length = one_value(response.headers, b"content-length")
         self.length = None if length is None else int(length)
+        self._extend_deadline()
 
     def record_data(self, size: int) -> None:
         """Record the arrival of a part of the body."""
         self.received += size
+        self._extend_deadline()
 
     def describe_failure(self, error: Exception) -> str:
         """Return what was missing when the call failed."""
@@ -104,20 +117,34 @@
             text += f", {self.received}{total} bytes"
         return f"{text}: {cause}"
 
+    def _extend_deadline(self) -> None:
+        slowest = self.head_at + self.received / MIN_ANSWER_BYTES_PER_SECOND
+        self.scope.deadline = CALL_TIMEOUT_SECONDS + min(anyio.current_time(), slowest)
+
 
 class StoreClient:
     """Runs calls one at a time over a single connection.
 
+    A call takes as long as its answer keeps arriving, at most the time that the answer
+    needs at ``MIN_ANSWER_BYTES_PER_SECOND`` besides its time limit.
+
     Parameters
     ----------
     address : str
         Host and port, separated by a colon.
+
+    Attributes
+    ----------
+    received_at : float
+        Monotonic time at which data of an answer last arrived, in seconds; -inf before
+        the first answer.
     """
 
     def __init__(self, *, address: str):
         self.connection: Http1Connection | None = None
         self.lock = anyio.Lock()
         self.calls = 0
+        self.received_at = -math.inf
         self.use(address)
 
     def use(self, address: str) -> None:
@@ -205,11 +232,17 @@
         extra_timeout: float = 0.0,
     ) -> dict:
         self.calls += 1
-        transfer = _Transfer(started_at=anyio.current_time())
+        started = anyio.current_time()
+        scope = anyio.CancelScope(
+            deadline=started + CALL_TIMEOUT_SECONDS + extra_timeout
+        )
+        transfer = _Transfer(started_at=started, scope=scope)
         try:
-            with anyio.fail_after(CALL_TIMEOUT_SECONDS + extra_timeout):
+            with scope:
                 async with self.lock:
                     status, data = await self._exchange(transfer, method, target, body)
+            if scope.cancelled_caught:
+                raise TimeoutError
         except (TimeoutError, OSError, ConnectionLostError) as error:
             # A connection cannot be used again after an answer on it was lost.
             await self.close()
@@ -250,9 +283,13 @@
         if not isinstance(response, h11.Response):
             raise ConnectionLostError("the store closed the connection")
         transfer.record_head(response)
-        answer = await read_body(
-            connection, MAX_ANSWER_BYTES, on_data=transfer.record_data
-        )
+        self.received_at = anyio.current_time()
+
+        def record_data(size: int) -> None:
+            self.received_at = anyio.current_time()
+            transfer.record_data(size)
+
+        answer = await read_body(connection, MAX_ANSWER_BYTES, on_data=record_data)
         if connection.reusable:
             connection.state.start_next_cycle()
         else:
