Start the daemons of a test before their peers ask them

Cause: test_busy_daemon_is_logged_as_over_the_time_limit failed in two of three runs with "no connection": the daemon under test did not accept links yet, since creating a listener looks up its address in a thread, which `wait_all_tasks_blocked` does not wait for. Change: `run_daemons` waits until each daemon has its listener.

--- a/currantdyke/links/tests/builders.py
+++ b/currantdyke/links/tests/builders.py
@@ -1,5 +1,6 @@
 """Build daemons and their links for tests."""
 
+import contextlib
 import math
 import os
 import random
@@ -11,8 +12,16 @@
 from currantdyke.links import Peers, Unknown
 from currantdyke.platform.records import DaemonEntry
 from currantdyke.platform.store import Change
+from currantdyke.testing.gateways import wait_until
 
-__all__ = ["PORT", "build_changes", "build_entry", "build_peers", "memory_pair"]
+__all__ = [
+    "PORT",
+    "build_changes",
+    "build_entry",
+    "build_peers",
+    "memory_pair",
+    "run_daemons",
+]
 
 PORT = 17_741
 CHUNK_BYTES = 4_096
@@ -47,6 +56,17 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def run_daemons(*daemons):
+    """Run daemons from the moment at which all of them accept links."""
+    async with anyio.create_task_group() as tasks:
+        for daemon in daemons:
+            tasks.start_soon(daemon.run)
+        await wait_until(lambda: all(daemon.tasks for daemon in daemons))
+        yield
+        tasks.cancel_scope.cancel()
+
+
 def build_changes(*, value_bytes, revision=2):
     """Return a change of one item whose value cannot be compressed."""
     value = random.Random(1).randbytes(value_bytes)
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from currantdyke.links.tests.builders import PORT, build_entry, build_peers
+from currantdyke.links.tests.builders import PORT, build_entry, build_peers, run_daemons
 from currantdyke.testing.gateways import record_lines, run_on_sockets
 
 
@@ -23,12 +23,10 @@
     async def test_daemon_that_refuses_connections_is_logged_once(self):
         asking = build_peers(11, known=[build_entry(12)])
         lines = record_lines(asking.log)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(asking.run)
+        async with run_daemons(asking):
             for _ in range(3):
                 asking.suspects.clear()
                 self.assertIsNone(await asking.ask_changes(1))
-            tasks.cancel_scope.cancel()
         (line,) = losses(lines)
         self.assertEqual(line["peer"], build_entry(12).ip)
         self.assertEqual(line["reason"], "no connection")
@@ -38,12 +36,9 @@
     async def test_busy_daemon_is_logged_as_over_the_time_limit(self):
         asking = build_peers(13, known=[build_entry(14)])
         lines = record_lines(asking.log)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(build_peers(14, handle_request=never_respond).run)
-            tasks.start_soon(asking.run)
-            await anyio.wait_all_tasks_blocked()
+        busy_daemon = build_peers(14, handle_request=never_respond)
+        async with run_daemons(asking, busy_daemon):
             self.assertIsNone(await asking.ask_changes(1))
-            tasks.cancel_scope.cancel()
         (line,) = losses(lines)
         self.assertEqual(line["reason"], "time limit")
         self.assertGreaterEqual(line["seconds"], 0.5)
@@ -62,12 +57,9 @@
         listener = await anyio.create_tcp_listener(
             local_host=silent.ip, local_port=PORT
         )
-        async with listener, anyio.create_task_group() as tasks:
-            tasks.start_soon(listener.serve, send_part)
-            tasks.start_soon(asking.run)
-            await anyio.wait_all_tasks_blocked()
+        async with listener, run_daemons(asking):
+            asking.tasks.start_soon(listener.serve, send_part)
             self.assertIsNone(await asking.ask_changes(1))
-            tasks.cancel_scope.cancel()
         (line,) = losses(lines)
         self.assertEqual(line["reason"], "link lost")
         self.assertEqual(line["received_bytes"], 5_004)
