Do not suspect a daemon whose response only is slow

The scheduler's client leaves suspected daemons out, and the relays are on the fastest VMs, which own the scheduling: a slow transfer moved the ownership. Change: only a link that broke, cannot be opened or is silent makes a daemon suspected. A limit that passes on a link that has been silent for SILENCE_TIMEOUT_SECONDS counts as a lost link, as the check of silence runs only every 0.15 s and may come after it. Tests: test_busy_daemon_is_not_suspected failed before: no other daemon was left. test_silent_daemon_is_suspected passed before, and fails without the check of silence at the limit.

--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -126,9 +126,8 @@
         finally:
             self.pending.pop(number, None)
         if request.content is None:
-            raise self._lost(
-                LossReason.LINK_LOST if self.closed else LossReason.TIME_LIMIT
-            )
+            broken = self.closed or self._is_silent()
+            raise self._lost(LossReason.LINK_LOST if broken else LossReason.TIME_LIMIT)
         return request.content
 
     async def _wait_for_response(
@@ -186,12 +185,15 @@
                 break
         scope.cancel()
 
+    def _is_silent(self) -> bool:
+        return anyio.current_time() - self.silent_since > SILENCE_TIMEOUT_SECONDS
+
     async def _monitor_peer(self, scope: anyio.CancelScope) -> None:
         while True:
             await anyio.sleep(PING_INTERVAL_SECONDS)
             if not self.pending:
                 continue
-            if anyio.current_time() - self.silent_since > SILENCE_TIMEOUT_SECONDS:
+            if self._is_silent():
                 scope.cancel()
                 return
             self._enqueue(Frame(number=0, content=Ping()))
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -120,21 +120,23 @@
         Parameters
         ----------
         timeout : float
-            Seconds to wait for the response.
+            Seconds to wait without progress for the response.
         retry_seconds : float
             Seconds for which opening a link is retried, if it fails.
 
         Raises
         ------
         LinkLostError
-            If the daemon does not respond; unless it is suspected already, it is then
-            suspected for `MIN_SUSPECT_SECONDS` or longer.
+            If the daemon does not respond. Unless it is suspected already, or only the
+            time limit has passed on a link that is alive, it is then suspected for
+            `MIN_SUSPECT_SECONDS` or longer.
         """
         try:
             link = await self._connect_with_retries(ip, retry_seconds)
             answer = await link.request(content, timeout=timeout)
-        except LinkLostError:
-            self._suspect(ip)
+        except LinkLostError as error:
+            if error.reason is not LossReason.TIME_LIMIT:
+                self._suspect(ip)
             raise
         self.suspects.pop(ip, None)
         return answer
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -65,5 +65,34 @@
         self.assertEqual(line["received_bytes"], 5_004)
 
 
+class TestSuspicionAfterMissingChanges(unittest.TestCase):
+    @run_on_sockets
+    async def test_busy_daemon_is_not_suspected(self):
+        """Guards against ownership that moves away from a daemon that only is slow."""
+        busy = build_entry(18)
+        asking = build_peers(17, known=[busy])
+        busy_daemon = build_peers(18, handle_request=never_respond)
+        async with run_daemons(asking, busy_daemon):
+            self.assertIsNone(await asking.ask_changes(1))
+        self.assertEqual(asking.others(), [busy])
+
+    @run_on_sockets
+    async def test_silent_daemon_is_suspected(self):
+        """Guards against a frozen daemon that is taken for a busy one."""
+
+        async def stay_silent(stream):
+            await anyio.sleep_forever()
+
+        frozen = build_entry(20)
+        asking = build_peers(19, known=[frozen])
+        listener = await anyio.create_tcp_listener(
+            local_host=frozen.ip, local_port=PORT
+        )
+        async with listener, run_daemons(asking):
+            asking.tasks.start_soon(listener.serve, stay_silent)
+            self.assertIsNone(await asking.ask_changes(1))
+        self.assertEqual(asking.others(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
