List all items when the changes are too large to be read

Seen by reading: each event of the configuration holds the whole document, so the answer to a watch grows with every change during an outage. Once it exceeds MAX_ANSWER_BYTES (16 changes of 494 KB), StoreClient.watch raised StoreUnavailableError, and the next watch asked for the same changes and more, so that the daemon could not follow any more. Change: such a watch raises HistoryGoneError with the reason, and the follower lists all items, of which the list has only the last value. An answer that announces too large a size is given up at its head. HistoryGoneError also says when the store returned 410. A page of a list that is too large remains a failure of the store, and names the limit. Evidence: before the change the three tests failed: the announced size was a time-out ("0 of 8000001 bytes"), the size found while reading "malformed response", and the text of 410 empty. All tests of test_store.py and test_relays.py pass now.

--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -44,8 +44,12 @@
     """The store did not answer or rejected the call, which may have taken effect."""
 
 
+class _AnswerTooLargeError(StoreUnavailableError):
+    """The answer exceeds ``MAX_ANSWER_BYTES``."""
+
+
 class HistoryGoneError(Exception):
-    """The store no longer has the requested changes; list all items again."""
+    """The changes can't be had from the store; list all items again."""
 
 
 class LeaseEndedError(Exception):
@@ -182,7 +186,7 @@
         Raises
         ------
         HistoryGoneError
-            If the store no longer has them.
+            If the store no longer has them, or they exceed ``MAX_ANSWER_BYTES``.
         StoreUnavailableError
             If the store did not answer.
         """
@@ -190,7 +194,12 @@
             f"/api/kv-watch?prefix={quote(ALL_KEYS_PREFIX, safe='')}"
             f"&after={after}&wait_ms={int(wait * 1_000)}"
         )
-        answer = await self._call("GET", target, extra_timeout=wait)
+        try:
+            answer = await self._call("GET", target, extra_timeout=wait)
+        except _AnswerTooLargeError as error:
+            # The same changes are in the answer to the next watch; a list has only the
+            # last value of each item.
+            raise HistoryGoneError(str(error)) from error
         return [_decode_change(event) for event in answer["events"]], answer["at"]
 
     async def grant_lease(self, ttl: float) -> tuple[int, float]:
@@ -247,11 +256,14 @@
             # A connection cannot be used again after an answer on it was lost.
             await self.close()
             raise StoreUnavailableError(transfer.describe_failure(error)) from error
-        except (h11.ProtocolError, MessageTooLargeError) as error:
+        except MessageTooLargeError as error:
+            await self.close()
+            raise _AnswerTooLargeError(str(error)) from error
+        except h11.ProtocolError as error:
             await self.close()
             raise StoreUnavailableError(f"malformed response: {error}") from error
         if status == 410:
-            raise HistoryGoneError
+            raise HistoryGoneError(f"status {status}")
         if status == 404:
             raise LeaseEndedError
         if status != 200:
@@ -284,6 +296,8 @@
             raise ConnectionLostError("the store closed the connection")
         transfer.record_head(response)
         self.received_at = anyio.current_time()
+        if transfer.length is not None and transfer.length > MAX_ANSWER_BYTES:
+            raise MessageTooLargeError(f"the body is over {MAX_ANSWER_BYTES} bytes")
 
         def record_data(size: int) -> None:
             self.received_at = anyio.current_time()
--- a/currantdyke/platform/tests/test_store.py
+++ b/currantdyke/platform/tests/test_store.py
@@ -5,6 +5,8 @@
 
 from currantdyke.platform.store import (
     CALL_TIMEOUT_SECONDS,
+    MAX_ANSWER_BYTES,
+    HistoryGoneError,
     StoreClient,
     StoreUnavailableError,
 )
@@ -32,7 +34,7 @@
     with mock.patch.object(anyio, "connect_tcp", mock.AsyncMock(return_value=stream)):
         try:
             result = await call(client)
-        except StoreUnavailableError as error:
+        except (StoreUnavailableError, HistoryGoneError) as error:
             result = error
     seconds = anyio.current_time() - started
     await client.close()
@@ -144,5 +146,38 @@
         self.assertLess(max(run_virtual(observe)), 0.1)
 
 
+class TestTooLargeAnswer(unittest.TestCase):
+    # Guards against a watch that is repeated though its answer never fits.
+    def test_watch_with_too_large_an_answer_asks_for_a_list(self):
+        body = bytes(MAX_ANSWER_BYTES + 1)
+        cases = {
+            "announced": [(0.0, head(body))],
+            "found while reading": [
+                (0.0, chunked_head()),
+                (0.0, b"%x\r\n" % len(body)),
+                (0.0, body),
+            ],
+        }
+        for name, parts in cases.items():
+            with self.subTest(name):
+                client, error, seconds = run_virtual(run_call, parts, watch)
+                self.assertIsInstance(error, HistoryGoneError)
+                self.assertIn(str(MAX_ANSWER_BYTES), str(error))
+                self.assertIsNone(client.connection)
+                self.assertEqual(seconds, 0.0)
+
+    def test_list_with_too_large_a_page_is_a_failure_of_the_store(self):
+        parts = [(0.0, head(bytes(MAX_ANSWER_BYTES + 1)))]
+        _, error, _ = run_virtual(run_call, parts, list_all)
+        self.assertIsInstance(error, StoreUnavailableError)
+        self.assertIn(str(MAX_ANSWER_BYTES), str(error))
+
+    def test_discarded_history_says_so(self):
+        parts = [(0.0, head(b"{}", 410)), (0.0, b"{}")]
+        _, error, _ = run_virtual(run_call, parts, watch)
+        self.assertIsInstance(error, HistoryGoneError)
+        self.assertIn("410", str(error))
+
+
 if __name__ == "__main__":
     unittest.main()
