Let a call to the store that gives up waiting leave the other one alone

Seen by reading: registration runs two calls of one client at once, renewals and withdraw. The time limit of a call included the wait for the lock, and a call that exceeded it there closed the connection, on which the other call was waiting for its answer; the other call failed too, although the store served it. A call that got the lock late had only the rest of its time limit, and a failed call closed the connection after it had released the lock. Change: the wait for the lock has a time limit of its own, after which the call fails without touching the connection. The time limit of the exchange starts with the lock, and a failed or cancelled exchange closes its connection before it releases the lock. Evidence: before the change three of the four tests failed: the call in progress with "incomplete answer after 1.60 s, 390000 of 1000063 bytes: reset", the call that had waited 1.3 s with "no answer after 1.50 s", and a cancelled call left its connection. The fourth (a call that waited for a failed one gets a new connection) passed before as well. test_store.py, test_registration.py, test_relays.py and test_fleet.py pass now.

--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -75,16 +75,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Transfer:
-    """Progress of one call.
+    """Progress of an exchange.
 
     Attributes
     ----------
     started_at, head_at : float
-        Monotonic times of the call and of the arrival of the answer's head, in seconds.
+        Monotonic times of the start and of the arrival of the head, in seconds.
     scope : CancelScope
         Its deadline moves on while the answer arrives.
     awaiting : str
-        What has not been completed yet.
+        What is still missing.
     received : int
         Bytes of the answer's body that have arrived.
     length : int or None
@@ -94,7 +94,7 @@
     started_at: float
     scope: anyio.CancelScope
     head_at: float = math.inf
-    awaiting: str = "another call in progress"
+    awaiting: str = "no connection"
     received: int = 0
     length: int | None = None
 
@@ -112,7 +112,7 @@
         self._extend_deadline()
 
     def describe_failure(self, error: Exception) -> str:
-        """Return what was missing when the call failed."""
+        """Return what was missing when the exchange failed."""
         seconds = anyio.current_time() - self.started_at
         cause = str(error) or type(error).__name__
         text = f"{self.awaiting} after {seconds:.2f} s"
@@ -130,7 +130,8 @@
     """Runs calls one at a time over a single connection.
 
     A call takes as long as its answer keeps arriving, at most the time that the answer
-    needs at ``MIN_ANSWER_BYTES_PER_SECOND`` besides its time limit.
+    needs at ``MIN_ANSWER_BYTES_PER_SECOND`` besides its time limit. A call that has to
+    wait for another one fails after the time limit; the other one goes on.
 
     Parameters
     ----------
@@ -241,27 +242,11 @@
         extra_timeout: float = 0.0,
     ) -> dict:
         self.calls += 1
-        started = anyio.current_time()
-        scope = anyio.CancelScope(
-            deadline=started + CALL_TIMEOUT_SECONDS + extra_timeout
-        )
-        transfer = _Transfer(started_at=started, scope=scope)
+        await self._wait_for_turn()
         try:
-            with scope:
-                async with self.lock:
-                    status, data = await self._exchange(transfer, method, target, body)
-            if scope.cancelled_caught:
-                raise TimeoutError
-        except (TimeoutError, OSError, ConnectionLostError) as error:
-            # A connection cannot be used again after an answer on it was lost.
-            await self.close()
-            raise StoreUnavailableError(transfer.describe_failure(error)) from error
-        except MessageTooLargeError as error:
-            await self.close()
-            raise _AnswerTooLargeError(str(error)) from error
-        except h11.ProtocolError as error:
-            await self.close()
-            raise StoreUnavailableError(f"malformed response: {error}") from error
+            status, data = await self._exchange(method, target, body, extra_timeout)
+        finally:
+            self.lock.release()
         if status == 410:
             raise HistoryGoneError(f"status {status}")
         if status == 404:
@@ -273,10 +258,44 @@
         except DECODE_ERRORS as error:
             raise StoreUnavailableError(f"malformed response: {error}") from error
 
+    async def _wait_for_turn(self) -> None:
+        """Acquire the lock."""
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_SECONDS):
+                await self.lock.acquire()
+        except TimeoutError as error:
+            reason = f"another call in progress for {CALL_TIMEOUT_SECONDS} s"
+            raise StoreUnavailableError(reason) from error
+
     async def _exchange(
+        self, method: str, target: str, body: dict | None, extra_timeout: float
+    ) -> tuple[int, bytes]:
+        """Send a request within its time limit; return the status and the body."""
+        now = anyio.current_time()
+        scope = anyio.CancelScope(deadline=now + CALL_TIMEOUT_SECONDS + extra_timeout)
+        transfer = _Transfer(started_at=now, scope=scope)
+        complete = False
+        try:
+            with scope:
+                status, data = await self._transfer(transfer, method, target, body)
+            if scope.cancelled_caught:
+                raise TimeoutError
+            complete = True
+        except (TimeoutError, OSError, ConnectionLostError) as error:
+            raise StoreUnavailableError(transfer.describe_failure(error)) from error
+        except MessageTooLargeError as error:
+            raise _AnswerTooLargeError(str(error)) from error
+        except h11.ProtocolError as error:
+            raise StoreUnavailableError(f"malformed response: {error}") from error
+        finally:
+            # A connection cannot be used again after an answer on it was lost.
+            if not complete:
+                await self.close()
+        return status, data
+
+    async def _transfer(
         self, transfer: _Transfer, method: str, target: str, body: dict | None
     ) -> tuple[int, bytes]:
-        transfer.awaiting = "no connection"
         connection = await self._get_connection()
         transfer.awaiting = "no answer"
         data = b"" if body is None else msgspec.json.encode(body)
--- a/currantdyke/platform/tests/builders.py
+++ b/currantdyke/platform/tests/builders.py
@@ -62,6 +62,8 @@
             await anyio.sleep_forever()
         delay, part = self.parts.pop(0)
         await anyio.sleep(delay)
+        if self.closed:
+            raise anyio.ClosedResourceError
         return part
 
     async def send(self, data: bytes) -> None:
--- a/currantdyke/platform/tests/test_store.py
+++ b/currantdyke/platform/tests/test_store.py
@@ -26,19 +26,20 @@
 SLOW_BYTES_PER_SECOND = 250_000
 
 
-async def run_call(parts, call):
+async def run_call(parts, call, *, parts_after_reconnect=()):
     """Return the client, the result or error of a call, and its seconds."""
-    stream = ScriptedStream(parts)
+    streams = [ScriptedStream(parts), ScriptedStream(parts_after_reconnect)]
     client = StoreClient(address="127.0.0.1:1")
     started = anyio.current_time()
-    with mock.patch.object(anyio, "connect_tcp", mock.AsyncMock(return_value=stream)):
+    with mock.patch.object(anyio, "connect_tcp", mock.AsyncMock(side_effect=streams)):
         try:
             result = await call(client)
         except (StoreUnavailableError, HistoryGoneError) as error:
             result = error
     seconds = anyio.current_time() - started
     await client.close()
-    await stream.aclose()
+    for stream in streams:
+        await stream.aclose()
     return client, result, seconds
 
 
@@ -179,5 +180,68 @@
         self.assertIn("410", str(error))
 
 
+async def run_two_calls(parts, first, second, delay, **options):
+    """Start a second call some seconds after the first; return both results."""
+    results = {}
+
+    async def call(client):
+        async def record(name, function):
+            try:
+                results[name] = await function(client)
+            except StoreUnavailableError as error:
+                results[name] = error
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(record, "first", first)
+            await anyio.sleep(delay)
+            tasks.start_soon(record, "second", second)
+
+    await run_call(parts, call, **options)
+    return results["first"], results["second"]
+
+
+class TestTwoCalls(unittest.TestCase):
+    # Guards against a waiting call that closes the connection of the call in progress.
+    def test_call_that_gives_up_waiting_leaves_the_other_alone(self):
+        body = watch_answer(2 * VALUE_BYTES)
+        parts = [(0.0, head(body)), *paced(body, SLOW_BYTES_PER_SECOND)]
+        first, second = run_virtual(run_two_calls, parts, watch, list_all, 0.1)
+        self.assertNotIsInstance(first, Exception, str(first))
+        self.assertIsInstance(second, StoreUnavailableError)
+        self.assertEqual(str(second), "another call in progress for 1.5 s")
+
+    # Guards against a call whose time limit passes before its request is sent.
+    def test_call_that_had_to_wait_has_its_whole_time_limit(self):
+        seconds = CALL_TIMEOUT_SECONDS - 0.1
+        answers = [watch_answer(10), page_answer(10)]
+        parts = [(seconds, head(body) + body) for body in answers]
+        for result in run_virtual(run_two_calls, parts, watch, list_all, 0.1):
+            self.assertNotIsInstance(result, Exception, str(result))
+
+    # Guards against a failed call that closes the connection of the next one.
+    def test_call_that_waited_for_a_failed_one_gets_a_new_connection(self):
+        body = page_answer(10)
+        first, second = run_virtual(
+            run_two_calls,
+            [],
+            watch,
+            list_all,
+            1.0,
+            parts_after_reconnect=[(0.1, head(body) + body)],
+        )
+        self.assertIsInstance(first, StoreUnavailableError)
+        self.assertNotIsInstance(second, Exception, str(second))
+
+    # Guards against a call that fails on a connection with an answer still to come.
+    def test_cancelled_call_leaves_no_connection_to_the_next_one(self):
+        async def cancelled_call(client):
+            with anyio.move_on_after(0.1):
+                await watch(client)
+            return client.connection
+
+        _, connection, _ = run_virtual(run_call, [], cancelled_call)
+        self.assertIsNone(connection)
+
+
 if __name__ == "__main__":
     unittest.main()
