Use the responses of requests for changes that were given up

Cause: after its limit a request for changes was forgotten. Its response still filled the link and was dropped when complete; the next request, to the same or another daemon, added a second response of the same size. The loops that follow the store and the peers asked beside each other as well. Change: `ChangesClient` has at most one request under way while it makes progress; whoever asks meanwhile gets the same response. A request without progress for 0.6 s stays pending: another daemon may be asked then, two in total, and a response that comes late is given to whoever asks next, unless it brings nothing new. `Peers.received_at` tells when a part of a frame last arrived. `Peers.request` has no time limit any more, as nothing else used it.

--- /dev/null
+++ b/currantdyke/links/changes.py
@@ -0,0 +1,143 @@
+"""Requests for the changes of the store that other daemons know."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from currantdyke.decisionlog import DecisionLog
+from currantdyke.directory import ChangeSet
+from currantdyke.links.codec import ChangesRequest
+from currantdyke.links.link import Link, LinkLostError, LossReason, PendingRequest
+
+__all__ = ["ChangesClient"]
+
+# Time without progress after which another daemon is asked.
+CHANGES_TIMEOUT_SECONDS = 0.6
+# Requests whose responses may still arrive. A second daemon is asked if the first is
+# stuck; more responses to one question would only fill the link of a slow VM.
+MAX_TRANSFERS = 2
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class Transfer:
+    """A request for changes that is pending, or whose response nobody has used."""
+
+    link: Link
+    request: PendingRequest
+
+    @property
+    def progress_at(self) -> float:
+        """Time of the last progress."""
+        return max(self.request.sent_at, self.link.received_at)
+
+
+@attrs.define(kw_only=True, eq=False)
+class ChangesClient:
+    """Requests changes from other daemons, from one at a time while it responds.
+
+    A request that was given up stays pending, since its response uses the link anyway:
+    whoever asks next gets the response or waits for it.
+
+    Attributes
+    ----------
+    connect : callable
+        Returns the link to the daemon with an IP.
+    on_response, on_failure : callable
+        Called with the IP of a daemon that responded, or that is dead or unreachable.
+    transfers : dict of str to Transfer
+        By IP of the daemon that was asked.
+    losses : dict of str to LossReason
+        Why the last request to a daemon failed, by IP, if it did.
+    """
+
+    log: DecisionLog
+    connect: Callable[[str], Awaitable[Link]]
+    on_response: Callable[[str], None]
+    on_failure: Callable[[str], None]
+    transfers: dict[str, Transfer] = attrs.field(factory=dict)
+    losses: dict[str, LossReason] = attrs.field(factory=dict)
+    start_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+    random_source: random.Random = attrs.field(factory=random.Random)
+
+    async def ask(self, revision: int, ips: set[str]) -> ChangeSet | None:
+        """Return the changes after a revision, or None if they were not received.
+
+        Parameters
+        ----------
+        revision : int
+            Not less than in any earlier call.
+        ips : set of str
+            Daemons of which a random one is asked, unless a response to an earlier
+            request has arrived or is arriving.
+        """
+        if not ips:
+            return None
+        async with self.start_lock:
+            ip = self._find_transfer(revision) or await self._start(revision, ips)
+            if ip is None:
+                return None
+            transfer = self.transfers[ip]
+        try:
+            content = await transfer.link.wait_for_response(
+                transfer.request, timeout=CHANGES_TIMEOUT_SECONDS
+            )
+        except LinkLostError as error:
+            if error.reason is not LossReason.TIME_LIMIT:
+                self._remove(ip, transfer)
+            self._record_loss(ip, error, transfer.request.sent_at)
+            return None
+        self._remove(ip, transfer)
+        self.losses.pop(ip, None)
+        self.on_response(ip)
+        return content if isinstance(content, ChangeSet) else None
+
+    def _find_transfer(self, revision: int) -> str | None:
+        """Return the IP of a transfer with new changes or with progress, if any."""
+        now = anyio.current_time()
+        for ip, transfer in list(self.transfers.items()):
+            if transfer.request.done.is_set():
+                content = transfer.request.content
+                if isinstance(content, ChangeSet) and content.revision > revision:
+                    return ip
+                self._remove(ip, transfer)
+            elif now < transfer.progress_at + CHANGES_TIMEOUT_SECONDS:
+                return ip
+        return None
+
+    async def _start(self, revision: int, ips: set[str]) -> str | None:
+        """Send a request to a random daemon; return its IP, or None if none is free."""
+        free = sorted(ips - self.transfers.keys())
+        if not free or len(self.transfers) >= MAX_TRANSFERS:
+            return None
+        ip = self.random_source.choice(free)
+        started = anyio.current_time()
+        try:
+            link = await self.connect(ip)
+            request = link.send_request(ChangesRequest(revision=revision))
+        except LinkLostError as error:
+            self._record_loss(ip, error, started)
+            return None
+        self.transfers[ip] = Transfer(link=link, request=request)
+        return ip
+
+    def _remove(self, ip: str, transfer: Transfer) -> None:
+        if self.transfers.get(ip) is transfer:
+            del self.transfers[ip]
+
+    def _record_loss(self, ip: str, error: LinkLostError, sent_at: float) -> None:
+        """Log why the changes were not received, unless the last time was the same."""
+        if error.reason is not LossReason.TIME_LIMIT:
+            self.on_failure(ip)
+        if self.losses.get(ip) == error.reason:
+            return
+        self.losses[ip] = error.reason
+        self.log.write(
+            "changes_not_received",
+            failure=True,
+            peer=ip,
+            reason=error.reason.value,
+            seconds=round(anyio.current_time() - sent_at, 3),
+            received_bytes=error.received_bytes,
+        )
--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -21,7 +21,14 @@
     encode_frame,
 )
 
-__all__ = ["Link", "LinkLostError", "LossReason", "open_link", "serve_link"]
+__all__ = [
+    "Link",
+    "LinkLostError",
+    "LossReason",
+    "PendingRequest",
+    "open_link",
+    "serve_link",
+]
 
 READ_BYTES = 65_536
 LENGTH_PREFIX_BYTES = 4
@@ -113,32 +120,57 @@
         LinkLostError
             If the link breaks first, or the time limit passes.
         """
+        request = self.send_request(content)
+        try:
+            return await self.wait_for_response(request, timeout=timeout)
+        finally:
+            self.pending.pop(request.number, None)
+
+    def send_request(self, content: Content) -> "PendingRequest":
+        """Send a request, which is pending until its response arrives.
+
+        Raises
+        ------
+        LinkLostError
+            If the link is closed.
+        """
         if self.closed:
             raise self._lost(LossReason.LINK_LOST)
-        number = next(self.request_numbers)
-        request = PendingRequest(sent_at=anyio.current_time())
+        now = anyio.current_time()
+        request = PendingRequest(number=next(self.request_numbers), sent_at=now)
         if not self.pending:
-            self.silent_since = anyio.current_time()
-        self.pending[number] = request
-        self._enqueue(Frame(number=number, content=content))
-        try:
-            await self._wait_for_response(request, timeout)
-        finally:
-            self.pending.pop(number, None)
-        if request.content is None:
-            broken = self.closed or self._is_silent()
-            raise self._lost(LossReason.LINK_LOST if broken else LossReason.TIME_LIMIT)
-        return request.content
+            self.silent_since = now
+        self.pending[request.number] = request
+        self._enqueue(Frame(number=request.number, content=content))
+        return request
+
+    async def wait_for_response(
+        self, request: "PendingRequest", *, timeout: float = math.inf
+    ) -> Content:
+        """Wait for the response to a request that was sent on this link.
+
+        Parameters
+        ----------
+        timeout : float
+            As of `request`.
 
-    async def _wait_for_response(
-        self, request: "PendingRequest", timeout: float
-    ) -> None:
+        Raises
+        ------
+        LinkLostError
+            As by `request`; after the time limit the request is still pending.
+        """
         while not request.done.is_set():
             deadline = max(request.sent_at, self.received_at) + timeout
             if anyio.current_time() >= deadline:
-                return
+                broken = self.closed or self._is_silent()
+                raise self._lost(
+                    LossReason.LINK_LOST if broken else LossReason.TIME_LIMIT
+                )
             with anyio.CancelScope(deadline=deadline):
                 await request.done.wait()
+        if request.content is None:
+            raise self._lost(LossReason.LINK_LOST)
+        return request.content
 
     def notify(self, content: Content) -> None:
         """Send a notification; it is lost if the link breaks."""
@@ -229,7 +261,7 @@
             elif not isinstance(frame.content, Pong):
                 self.handle_notification(self, frame.content)
         elif frame.number in self.pending:
-            request = self.pending[frame.number]
+            request = self.pending.pop(frame.number)
             request.content = frame.content
             request.done.set()
         elif not isinstance(frame.content, RESPONSE_TYPES):
@@ -242,8 +274,17 @@
 
 @attrs.define(kw_only=True, eq=False)
 class PendingRequest:
-    """A request that waits for its response."""
+    """A request that waits for its response.
+
+    Attributes
+    ----------
+    done : anyio.Event
+        Set when the response has arrived or the link is lost.
+    content : Content or None
+        The response, if it has arrived.
+    """
 
+    number: int
     sent_at: float
     done: anyio.Event = attrs.field(factory=anyio.Event)
     content: Content | None = None
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -1,6 +1,6 @@
 """The links from this daemon to the others, and the detection of failed daemons."""
 
-import random
+import math
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -9,7 +9,8 @@
 
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet, Directory, relay_ips
-from currantdyke.links.codec import ChangesRequest, Content
+from currantdyke.links.changes import ChangesClient
+from currantdyke.links.codec import Content
 from currantdyke.links.link import (
     Link,
     LinkLostError,
@@ -28,7 +29,6 @@
 MAX_SUSPECT_SECONDS = 12.0
 # Small compared with the start time of a process, which is about 0.8 s.
 RECONNECT_INTERVAL_SECONDS = 0.05
-CHANGES_TIMEOUT_SECONDS = 0.6
 
 
 @attrs.define(kw_only=True)
@@ -62,8 +62,8 @@
         Handlers of requests and notifications from peers.
     suspects : dict of str to Suspicion
         Daemons that did not respond, by IP.
-    changes_losses : dict of str to LossReason
-        Why the last request for changes to a daemon failed, by IP, if it did.
+    changes : ChangesClient
+        Requests the changes of the store from other daemons.
     """
 
     own: DaemonEntry
@@ -78,8 +78,25 @@
     links: dict[str, Link] = attrs.field(factory=dict)
     connect_locks: dict[str, anyio.Lock] = attrs.field(factory=dict)
     suspects: dict[str, Suspicion] = attrs.field(factory=dict)
-    changes_losses: dict[str, LossReason] = attrs.field(factory=dict)
-    random_source: random.Random = attrs.field(factory=random.Random)
+    changes: ChangesClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.changes = ChangesClient(
+            log=self.log,
+            connect=self._connect,
+            on_response=self._trust,
+            on_failure=self._suspect,
+        )
+
+    @property
+    def received_at(self) -> float:
+        """Time at which a part of an unfinished frame last arrived on an open link.
+
+        It is -inf if none has arrived.
+        """
+        return max(
+            (link.received_at for link in self.links.values()), default=-math.inf
+        )
 
     async def run(self) -> None:
         """Accept links until cancelled."""
@@ -112,33 +129,28 @@
         ip: str,
         content: Content,
         *,
-        timeout: float = float("inf"),
         retry_seconds: float = 0.0,
     ) -> Content:
         """Send a request to a daemon and return its response.
 
         Parameters
         ----------
-        timeout : float
-            Seconds to wait without progress for the response.
         retry_seconds : float
             Seconds for which opening a link is retried, if it fails.
 
         Raises
         ------
         LinkLostError
-            If the daemon does not respond. Unless it is suspected already, or only the
-            time limit has passed on a link that is alive, it is then suspected for
-            `MIN_SUSPECT_SECONDS` or longer.
+            If the daemon does not respond; unless it is suspected already, it is then
+            suspected for `MIN_SUSPECT_SECONDS` or longer.
         """
         try:
             link = await self._connect_with_retries(ip, retry_seconds)
-            answer = await link.request(content, timeout=timeout)
-        except LinkLostError as error:
-            if error.reason is not LossReason.TIME_LIMIT:
-                self._suspect(ip)
+            answer = await link.request(content)
+        except LinkLostError:
+            self._suspect(ip)
             raise
-        self.suspects.pop(ip, None)
+        self._trust(ip)
         return answer
 
     def notify(self, ip: str, content: Content) -> None:
@@ -158,7 +170,7 @@
         ips = {daemon.ip for daemon in self.others()}
         if not ips:
             ips = set(self.seed_ips) - {self.own.ip}
-        return await self._ask_changes(revision, ips)
+        return await self.changes.ask(revision, ips)
 
     async def ask_relay(self, revision: int) -> ChangeSet | None:
         """Return the changes after a revision from a relay.
@@ -172,35 +184,7 @@
         relays = relay_ips(self.own, self.directory.daemons.values())
         if relays:
             relays &= {daemon.ip for daemon in self.others()}
-        return await self._ask_changes(revision, relays)
-
-    async def _ask_changes(self, revision: int, ips: set[str]) -> ChangeSet | None:
-        if not ips:
-            return None
-        ip = self.random_source.choice(sorted(ips))
-        request = ChangesRequest(revision=revision)
-        started = anyio.current_time()
-        try:
-            content = await self.request(ip, request, timeout=CHANGES_TIMEOUT_SECONDS)
-        except LinkLostError as error:
-            self._log_changes_loss(ip, error, anyio.current_time() - started)
-            return None
-        self.changes_losses.pop(ip, None)
-        return content if isinstance(content, ChangeSet) else None
-
-    def _log_changes_loss(self, ip: str, error: LinkLostError, seconds: float) -> None:
-        """Log why the changes were not received, unless the last time was the same."""
-        if self.changes_losses.get(ip) == error.reason:
-            return
-        self.changes_losses[ip] = error.reason
-        self.log.write(
-            "changes_not_received",
-            failure=True,
-            peer=ip,
-            reason=error.reason.value,
-            seconds=round(seconds, 3),
-            received_bytes=error.received_bytes,
-        )
+        return await self.changes.ask(revision, relays)
 
     async def _connect_and_notify(self, ip: str, content: Content) -> None:
         try:
@@ -249,6 +233,9 @@
             return False
         return suspicion.until > now
 
+    def _trust(self, ip: str) -> None:
+        self.suspects.pop(ip, None)
+
     def _suspect(self, ip: str) -> None:
         now = anyio.current_time()
         daemons = self.directory.daemons.values()
--- a/currantdyke/links/tests/builders.py
+++ b/currantdyke/links/tests/builders.py
@@ -9,7 +9,8 @@
 
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet, Directory
-from currantdyke.links import Peers, Unknown
+from currantdyke.links import ChangesRequest, Frame, Peers, Unknown
+from currantdyke.links.codec import decode_frame, encode_frame
 from currantdyke.platform.records import DaemonEntry
 from currantdyke.platform.store import Change
 from currantdyke.testing.gateways import wait_until
@@ -21,10 +22,12 @@
     "build_peers",
     "memory_pair",
     "run_daemons",
+    "serve_slowly",
 ]
 
 PORT = 17_741
 CHUNK_BYTES = 4_096
+LENGTH_PREFIX_BYTES = 4
 
 
 def build_entry(number, incarnation="first"):
@@ -74,6 +77,46 @@
     return ChangeSet(changes=(change,), revision=revision)
 
 
+def serve_slowly(changes, *, seconds, pieces, requests):
+    """Return a handler of connections that sends changes in evenly spaced pieces.
+
+    Requests for changes are appended to ``requests``; pings are not answered.
+    """
+
+    async def send_changes(stream, number):
+        data = encode_frame(Frame(number=number, content=changes))
+        data = len(data).to_bytes(LENGTH_PREFIX_BYTES, "big") + data
+        size = -(-len(data) // pieces)
+        for start in range(0, len(data), size):
+            await stream.send(data[start : start + size])
+            await anyio.sleep(seconds / pieces)
+
+    async def serve(stream):
+        async with anyio.create_task_group() as tasks:
+            async for frame in read_frames(stream):
+                if isinstance(frame.content, ChangesRequest):
+                    requests.append(frame.content)
+                    tasks.start_soon(send_changes, stream, frame.number)
+            tasks.cancel_scope.cancel()
+
+    return serve
+
+
+async def read_frames(stream):
+    """Yield the frames that arrive on a stream until it ends."""
+    buffer = b""
+    async for data in stream:
+        buffer += data
+        while len(buffer) >= LENGTH_PREFIX_BYTES:
+            end = LENGTH_PREFIX_BYTES + int.from_bytes(
+                buffer[:LENGTH_PREFIX_BYTES], "big"
+            )
+            if len(buffer) < end:
+                break
+            yield decode_frame(buffer[LENGTH_PREFIX_BYTES:end]).ok
+            buffer = buffer[end:]
+
+
 def memory_pair(bytes_per_second=math.inf):
     """Return the two ends of a connection in memory that sends at a limited rate."""
     send_a, receive_a = anyio.create_memory_object_stream(1_000)
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -1,10 +1,20 @@
+import math
 import unittest
 
 import anyio
 
-from currantdyke.links.tests.builders import PORT, build_entry, build_peers, run_daemons
+from currantdyke.links.tests.builders import (
+    PORT,
+    build_changes,
+    build_entry,
+    build_peers,
+    run_daemons,
+    serve_slowly,
+)
 from currantdyke.testing.gateways import record_lines, run_on_sockets
 
+CHANGES = build_changes(value_bytes=100_000)
+
 
 async def never_respond(link, content):
     await anyio.sleep_forever()
@@ -94,5 +104,125 @@
         self.assertEqual(asking.others(), [])
 
 
+class TestRequestsUnderWay(unittest.TestCase):
+    @run_on_sockets
+    async def test_late_response_is_used_by_the_next_request(self):
+        """Guards against a response that fills the link and is then thrown away."""
+        requests = []
+
+        async def respond_late(link, content):
+            requests.append(content)
+            await anyio.sleep(1.0)
+            return CHANGES
+
+        asking = build_peers(21, known=[build_entry(22)])
+        busy = build_peers(22, handle_request=respond_late)
+        async with run_daemons(asking, busy):
+            self.assertIsNone(await asking.ask_changes(1))
+            await anyio.sleep(0.6)
+            found = await asking.ask_changes(1)
+        self.assertEqual(found.changes, CHANGES.changes)
+        self.assertEqual(len(requests), 1)
+
+    @run_on_sockets
+    async def test_late_response_without_news_is_not_used(self):
+        """Guards against a request that is answered with what is known already."""
+        requests = []
+
+        async def respond_late(link, content):
+            requests.append(content)
+            await anyio.sleep(1.0 if len(requests) == 1 else 0.0)
+            return build_changes(value_bytes=10, revision=1 + len(requests))
+
+        asking = build_peers(23, known=[build_entry(24)])
+        busy = build_peers(24, handle_request=respond_late)
+        async with run_daemons(asking, busy):
+            self.assertIsNone(await asking.ask_changes(1))
+            await anyio.sleep(0.6)
+            found = await asking.ask_changes(2)
+        self.assertEqual(found.revision, 3)
+
+    @run_on_sockets
+    async def test_second_request_waits_for_the_response_that_arrives(self):
+        """Guards against a second response beside the first on a slow link."""
+        requests = []
+        found = []
+        slow = build_entry(26)
+        asking = build_peers(25, known=[slow])
+        serve = serve_slowly(CHANGES, seconds=2.0, pieces=20, requests=requests)
+
+        async def ask():
+            found.append(await asking.ask_changes(1))
+
+        listener = await anyio.create_tcp_listener(local_host=slow.ip, local_port=PORT)
+        async with listener, run_daemons(asking):
+            self.assertEqual(asking.received_at, -math.inf)
+            asking.tasks.start_soon(listener.serve, serve)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(1.0)
+                self.assertLess(anyio.current_time() - asking.received_at, 0.5)
+                tasks.start_soon(ask)
+        self.assertEqual([each.changes for each in found], 2 * [CHANGES.changes])
+        self.assertEqual(len(requests), 1)
+
+    @run_on_sockets
+    async def test_daemon_without_progress_is_replaced_by_another(self):
+        """Guards against a stuck daemon that keeps the others from being asked."""
+
+        async def respond(link, content):
+            return CHANGES
+
+        asking = build_peers(27, known=[build_entry(28)])
+        stuck = build_peers(28, handle_request=never_respond)
+        ready = build_peers(29, handle_request=respond)
+        async with run_daemons(asking, stuck, ready):
+            self.assertIsNone(await asking.ask_changes(1))
+            asking.directory.daemons["entry-29"] = build_entry(29)
+            for _ in range(3):
+                found = await asking.ask_changes(1)
+                self.assertEqual(found.changes, CHANGES.changes)
+
+    @run_on_sockets
+    async def test_at_most_two_responses_are_waited_for(self):
+        """Guards against one more response on a slow link for each time limit."""
+        requests = []
+
+        async def never_respond(link, content):
+            requests.append(content)
+            await anyio.sleep_forever()
+
+        numbers = (31, 32, 33)
+        asking = build_peers(30, known=[build_entry(number) for number in numbers])
+        stuck = [
+            build_peers(number, handle_request=never_respond) for number in numbers
+        ]
+        async with run_daemons(asking, *stuck):
+            for _ in range(4):
+                self.assertIsNone(await asking.ask_changes(1))
+        self.assertEqual(len(requests), 2)
+
+    @run_on_sockets
+    async def test_request_is_sent_again_after_its_link_was_lost(self):
+        """Guards against waiting for a response that cannot arrive any more."""
+        requests = []
+
+        async def break_first_link(link, content):
+            requests.append(content)
+            if len(requests) == 1:
+                await anyio.sleep(0.8)
+                await link.stream.aclose()
+            return CHANGES
+
+        asking = build_peers(34, known=[build_entry(35)])
+        breaking = build_peers(35, handle_request=break_first_link)
+        async with run_daemons(asking, breaking):
+            self.assertIsNone(await asking.ask_changes(1))
+            await anyio.sleep(0.5)
+            found = await asking.ask_changes(1)
+        self.assertEqual(found.changes, CHANGES.changes)
+        self.assertEqual(len(requests), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
