Count the time of a transfer as part of the age of changes

Cause: a peer states how old its knowledge is when it answers. The daemon that receives the answer took that as the age at the moment of receipt; since a response may take as long as it arrives, a daemon could take what it knows for seconds younger than it is. Change: the age of received changes includes the time since their request was sent. Test: test_age_of_changes_includes_their_transfer failed before (age 0.25 s after a transfer of 1 s).

--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -64,6 +64,8 @@
     async def ask(self, revision: int, ips: set[str]) -> ChangeSet | None:
         """Return the changes after a revision, or None if they were not received.
 
+        Their age includes the time since they were requested.
+
         Parameters
         ----------
         revision : int
@@ -91,7 +93,10 @@
         self._remove(ip, transfer)
         self.losses.pop(ip, None)
         self.on_response(ip)
-        return content if isinstance(content, ChangeSet) else None
+        if not isinstance(content, ChangeSet):
+            return None
+        elapsed = anyio.current_time() - transfer.request.sent_at
+        return attrs.evolve(content, age=content.age + elapsed)
 
     def _find_transfer(self, revision: int) -> str | None:
         """Return the IP of a transfer with new changes or with progress, if any."""
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -2,6 +2,7 @@
 import unittest
 
 import anyio
+import attrs
 
 from currantdyke.links.tests.builders import (
     PORT,
@@ -166,6 +167,22 @@
         self.assertEqual([each.changes for each in found], 2 * [CHANGES.changes])
         self.assertEqual(len(requests), 1)
 
+    @run_on_sockets
+    async def test_age_of_changes_includes_their_transfer(self):
+        """Guards against a daemon that takes what it received slowly for recent."""
+        slow = build_entry(37)
+        asking = build_peers(36, known=[slow])
+        changes = attrs.evolve(CHANGES, age=0.25)
+        serve = serve_slowly(changes, seconds=1.0, pieces=10, requests=[])
+        listener = await anyio.create_tcp_listener(local_host=slow.ip, local_port=PORT)
+        async with listener, run_daemons(asking):
+            asking.tasks.start_soon(listener.serve, serve)
+            started = anyio.current_time()
+            found = await asking.ask_changes(1)
+            elapsed = anyio.current_time() - started
+        self.assertGreaterEqual(found.age, 0.25 + 0.9)
+        self.assertLessEqual(found.age, 0.25 + elapsed)
+
     @run_on_sockets
     async def test_daemon_without_progress_is_replaced_by_another(self):
         """Guards against a stuck daemon that keeps the others from being asked."""
