--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -42,9 +42,10 @@
     sheddable=True,
     is_retry=True,
 )
+PLACEMENT = Placement(instance="i", handles=("10.0.0.1:1/x", "10.0.0.2:1/y"))
 CONTENTS = (
     PLACEMENT_REQUEST,
-    Placement(instance="i", handles=("10.0.0.1:1/x", "10.0.0.2:1/y")),
+    PLACEMENT,
     Placement(instance="i", handles=None),
     Placement(instance="i", handles=()),
     Refusal(code="overloaded", detail="d", retry_after=0.25),
@@ -226,6 +227,33 @@
         self.assertLess(run_virtual(run_linked, answer, scenario), 1.0)
 
 
+class TestLargeFrames(unittest.TestCase):
+    def test_link_to_a_slow_peer_survives_a_large_frame(self):
+        """Guards against a slow peer that is taken for failed while it receives."""
+
+        async def answer(link, content):
+            if isinstance(content, ChangesRequest):
+                return build_changes(value_bytes=500_000)
+            return PLACEMENT
+
+        async def scenario(asking, answering):
+            received = []
+
+            async def request_changes():
+                received.append(await asking.request(ChangesRequest(revision=1)))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(request_changes)
+                await anyio.sleep(1.0)
+                placement = await asking.request(PLACEMENT_REQUEST)
+                self.assertLess(anyio.current_time(), 500_000 / 100_000 + 0.1)
+            self.assertEqual(placement, PLACEMENT)
+            self.assertEqual(received, [build_changes(value_bytes=500_000)])
+            self.assertEqual((asking.closed, answering.closed), (False, False))
+
+        run_virtual(run_linked, answer, scenario, bytes_per_second=100_000)
+
+
 class DiscardingList(list):
     def append(self, data):
         return None
