State the age of changes where they are received

A response for changes may have been asked for long before it is used, also by another task of the daemon, so the link counts the time since the request as part of the age. The directory now takes the age of a change set as of the moment at which it is applied, and the follower gives a read of the store the time since its call as age.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -86,29 +86,23 @@
             and self.age < self.configuration_delay
         )
 
-    def apply(
-        self, changes: ChangeSet, *, source: str, asked_at: float = float("-inf")
-    ) -> int:
+    def apply(self, changes: ChangeSet, *, source: str) -> int:
         """Apply changes from the store or a peer; return the number of new ones.
 
         Parameters
         ----------
         changes : ChangeSet
             All changes after the revision of the replica, or all items.
-        asked_at : float
-            Time on ``clock`` at which they were asked for, which is never later than
-            the time up to which they are complete, plus their age.
         """
         if changes.in_grace_period:
             self.endpoints.start_grace_period()
         # A sender that knows less than this daemon proves nothing about the rest.
-        complete = changes.revision >= max(1, self.replica.revision)
+        if changes.revision >= max(1, self.replica.revision):
+            self.current_at = max(self.current_at, self.clock() - changes.age)
         new = self.replica.apply(changes)
         for change in new:
             self._apply(change, source)
         self.listed = self.listed or changes.is_snapshot
-        if complete:
-            self.current_at = max(self.current_at, asked_at - changes.age)
         return len(new)
 
     def drop_departed(self) -> None:
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -127,17 +127,17 @@
 
     async def _read(self) -> None:
         """Ask a relay for the changes; without a recent answer, read the store."""
-        asked_at = self.directory.clock()
         if self.watching:
             changes = await self.ask_relay(self.directory.replica.revision)
             if changes is not None and changes.age < MAX_ANSWER_AGE_SECONDS:
                 self._record_answer(changes.age)
-                self.directory.apply(changes, source="store", asked_at=asked_at)
+                self.directory.apply(changes, source="store")
                 return
-            asked_at = self.directory.clock()
+        asked_at = self.directory.clock()
         changes = await self._read_store()
         self._record_answer()
-        self.directory.apply(changes, source="store", asked_at=asked_at)
+        age = self.directory.clock() - asked_at
+        self.directory.apply(attrs.evolve(changes, age=age), source="store")
         self.watching = True
 
     async def _read_store(self) -> ChangeSet:
@@ -179,10 +179,9 @@
             await anyio.sleep(PEER_POLL_SECONDS)
             if self.store_age < MAX_ANSWER_AGE_SECONDS and self.directory.complete:
                 continue
-            asked_at = self.directory.clock()
             changes = await self.ask_peer(self.directory.replica.revision)
             if changes is not None:
-                new = self.directory.apply(changes, source="peer", asked_at=asked_at)
+                new = self.directory.apply(changes, source="peer")
                 if new:
                     self.log.write(
                         "followed_peer",
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -24,7 +24,8 @@
         Whether its sender is in the grace period after a store outage, so that removals
         may be of entries that expired during the outage.
     age : float
-        Seconds since the store itself answered, if a daemon passes the changes on.
+        Seconds since the changes up to the revision were all that the store had
+        acknowledged.
     """
 
     changes: tuple[Change, ...]
--- a/currantdyke/gateway/tests/test_denials.py
+++ b/currantdyke/gateway/tests/test_denials.py
@@ -14,9 +14,7 @@
     async def scenario():
         directory = build_directory()
         if seconds_later is not None:
-            changes = build_configuration(1)
-            now = anyio.current_time()
-            directory.apply(changes, source="store", asked_at=now)
+            directory.apply(build_configuration(1), source="store")
             await anyio.sleep(seconds_later)
         answers = {}
         for kind in DENIALS:
