Use what a relay sends, and have one transfer at a time

A daemon behind a slow link received the configuration up to three times at once: the loop that reads the store or a relay and the loop that asks peers ran beside each other, and a relay's answer of 1.2 s or more was thrown away after it had been received.

Change: a relay's answer is applied whatever its age (versions only increase); its age only decides whether the store is read as well. Peers are not asked while data of an answer from the store or another daemon arrives.

test_old_answer_of_a_relay_is_used_while_the_store_is_lost and test_peers_are_not_asked_while_an_answer_arrives failed before.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -29,8 +29,8 @@
 READ_RATE_SHARE = 0.4
 # Longest wait of a watch, so that a dead connection is detected in one to two seconds.
 WATCH_TIMEOUT_SECONDS = 0.5
-# If the last answer of the store is at least this old, peers are asked, and a relay's
-# answer of that age is not used.
+# If the last answer of the store is at least this old, peers are asked; after a relay's
+# answer of that age the store is read.
 MAX_ANSWER_AGE_SECONDS = 1.2
 PEER_POLL_SECONDS = 0.4
 # Retry interval for an unavailable store in a large fleet; peers pass on the changes
@@ -52,6 +52,8 @@
     ask_relay : callable
         The same from a relay, a daemon that reads the store for this one; None also if
         this daemon must read the store itself.
+    received_at : callable
+        Returns the time at which data of an unfinished answer last arrived.
     answered_at : float
         Time at which the store last answered this daemon or the relay that it asked.
     lost_since : float or None
@@ -69,6 +71,7 @@
     reads_per_second: float
     ask_peer: Callable[[int], Awaitable[ChangeSet | None]]
     ask_relay: Callable[[int], Awaitable[ChangeSet | None]]
+    received_at: Callable[[], float] = lambda: float("-inf")
     answered_at: float = -1.0
     lost_since: float | None = None
     watching: bool = False
@@ -129,10 +132,13 @@
         """Ask a relay for the changes; without a recent answer, read the store."""
         if self.watching:
             changes = await self.ask_relay(self.directory.replica.revision)
-            if changes is not None and changes.age < MAX_ANSWER_AGE_SECONDS:
-                self._record_answer(changes.age)
+            if changes is not None:
+                is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
+                if is_recent:
+                    self._record_answer(changes.age)
                 self.directory.apply(changes, source="store")
-                return
+                if is_recent:
+                    return
         asked_at = self.directory.clock()
         changes = await self._read_store()
         self._record_answer()
@@ -158,7 +164,7 @@
         )
 
     def _record_answer(self, age: float = 0.0) -> None:
-        self.answered_at = anyio.current_time() - age
+        self.answered_at = max(self.answered_at, anyio.current_time() - age)
         if self.lost_since is None:
             return
         outage = max(0.0, self.answered_at - self.lost_since)
@@ -179,6 +185,9 @@
             await anyio.sleep(PEER_POLL_SECONDS)
             if self.store_age < MAX_ANSWER_AGE_SECONDS and self.directory.complete:
                 continue
+            if anyio.current_time() - self.received_at() < PEER_POLL_SECONDS:
+                # A second transfer would only slow down the one in progress.
+                continue
             changes = await self.ask_peer(self.directory.replica.revision)
             if changes is not None:
                 new = self.directory.apply(changes, source="peer")
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -3,12 +3,16 @@
 import anyio
 
 from currantdyke.directory import ChangeSet
+from currantdyke.directory.follow import (
+    MAX_ANSWER_AGE_SECONDS,
+)
 from currantdyke.directory.tests.builders import (
     FakeStore,
     build_configuration,
     build_directory,
     build_follower,
 )
+from currantdyke.platform.store import StoreUnavailableError
 from currantdyke.testing.virtual import run_virtual
 
 FOLLOWED_SECONDS = 3.0
@@ -86,6 +90,48 @@
 
         self.assertAlmostEqual(run_virtual(scenario), 1.2)
 
+    # Guards against an answer that is thrown away and asked for again elsewhere.
+    def test_old_answer_of_a_relay_is_used_while_the_store_is_lost(self):
+        async def refuse(*args):
+            raise StoreUnavailableError("status 429")
+
+        async def answer(revision):
+            return build_configuration(4, age=2 * MAX_ANSWER_AGE_SECONDS)
+
+        async def scenario():
+            follower = build_follower(
+                FakeStore(list_all=refuse, watch=refuse), ask_relay=answer
+            )
+            follower.watching = True
+            await follow(follower)
+            directory = follower.directory
+            return directory.routes.catalog.version, directory.decides
+
+        self.assertEqual(run_virtual(scenario), (4, False))
+
+    # Guards against transfers of the same document that slow each other down.
+    def test_peers_are_not_asked_while_an_answer_arrives(self):
+        for arriving, asked in ((True, False), (False, True)):
+            with self.subTest(arriving=arriving):
+                requests = []
+
+                async def never(*args):
+                    await anyio.sleep_forever()
+
+                async def answer(revision, requests=requests):
+                    requests.append(revision)
+
+                async def scenario(arriving=arriving, answer=answer):
+                    follower = build_follower(
+                        FakeStore(list_all=never), ask_peer=answer
+                    )
+                    if arriving:
+                        follower.received_at = anyio.current_time
+                    await follow(follower)
+
+                run_virtual(scenario)
+                self.assertEqual(bool(requests), asked)
+
 
 if __name__ == "__main__":
     unittest.main()
