Pause between listings of a store that has no history

A store that answers 410 also to the listing was called without pause: 3,001 calls in 3 s of virtual time in test_listing_without_history_is_not_repeated_at_once, which failed before. Only the first 410 of a watch is followed by a listing at once. store_history_gone states the reason.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -111,13 +111,16 @@
             started = anyio.current_time()
             try:
                 await self._read()
-            except HistoryGoneError:
+            except HistoryGoneError as error:
                 self.log.write(
-                    "store_history_gone", after=self.directory.replica.revision
+                    "store_history_gone",
+                    after=self.directory.replica.revision,
+                    reason=str(error),
                 )
-                self.watching = False
                 self._record_answer()
-                continue
+                if self.watching:
+                    self.watching = False
+                    continue
             except StoreUnavailableError as error:
                 self._record_outage(str(error))
             self.directory.drop_departed()
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -5,6 +5,7 @@
 from currantdyke.directory import ChangeSet
 from currantdyke.directory.follow import (
     MAX_ANSWER_AGE_SECONDS,
+    MIN_READ_INTERVAL_SECONDS,
 )
 from currantdyke.directory.tests.builders import (
     FakeStore,
@@ -12,7 +13,7 @@
     build_directory,
     build_follower,
 )
-from currantdyke.platform.store import StoreUnavailableError
+from currantdyke.platform.store import HistoryGoneError, StoreUnavailableError
 from currantdyke.testing.virtual import run_virtual
 
 FOLLOWED_SECONDS = 3.0
@@ -132,6 +133,25 @@
                 run_virtual(scenario)
                 self.assertEqual(bool(requests), asked)
 
+    # Guards against calls without pause to a store that also refuses the listing.
+    def test_listing_without_history_is_not_repeated_at_once(self):
+        calls = []
+
+        async def gone(*args):
+            calls.append(args)
+            await anyio.sleep(0.001)
+            raise HistoryGoneError
+
+        async def scenario():
+            follower = build_follower(FakeStore(list_all=gone, watch=gone))
+            follower.watching = True
+            await follow(follower)
+
+        run_virtual(scenario)
+        self.assertLessEqual(
+            len(calls), 2 + FOLLOWED_SECONDS / MIN_READ_INTERVAL_SECONDS
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
