Test large answers of a slow store on real connections

The emulated store can deliver its answers at a given pace. A list and a watch of 500 KB at 250 KB/s are read over sockets, with the backend that the daemons use.

--- a/currantdyke/emulator/store.py
+++ b/currantdyke/emulator/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections
+import math
 import urllib.parse
 
 import anyio
@@ -13,6 +14,8 @@
 __all__ = ["StoreEmulator"]
 
 PAGE_ITEMS = 50
+# Parts in which a slow store delivers an answer.
+PART_BYTES = 10_000
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -25,6 +28,8 @@
         The injected fault: empty, ``busy`` (503), ``reset`` or ``silent``.
     affected_hosts : set of str
         Addresses of the clients that the fault affects; all clients if empty.
+    bytes_per_second : float
+        Pace at which each answer is delivered.
     compacted_revision : int
         Changes up to this revision are no longer available to watches.
     calls : Counter
@@ -40,6 +45,7 @@
     leases: dict[int, set[str]] = attrs.field(factory=dict)
     fault: str = ""
     affected_hosts: set[str] = attrs.field(factory=set)
+    bytes_per_second: float = math.inf
     calls: collections.Counter = attrs.field(factory=collections.Counter)
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -117,7 +123,19 @@
             )
         )
         status, document = await self._dispatch(request, query)
-        await reply.send_response(status, {}, msgspec.json.encode(document))
+        body = msgspec.json.encode(document)
+        if math.isinf(self.bytes_per_second):
+            await reply.send_response(status, {}, body)
+        else:
+            await self._send_slowly(reply, status, body)
+
+    async def _send_slowly(self, reply: Reply, status: int, body: bytes) -> None:
+        await reply.send_head(status, {})
+        for start in range(0, len(body), PART_BYTES):
+            part = body[start : start + PART_BYTES]
+            await anyio.sleep(len(part) / self.bytes_per_second)
+            await reply.send_chunk(part)
+        await reply.send_end()
 
     async def _serve_fault(self, reply: Reply) -> None:
         if self.fault == "busy":
--- a/currantdyke/platform/tests/test_store.py
+++ b/currantdyke/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 
 import anyio
 
+from currantdyke.emulator.store import StoreEmulator
 from currantdyke.platform.store import (
     CALL_TIMEOUT_SECONDS,
     MAX_ANSWER_BYTES,
@@ -18,6 +19,7 @@
     page_answer,
     watch_answer,
 )
+from currantdyke.testing.gateways import run_on_sockets
 from currantdyke.testing.virtual import run_virtual
 
 WATCH_WAIT_SECONDS = 0.5
@@ -146,6 +148,21 @@
 
         self.assertLess(max(run_virtual(observe)), 0.1)
 
+    # Guards against the same on a real connection, with the backend of the daemons.
+    @run_on_sockets
+    async def test_large_answers_of_a_slow_store_are_read_from_a_socket(self):
+        store = StoreEmulator(bytes_per_second=SLOW_BYTES_PER_SECOND)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(store.run)
+            client = StoreClient(address=store.address)
+            before = store.revision
+            revision = store.put("op/config", bytes(VALUE_BYTES))
+            for result in (await list_all(client), await client.watch(before, 0.5)):
+                (change,), at = result
+                self.assertEqual((len(change.value), at), (VALUE_BYTES, revision))
+            await client.close()
+            tasks.cancel_scope.cancel()
+
 
 class TestTooLargeAnswer(unittest.TestCase):
     # Guards against a watch that is repeated though its answer never fits.
