Drop lapsed endpoints in time while an answer arrives

An endpoint whose entry ended in an outage of the store is used for 2 s more, in case that the entry reappears. What had not reappeared was dropped after each read only, and a read may now last as long as its transfer, so that an endpoint that has left would have got new work for seconds.

Change: the timer service calls Follower.expire_entries every 0.25 s.

test_lapsed_endpoint_is_dropped_in_time_while_the_store_is_read fails without the timer, as before the change: the endpoint was in use 0.5 s after the end of its 2 s.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -106,6 +106,15 @@
             changes, in_grace_period=self.in_grace_period, age=self.directory.age
         )
 
+    async def expire_entries(self) -> None:
+        """Drop what was kept in case that it reappears, and did not in time.
+
+        The timer service calls this, since a read may take as long as its transfer.
+        """
+        self.directory.drop_departed()
+        for instance in self.directory.endpoints.drop_lapsed():
+            self.log.write("endpoint_lapsed", endpoint=instance)
+
     async def _follow_store(self) -> None:
         while True:
             started = anyio.current_time()
@@ -123,9 +132,6 @@
                     continue
             except StoreUnavailableError as error:
                 self._record_outage(str(error))
-            self.directory.drop_departed()
-            for instance in self.directory.endpoints.drop_lapsed():
-                self.log.write("endpoint_lapsed", endpoint=instance)
             elapsed = anyio.current_time() - started
             with anyio.move_on_after(max(0.0, self._read_interval() - elapsed)):
                 await self.read_requested.wait()
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -3,6 +3,7 @@
 import anyio
 
 from currantdyke.directory import ChangeSet
+from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
 from currantdyke.directory.follow import (
     MAX_ANSWER_AGE_SECONDS,
     MIN_READ_INTERVAL_SECONDS,
@@ -13,10 +14,18 @@
     build_directory,
     build_follower,
 )
-from currantdyke.platform.store import HistoryGoneError, StoreUnavailableError
+from currantdyke.platform.store import (
+    Change,
+    HistoryGoneError,
+    StoreUnavailableError,
+)
 from currantdyke.testing.virtual import run_virtual
+from currantdyke.timers import TimerService
 
 FOLLOWED_SECONDS = 3.0
+ENDPOINT_DOCUMENT = (
+    b'{"service": "plain", "address": "10.0.0.1:80", "state": "ready", "zone": "z"}'
+)
 
 
 class Clock:
@@ -91,6 +100,43 @@
 
         self.assertAlmostEqual(run_virtual(scenario), 1.2)
 
+    # Guards against endpoints that stay in use while a long answer arrives.
+    def test_lapsed_endpoint_is_dropped_in_time_while_the_store_is_read(self):
+        entry = Change(key="servers/i", value=ENDPOINT_DOCUMENT, revision=1)
+        answers = iter(
+            [
+                StoreUnavailableError("busy"),
+                ([Change(key="servers/i", value=None, revision=2)], 2),
+            ]
+        )
+
+        async def list_all():
+            return [entry], 1
+
+        async def watch(after, wait):
+            answer = next(answers, None)
+            if answer is None:
+                await anyio.sleep_forever()
+            if isinstance(answer, Exception):
+                raise answer
+            return answer
+
+        async def scenario():
+            follower = build_follower(FakeStore(list_all=list_all, watch=watch))
+            timers = TimerService()
+            timers.every(0.25, follower.expire_entries, name="expire")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(timers.run)
+                tasks.start_soon(follower.run)
+                await anyio.sleep(MIN_READ_INTERVAL_SECONDS * 2 + 0.1)
+                usable = [follower.directory.endpoints.usable("i") is not None]
+                await anyio.sleep(GRACE_PERIOD_SECONDS + 0.5)
+                usable.append(follower.directory.endpoints.usable("i") is not None)
+                tasks.cancel_scope.cancel()
+            return usable
+
+        self.assertEqual(run_virtual(scenario), [True, False])
+
     # Guards against an answer that is thrown away and asked for again elsewhere.
     def test_old_answer_of_a_relay_is_used_while_the_store_is_lost(self):
         async def refuse(*args):
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -61,6 +61,8 @@
 DRAIN_CHECK_SECONDS = 0.1
 STALE_CHECK_SECONDS = 1.0
 CLOCK_CHECK_SECONDS = 0.25
+# Small compared with the grace period of lapsed endpoints.
+EXPIRY_CHECK_SECONDS = 0.25
 SETTINGS_CHECK_SECONDS = 1.0
 # The daemon that owns a stage queue logs it this often while there is work.
 QUEUE_LOG_SECONDS = 1.0
@@ -208,6 +210,11 @@
                 self.context.connections.close_stale,
                 name="close stale connections",
             )
+            self.timers.every(
+                EXPIRY_CHECK_SECONDS,
+                self.follower.expire_entries,
+                name="expire entries of the directory",
+            )
             self.timers.every(
                 QUEUE_LOG_SECONDS, self.stages.log_queues, name="log stage queues"
             )
