Compress large values of changes for peers that accept it

Cause: a configuration of 1,800 routes takes 0.6 s of a link of 5 Mbit/s, and frames behind it wait as long. Change: a request for changes says that compressed values are accepted; values of 1 KB or more are then compressed with zlib at level 1, if that makes them smaller, once for all peers. The schema gets two fields at the end of their structs: an older daemon ignores the first and never sets it, so it neither gets nor sends compressed values. Decompression stops at the size that the sender states, and all of a frame's compressed values may take 8 MB, as much as a frame without compression.

--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -120,7 +120,9 @@
         started = anyio.current_time()
         try:
             link = await self.connect(ip)
-            request = link.send_request(ChangesRequest(revision=revision))
+            request = link.send_request(
+                ChangesRequest(revision=revision, accepts_compressed=True)
+            )
         except LinkLostError as error:
             self._record_loss(ip, error, started)
             return None
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -9,6 +9,7 @@
 
 from currantdyke.catalog import StageStep
 from currantdyke.directory.replica import ChangeSet
+from currantdyke.links.compression import compress, decompress
 from currantdyke.platform.requests import PromptPart
 from currantdyke.platform.store import Change
 from currantdyke.scheduler.messages import (
@@ -20,6 +21,7 @@
 )
 
 __all__ = [
+    "MAX_FRAME_BYTES",
     "RESPONSE_TYPES",
     "ChangesRequest",
     "CrashReport",
@@ -36,6 +38,11 @@
 
 MAX_UINT32 = 2**32 - 1
 MAX_UINT16 = 2**16 - 1
+# Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
+# Limits also what the compressed values of a frame take after decompression.
+MAX_FRAME_BYTES = 8_000_000
+# Smaller values are sent as they are; compression would gain little.
+MIN_COMPRESSED_BYTES = 1_024
 
 
 @attrs.frozen
@@ -58,9 +65,16 @@
 
 @attrs.frozen(kw_only=True)
 class ChangesRequest:
-    """Requests the changes after a revision of the store."""
+    """Requests the changes after a revision of the store.
+
+    Attributes
+    ----------
+    accepts_compressed : bool
+        Whether large values of the response may be compressed.
+    """
 
     revision: int
+    accepts_compressed: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -103,10 +117,19 @@
     content: Content
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame."""
+def encode_frame(frame: Frame, *, compressed: bool = False) -> bytes:
+    """Encode a frame.
+
+    Parameters
+    ----------
+    compressed : bool
+        Whether large values of changes are compressed.
+    """
     builder = SCHEMA.Frame.new_message(number=frame.number)
-    _encode_content(builder, frame.content)
+    if isinstance(frame.content, ChangeSet):
+        _encode_changes(builder.init("changes"), frame.content, compressed)
+    else:
+        _encode_content(builder, frame.content)
     return builder.to_bytes_packed()
 
 
@@ -133,12 +156,11 @@
             builder.unknown = None
         case ChangesRequest():
             builder.changesAfter = content.revision
+            builder.acceptsCompressed = content.accepts_compressed
         case CrashReport():
             crashed = builder.init("crashed")
             crashed.fingerprint = content.fingerprint
             crashed.endpoint = content.endpoint
-        case ChangeSet():
-            _encode_changes(builder.init("changes"), content)
         case PlacementRequest():
             _encode_placement_request(builder.init("place"), content)
         case Placement():
@@ -157,7 +179,7 @@
             progress.kind = content.kind.value
 
 
-def _encode_changes(builder: Any, changes: ChangeSet) -> None:
+def _encode_changes(builder: Any, changes: ChangeSet, compressed: bool) -> None:
     builder.revision = changes.revision
     builder.whole = changes.is_snapshot
     builder.settling = changes.in_grace_period
@@ -168,7 +190,17 @@
         items[index].revision = change.revision
         items[index].removed = change.value is None
         if change.value is not None:
-            items[index].value = change.value
+            _encode_value(items[index], change.value, compressed)
+
+
+def _encode_value(item: Any, value: bytes, compressed: bool) -> None:
+    if compressed and len(value) >= MIN_COMPRESSED_BYTES:
+        data = compress(value)
+        if len(data) < len(value):
+            item.value = data
+            item.uncompressedBytes = len(value)
+            return
+    item.value = value
 
 
 def _encode_placement_request(builder: Any, request: PlacementRequest) -> None:
@@ -203,7 +235,10 @@
         case "pong":
             return Pong()
         case "changesAfter":
-            return ChangesRequest(revision=reader.changesAfter)
+            return ChangesRequest(
+                revision=reader.changesAfter,
+                accepts_compressed=reader.acceptsCompressed,
+            )
         case "crashed":
             crashed = reader.crashed
             return CrashReport(
@@ -230,6 +265,9 @@
 
 
 def _decode_changes(reader: Any) -> ChangeSet:
+    size = sum(item.uncompressedBytes for item in reader.items)
+    if size > MAX_FRAME_BYTES:
+        raise ValueError(f"the values of a frame take {size} bytes")
     return ChangeSet(
         revision=reader.revision,
         is_snapshot=reader.whole,
@@ -238,7 +276,7 @@
         changes=tuple(
             Change(
                 key=item.key,
-                value=None if item.removed else bytes(item.value),
+                value=None if item.removed else _decode_value(item),
                 revision=item.revision,
             )
             for item in reader.items
@@ -246,6 +284,12 @@
     )
 
 
+def _decode_value(item: Any) -> bytes:
+    value = bytes(item.value)
+    size = item.uncompressedBytes
+    return decompress(value, size) if size else value
+
+
 def _decode_placement_request(reader: Any) -> PlacementRequest:
     return PlacementRequest(
         attempt_id=reader.attemptId,
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -17,6 +17,8 @@
     crashed @9 :Crashed;
     unknown @10 :Void;
   }
+  # Of a request: the response may contain compressed values.
+  acceptsCompressed @11 :Bool;
 }
 
 struct Changes {
@@ -32,6 +34,8 @@
   revision @1 :UInt64;
   removed @2 :Bool;
   value @3 :Data;
+  # Size of the value if it is compressed with zlib, else 0.
+  uncompressedBytes @4 :UInt32;
 }
 
 struct Place {
--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -11,7 +11,9 @@
 
 from currantdyke.http1 import CONNECTION_ERRORS, set_socket_options
 from currantdyke.links.codec import (
+    MAX_FRAME_BYTES,
     RESPONSE_TYPES,
+    ChangesRequest,
     Content,
     Frame,
     Ping,
@@ -32,8 +34,6 @@
 
 READ_BYTES = 65_536
 LENGTH_PREFIX_BYTES = 4
-# Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
-MAX_FRAME_BYTES = 8_000_000
 # Frames that are queued for a peer that does not read; beyond that the link takes no
 # new requests or notifications, and breaks at the latest when the current send returns.
 MAX_QUEUED_FRAMES = 1_000
@@ -198,10 +198,10 @@
             self.peer, reason=reason, received_bytes=len(self.incoming)
         )
 
-    def _enqueue(self, frame: Frame) -> None:
+    def _enqueue(self, frame: Frame, *, compressed: bool = False) -> None:
         if len(self.outgoing) >= MAX_QUEUED_FRAMES:
             self.closed = True
-        data = encode_frame(frame)
+        data = encode_frame(frame, compressed=compressed)
         self.outgoing.append(len(data).to_bytes(LENGTH_PREFIX_BYTES, "big") + data)
         self.frames_queued.set()
 
@@ -268,8 +268,12 @@
             tasks.start_soon(self._respond, frame)
 
     async def _respond(self, frame: Frame) -> None:
-        content = await self.handle_request(self, frame.content)
-        self._enqueue(Frame(number=frame.number, content=content))
+        request = frame.content
+        content = await self.handle_request(self, request)
+        compressed = isinstance(request, ChangesRequest) and request.accepts_compressed
+        self._enqueue(
+            Frame(number=frame.number, content=content), compressed=compressed
+        )
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/currantdyke/links/tests/builders.py
+++ b/currantdyke/links/tests/builders.py
@@ -11,6 +11,7 @@
 from currantdyke.directory import ChangeSet, Directory
 from currantdyke.links import ChangesRequest, Frame, Peers, Unknown
 from currantdyke.links.codec import decode_frame, encode_frame
+from currantdyke.links.link import Link
 from currantdyke.platform.records import DaemonEntry
 from currantdyke.platform.store import Change
 from currantdyke.testing.gateways import wait_until
@@ -22,6 +23,7 @@
     "build_peers",
     "memory_pair",
     "run_daemons",
+    "run_linked",
     "serve_slowly",
 ]
 
@@ -117,6 +119,36 @@
             buffer = buffer[end:]
 
 
+async def run_linked(
+    answer,
+    scenario,
+    *,
+    handle_notification=lambda link, content: None,
+    bytes_per_second=math.inf,
+):
+    """Run a scenario with two links that are connected in memory."""
+    near, far = memory_pair(bytes_per_second)
+    asking = Link(
+        peer="far",
+        stream=near,
+        handle_request=answer,
+        handle_notification=handle_notification,
+    )
+    answering = Link(
+        peer="near",
+        stream=far,
+        handle_request=answer,
+        handle_notification=handle_notification,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(asking.run)
+        tasks.start_soon(answering.run)
+        try:
+            return await scenario(asking, answering)
+        finally:
+            tasks.cancel_scope.cancel()
+
+
 def memory_pair(bytes_per_second=math.inf):
     """Return the two ends of a connection in memory that sends at a limited rate."""
     send_a, receive_a = anyio.create_memory_object_stream(1_000)
--- /dev/null
+++ b/currantdyke/links/tests/link_uncompressed.capnp
@@ -0,0 +1,87 @@
+@0xd7b13c9a5e6f2048;
+
+# The schema of daemons that do not know compressed values.
+# Frames between daemons. Times are milliseconds that are left, never moments: the
+# clocks of two VMs may differ.
+
+struct Frame {
+  number @0 :UInt64;
+  union {
+    ping @1 :Void;
+    pong @2 :Void;
+    changesAfter @3 :UInt64;
+    changes @4 :Changes;
+    place @5 :Place;
+    placed @6 :Placed;
+    refused @7 :Refused;
+    progress @8 :Progress;
+    crashed @9 :Crashed;
+    unknown @10 :Void;
+  }
+}
+
+struct Changes {
+  revision @0 :UInt64;
+  whole @1 :Bool;
+  settling @2 :Bool;
+  items @3 :List(Item);
+  ageMilliseconds @4 :UInt32;
+}
+
+struct Item {
+  key @0 :Text;
+  revision @1 :UInt64;
+  removed @2 :Bool;
+  value @3 :Data;
+}
+
+struct Place {
+  attemptId @0 :Text;
+  service @1 :Text;
+  steps @2 :List(Step);
+  stageKey @3 :Text;
+  targetMilliseconds @4 :UInt32;
+  deadlineMilliseconds @5 :UInt32;
+  rank @6 :UInt16;
+  promptTokens @7 :UInt32;
+  outputTokens @8 :UInt32;
+  parts @9 :List(Part);
+  availabilityZone @10 :Text;
+  excluded @11 :List(Text);
+  again @12 :Bool;
+  givesWay @13 :Bool;
+}
+
+struct Step {
+  service @0 :Text;
+  after @1 :List(UInt16);
+  resultBytes @2 :UInt64;
+  pieces @3 :UInt32;
+}
+
+struct Part {
+  partId @0 :Data;
+  tokens @1 :UInt32;
+}
+
+struct Placed {
+  instance @0 :Text;
+  handles @1 :List(Text);
+  withStages @2 :Bool;
+}
+
+struct Refused {
+  code @0 :Text;
+  detail @1 :Text;
+  retryAfterMilliseconds @2 :UInt32;
+}
+
+struct Crashed {
+  fingerprint @0 :Text;
+  endpoint @1 :Text;
+}
+
+struct Progress {
+  attemptId @0 :Text;
+  kind @1 :UInt8;
+}
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -1,4 +1,3 @@
-import math
 import unittest
 
 import anyio
@@ -9,8 +8,8 @@
 from currantdyke.directory import ChangeSet
 from currantdyke.links import ChangesRequest, CrashReport, Frame, LinkLostError, Unknown
 from currantdyke.links.codec import decode_frame, encode_frame
-from currantdyke.links.link import Link, LossReason
-from currantdyke.links.tests.builders import build_changes, memory_pair
+from currantdyke.links.link import LossReason
+from currantdyke.links.tests.builders import build_changes, run_linked
 from currantdyke.platform.requests import PromptPart
 from currantdyke.platform.store import Change
 from currantdyke.scheduler.messages import (
@@ -51,6 +50,7 @@
     Refusal(code="overloaded", detail="d", retry_after=0.25),
     Progress(attempt_id="a", kind=ProgressKind.STARTED),
     ChangesRequest(revision=7),
+    ChangesRequest(revision=7, accepts_compressed=True),
     ChangeSet(
         revision=9,
         is_snapshot=True,
@@ -79,36 +79,6 @@
         decode_frame(data)
 
 
-async def run_linked(
-    answer,
-    scenario,
-    *,
-    handle_notification=lambda link, content: None,
-    bytes_per_second=math.inf,
-):
-    """Run a scenario with two links that are connected in memory."""
-    near, far = memory_pair(bytes_per_second)
-    asking = Link(
-        peer="far",
-        stream=near,
-        handle_request=answer,
-        handle_notification=handle_notification,
-    )
-    answering = Link(
-        peer="near",
-        stream=far,
-        handle_request=answer,
-        handle_notification=handle_notification,
-    )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(asking.run)
-        tasks.start_soon(answering.run)
-        try:
-            return await scenario(asking, answering)
-        finally:
-            tasks.cancel_scope.cancel()
-
-
 class TestLinks(unittest.TestCase):
     def test_concurrent_requests_receive_their_own_responses(self):
         async def answer(link, content):
