Say when to come back in every refusal that promises not to have run

Cause: Exchange.failure left retry_after to each place that fails a request, and not all gave one. Change: a request that has not run gets a default there.

--- a/currantdyke/forward/exchange.py
+++ b/currantdyke/forward/exchange.py
@@ -11,6 +11,10 @@
 
 __all__ = ["AttemptRecord", "Exchange", "RequestFailedError", "ResponseWriter"]
 
+# Used where nothing is known of the time at which an endpoint will be free. Short
+# compared with the deadlines of callers, which wait at most a third of what is left.
+DEFAULT_RETRY_SECONDS = 0.5
+
 
 class ResponseWriter(Protocol):
     """Interface that sends a response to the caller."""
@@ -124,8 +128,17 @@
     def failure(
         self, kind: FailureKind, detail: str, *, retry_after: float | None = None
     ) -> RequestFailedError:
-        """Return a failure whose outcome states whether the request may have run."""
+        """Return a failure whose outcome states whether the request may have run.
+
+        Parameters
+        ----------
+        retry_after : float or None
+            Seconds after which a request that has not run may be sent again; None for
+            `DEFAULT_RETRY_SECONDS`.
+        """
         outcome = Outcome.UNKNOWN if self.runs else Outcome.NOT_RUN
+        if retry_after is None and outcome is Outcome.NOT_RUN:
+            retry_after = DEFAULT_RETRY_SECONDS
         return RequestFailedError(
             Failure(kind=kind, detail=detail, outcome=outcome, retry_after=retry_after)
         )
