Pass on how much of the grace period is left, not that there is one

Endpoints that were gone could stay in use: after an outage of the store their entries are used for 2 s more, and a daemon in this period told its peers so; each of them then began 2 s of its own, and peers that asked each other kept all of them in it.

Change: a change set states the seconds that are left, less the time since it was asked for, and a receiver never extends the period beyond them. The link has a new field at the end of Changes; an older daemon still sends and understands that there is a grace period.

test_peers_that_ask_each_other_end_the_grace_period_in_time failed before: both daemons used the endpoint 3 s after the end of the outage. The elapsed time is now taken from the clock that counts suspensions of the VM.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -94,8 +94,7 @@
         changes : ChangeSet
             All changes after the revision of the replica, or all items.
         """
-        if changes.in_grace_period:
-            self.endpoints.start_grace_period()
+        self.endpoints.extend_grace_period(changes.grace_period)
         # A sender that knows less than this daemon proves nothing about the rest.
         if changes.revision >= max(1, self.replica.revision):
             self.current_at = max(self.current_at, self.clock() - changes.age)
@@ -105,6 +104,14 @@
         self.listed = self.listed or changes.is_snapshot
         return len(new)
 
+    def changes_since(self, revision: int) -> ChangeSet:
+        """Return the changes after a revision, to be sent to a peer."""
+        return attrs.evolve(
+            self.replica.changes_since(revision),
+            grace_period=self.endpoints.grace_period_left(),
+            age=self.age,
+        )
+
     def drop_departed(self) -> None:
         """Remove daemons whose entries ended over `DAEMON_RETENTION_SECONDS` ago."""
         oldest = self.endpoints.now() - DAEMON_RETENTION_SECONDS
--- a/currantdyke/directory/endpoints.py
+++ b/currantdyke/directory/endpoints.py
@@ -63,7 +63,15 @@
 
     def start_grace_period(self) -> None:
         """Start the grace period in which lapsed entries may reappear."""
-        self.grace_period_end = self.now() + GRACE_PERIOD_SECONDS
+        self.extend_grace_period(GRACE_PERIOD_SECONDS)
+
+    def extend_grace_period(self, seconds: float) -> None:
+        """Let the grace period last for this time from now, or longer if it does."""
+        self.grace_period_end = max(self.grace_period_end, self.now() + seconds)
+
+    def grace_period_left(self) -> float:
+        """Return the seconds until the grace period ends, or 0."""
+        return max(0.0, self.grace_period_end - self.now())
 
     def drop_lapsed(self) -> list[str]:
         """Remove the endpoints that did not reappear in the grace period."""
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -82,12 +82,6 @@
         """Time since the store last answered, in seconds."""
         return anyio.current_time() - self.answered_at
 
-    @property
-    def in_grace_period(self) -> bool:
-        """Whether the grace period after a store outage is running."""
-        endpoints = self.directory.endpoints
-        return endpoints.now() < endpoints.grace_period_end
-
     async def run(self) -> None:
         """Follow until cancelled."""
         self.answered_at = anyio.current_time()
@@ -99,13 +93,6 @@
         """Read the store without delay, since the known state may be stale."""
         self.read_requested.set()
 
-    def changes_since(self, revision: int) -> ChangeSet:
-        """Return the changes after a revision, to be sent to a peer."""
-        changes = self.directory.replica.changes_since(revision)
-        return attrs.evolve(
-            changes, in_grace_period=self.in_grace_period, age=self.directory.age
-        )
-
     async def expire_entries(self) -> None:
         """Drop what was kept in case that it reappears, and did not in time.
 
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -20,9 +20,9 @@
     ----------
     is_snapshot : bool
         Whether it contains every item, so that any other item has been removed.
-    in_grace_period : bool
-        Whether its sender is in the grace period after a store outage, so that removals
-        may be of entries that expired during the outage.
+    grace_period : float
+        Seconds that are left of the grace period of its sender after a store outage, so
+        that removals may be of entries that expired during the outage; 0 for none.
     age : float
         Seconds since the changes up to the revision were all that the store had
         acknowledged.
@@ -31,7 +31,7 @@
     changes: tuple[Change, ...]
     revision: int
     is_snapshot: bool = False
-    in_grace_period: bool = False
+    grace_period: float = 0.0
     age: float = 0.0
 
 
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -82,6 +82,33 @@
         self.assertTrue(self.directory.decides)
 
 
+class TestGracePeriod(unittest.TestCase):
+    # Guards against endpoints that are gone and stay in use while peers ask each other.
+    def test_peers_that_ask_each_other_end_the_grace_period_in_time(self):
+        clock = Clock()
+        first, second = build_directory(clock), build_directory(clock)
+        gone = Change(key="servers/i", value=None, revision=2)
+
+        async def scenario():
+            for directory in (first, second):
+                entry = Change(key="servers/i", value=ENDPOINT_DOCUMENT, revision=1)
+                known = ChangeSet(changes=(entry,), revision=1)
+                directory.apply(known, source="store")
+            first.endpoints.start_grace_period()
+            ended = ChangeSet(changes=(gone,), revision=2)
+            first.apply(ended, source="store")
+            for _ in range(12):
+                for asking, asked in ((second, first), (first, second)):
+                    changes = asked.changes_since(asking.replica.revision)
+                    asking.apply(changes, source="peer")
+                clock.now += 0.25
+                for directory in (first, second):
+                    directory.endpoints.drop_lapsed()
+            return [d.endpoints.usable("i") for d in (first, second)]
+
+        self.assertEqual(run_virtual(scenario), [None, None])
+
+
 class TestFollower(unittest.TestCase):
     # Guards against a state that seems new because its transfer took long.
     def test_age_counts_from_the_request_for_the_state(self):
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -375,7 +375,7 @@
 
     async def _dispatch_peer_request(self, link: Link, content: Content) -> Content:
         if isinstance(content, ChangesRequest) and self.directory.replica.revision:
-            return self.follower.changes_since(content.revision)
+            return self.directory.changes_since(content.revision)
         if isinstance(content, PlacementRequest) and self.directory.complete:
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -6,6 +6,7 @@
 import anyio
 import attrs
 
+from currantdyke.core import boot_time
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet
 from currantdyke.links.codec import ChangesRequest
@@ -22,10 +23,17 @@
 
 @attrs.frozen(kw_only=True, eq=False)
 class Transfer:
-    """A request for changes that is pending, or whose response nobody has used."""
+    """A request for changes that is pending, or whose response nobody has used.
+
+    Attributes
+    ----------
+    asked_at : float
+        Time of the request in seconds, on the clock that counts suspensions of the VM.
+    """
 
     link: Link
     request: PendingRequest
+    asked_at: float
 
     @property
     def progress_at(self) -> float:
@@ -64,7 +72,7 @@
     async def ask(self, revision: int, ips: set[str]) -> ChangeSet | None:
         """Return the changes after a revision, or None if they were not received.
 
-        Their age includes the time since they were requested.
+        Their age and grace period take account of the time since they were requested.
 
         Parameters
         ----------
@@ -95,8 +103,12 @@
         self.on_response(ip)
         if not isinstance(content, ChangeSet):
             return None
-        elapsed = anyio.current_time() - transfer.request.sent_at
-        return attrs.evolve(content, age=content.age + elapsed)
+        elapsed = boot_time() - transfer.asked_at
+        return attrs.evolve(
+            content,
+            age=content.age + elapsed,
+            grace_period=max(0.0, content.grace_period - elapsed),
+        )
 
     def _find_transfer(self, revision: int) -> str | None:
         """Return the IP of a transfer with new changes or with progress, if any."""
@@ -118,6 +130,7 @@
             return None
         ip = self.random_source.choice(free)
         started = anyio.current_time()
+        asked_at = boot_time()
         try:
             link = await self.connect(ip)
             request = link.send_request(
@@ -126,7 +139,7 @@
         except LinkLostError as error:
             self._record_loss(ip, error, started)
             return None
-        self.transfers[ip] = Transfer(link=link, request=request)
+        self.transfers[ip] = Transfer(link=link, request=request, asked_at=asked_at)
         return ip
 
     def _remove(self, ip: str, transfer: Transfer) -> None:
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from currantdyke.catalog import StageStep
+from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.links.compression import compress, decompress
 from currantdyke.platform.requests import PromptPart
@@ -182,7 +183,8 @@
 def _encode_changes(builder: Any, changes: ChangeSet, compressed: bool) -> None:
     builder.revision = changes.revision
     builder.whole = changes.is_snapshot
-    builder.settling = changes.in_grace_period
+    builder.settling = changes.grace_period > 0.0
+    builder.settlingMilliseconds = _milliseconds(changes.grace_period)
     builder.ageMilliseconds = _milliseconds(changes.age)
     items = builder.init("items", len(changes.changes))
     for index, change in enumerate(changes.changes):
@@ -271,7 +273,7 @@
     return ChangeSet(
         revision=reader.revision,
         is_snapshot=reader.whole,
-        in_grace_period=reader.settling,
+        grace_period=_decode_grace_period(reader),
         age=reader.ageMilliseconds / 1000,
         changes=tuple(
             Change(
@@ -284,6 +286,13 @@
     )
 
 
+def _decode_grace_period(reader: Any) -> float:
+    # An older daemon does not send how much of it is left.
+    if reader.settling and not reader.settlingMilliseconds:
+        return GRACE_PERIOD_SECONDS
+    return reader.settlingMilliseconds / 1_000
+
+
 def _decode_value(item: Any) -> bytes:
     value = bytes(item.value)
     size = item.uncompressedBytes
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -27,6 +27,8 @@
   settling @2 :Bool;
   items @3 :List(Item);
   ageMilliseconds @4 :UInt32;
+  # What is left of the grace period if settling is set.
+  settlingMilliseconds @5 :UInt32;
 }
 
 struct Item {
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -54,7 +54,7 @@
     ChangeSet(
         revision=9,
         is_snapshot=True,
-        in_grace_period=True,
+        grace_period=1.5,
         changes=(
             Change(key="a", value=b"\x00", revision=8),
             Change(key="b", value=None, revision=9),
