Ask other daemons again when two of them never respond

Two requests for changes may be under way at a time, and one that was given up stays so, since its response uses the link anyway. Two daemons whose links were alive and that never responded would have kept a daemon from asking any other.

Change: a request without progress for 5 s is no longer waited for.

test_daemons_that_never_respond_do_not_keep_others_from_being_asked failed before: the third daemon was not asked.

--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -19,6 +19,8 @@
 # Requests whose responses may still arrive. A second daemon is asked if the first is
 # stuck; more responses to one question would only fill the link of a slow VM.
 MAX_TRANSFERS = 2
+# Time without progress after which a response is no longer expected.
+ABANDON_SECONDS = 5.0
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -121,6 +123,9 @@
                 self._remove(ip, transfer)
             elif now < transfer.progress_at + CHANGES_TIMEOUT_SECONDS:
                 return ip
+            elif now >= transfer.progress_at + ABANDON_SECONDS:
+                transfer.link.pending.pop(transfer.request.number, None)
+                self._remove(ip, transfer)
         return None
 
     async def _start(self, revision: int, ips: set[str]) -> str | None:
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -4,6 +4,7 @@
 import anyio
 import attrs
 
+from currantdyke.links.changes import ABANDON_SECONDS
 from currantdyke.links.tests.builders import (
     PORT,
     build_changes,
@@ -219,6 +220,27 @@
                 self.assertIsNone(await asking.ask_changes(1))
         self.assertEqual(len(requests), 2)
 
+    @run_on_sockets
+    async def test_daemons_that_never_respond_do_not_keep_others_from_being_asked(self):
+        """Guards against requests that stay under way for good."""
+
+        async def respond(link, content):
+            return CHANGES
+
+        stuck = [build_entry(41), build_entry(42)]
+        asking = build_peers(40, known=stuck)
+        healthy = build_peers(43, handle_request=respond)
+        others = [build_peers(n, handle_request=never_respond) for n in (41, 42)]
+        async with run_daemons(asking, healthy, *others):
+            for _ in stuck:
+                self.assertIsNone(await asking.ask_changes(1))
+            asking.directory.daemons["entry-43"] = build_entry(43)
+            self.assertIsNone(await asking.ask_changes(1))
+            await anyio.sleep(ABANDON_SECONDS)
+            ips = {build_entry(43).ip}
+            found = await asking.changes.ask(1, ips)
+        self.assertEqual(found.changes, CHANGES.changes)
+
     @run_on_sockets
     async def test_request_is_sent_again_after_its_link_was_lost(self):
         """Guards against waiting for a response that cannot arrive any more."""
