Retry a request elsewhere after a pause of its answer, not while it arrives

Change: the limit of an attempt starts anew with each part of the answer. An endpoint that pauses for as long is left as before.

test_long_answer_that_arrives_slowly_is_not_asked_for_elsewhere failed before: two runs of an answer of 300 KB at 300 KB/s with a target of 0.15 s.

--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -24,7 +24,8 @@
 
 # Limit per request of attempts that no endpoint ran: failed connections and refusals.
 MAX_NOT_RUN_ATTEMPTS = 3
-# A repeatable request is retried elsewhere after this multiple of its target latency.
+# A repeatable request is retried elsewhere after this multiple of its target latency
+# without progress, that is without a further part of the response.
 ATTEMPT_TIMEOUT_TARGETS = 2.0
 # Bodies up to this size are buffered before the response is relayed, so that a request
 # with an incomplete response can be retried; longer ones are relayed as they arrive.
@@ -181,6 +182,7 @@
         while (data := await response.read()) is not None:
             parts.append(data)
             size += len(data)
+            timeout_scope.deadline = anyio.current_time() + _attempt_timeout(exchange)
             if size > MAX_BUFFERED_BYTES:
                 # From here on the body is relayed without a time-out of the attempt. If
                 # it has expired already, the checkpoint raises the cancellation before
--- a/currantdyke/gateway/tests/test_plain.py
+++ b/currantdyke/gateway/tests/test_plain.py
@@ -1,6 +1,7 @@
 import unittest
 
 import anyio
+import h11
 
 from currantdyke.emulator import PlainEmulator
 from currantdyke.testing.gateways import (
@@ -55,6 +56,40 @@
         for name in ("authorization", "x-kv-hold", "kv-from", "x-pin-ms", "x-mine"):
             self.assertNotIn(name, sent)
 
+    # Guards against an answer that is given up while it arrives, and a second run.
+    @run_on_sockets
+    async def test_long_answer_that_arrives_slowly_is_not_asked_for_elsewhere(self):
+        body = b"x" * 300_000
+        piece = 15_000
+
+        async def answer_slowly(request, reply):
+            endpoint = endpoints[request.headers["x-expect-instance"]]
+            endpoint.runs.append(request.attempt_id)
+            headers = endpoint.answer_headers(request)
+            head = [(name.encode(), value.encode()) for name, value in headers.items()]
+            head.append((b"content-length", b"%d" % len(body)))
+            await reply.connection.send(h11.Response(status_code=200, headers=head))
+            for start in range(0, len(body), piece):
+                await anyio.sleep(0.05)
+                data = h11.Data(data=body[start : start + piece])
+                await reply.connection.send(data)
+            await reply.connection.send(h11.EndOfMessage())
+            return True
+
+        route = plain_route(target_latency_ms=150, max_attempts=2)
+        async with run_deployment(configuration(1, [route])) as deployment:
+            endpoints = {
+                name: await deployment.endpoint(
+                    PlainEmulator, name, "plain", handle_first=answer_slowly
+                )
+                for name in ("i-1", "i-2")
+            }
+            await deployment.gateway()
+            answer = await deployment.caller().request("GET", "/plain/", headers=KEY)
+            runs = [run for endpoint in endpoints.values() for run in endpoint.runs]
+        self.assertEqual((answer.status, len(runs)), (200, 1))
+        self.assertEqual(answer.body, body)
+
     @run_on_sockets
     async def test_unknown_route_gives_404_and_unknown_key_gives_401(self):
         routes = [
