--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -13,7 +13,6 @@
     ConnectionLostError,
     Http1Connection,
     header_values,
-    limit_unsent_bytes,
     read_body,
 )
 
@@ -26,15 +25,12 @@
 # with unread bytes resets it, and the caller may lose the answer.
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 1_048_576
-# Writes are made in pieces of this size; a piece that is accepted is progress.
-WRITE_PIECE_BYTES = 16_384
-MAX_UNSENT_BYTES = 2 * WRITE_PIECE_BYTES
-# A write that is not shielded from cancellation and makes no progress for this long
-# counts as a lost connection.
+# A write that is not shielded from cancellation and takes longer counts as a lost
+# connection.
 WRITE_TIMEOUT_SECONDS = 5.0
-# The same for a write that is shielded from cancellation: a complete answer, or the end
-# of a body. It also bounds the whole rest of the write after a disconnect, or after
-# cancellation at the end of the process.
+# Time-out of a write that is shielded from cancellation: a complete answer, or the end
+# of a body. It bounds the delay after the answer's deadline, or after cancellation at
+# the end of the process; a whole answer mostly fits into the socket buffers.
 FINAL_WRITE_SECONDS = 0.5
 
 
@@ -64,8 +60,6 @@
         Whether the connection closes after the current answer.
     idle_scope : CancelScope or None
         Cancels the wait for a request; set only during this wait.
-    final_scope : CancelScope
-        Shields the write of the end of the current answer; cancels it at its deadline.
     """
 
     def __init__(self, *, stream: anyio.abc.SocketStream, limits: CallerLimits):
@@ -78,7 +72,6 @@
         self.must_close = False
         self.method = b""
         self.idle_scope: anyio.CancelScope | None = None
-        self.final_scope = anyio.CancelScope(shield=True)
 
     async def read_request(self) -> h11.Request | None:
         """Return the head of the next request, or None if the wait for it ends.
@@ -98,7 +91,6 @@
             If the connection breaks within the head.
         """
         self.response_started = False
-        self.final_scope = anyio.CancelScope(shield=True)
         event = self.http.state.next_event()
         if event is h11.NEED_DATA and not self.http.state.trailing_data[0]:
             if not await self._wait_for_bytes():
@@ -151,22 +143,15 @@
         """Read ahead, and cancel a scope if the caller disconnects.
 
         Once ``MAX_READ_AHEAD_BYTES`` are read ahead, a disconnect is not detected.
-
-        After a disconnect or cancellation, the shielded write of the end of an answer
-        has ``FINAL_WRITE_SECONDS`` left.
         """
-        try:
-            while len(self.http.state.trailing_data[0]) < MAX_READ_AHEAD_BYTES:
-                try:
-                    data = await self.stream.receive(READ_BYTES)
-                except CONNECTION_ERRORS:
-                    self.must_close = True
-                    scope.cancel()
-                    return
-                self.http.state.receive_data(data)
-            await anyio.sleep_forever()
-        finally:
-            self.final_scope.deadline = anyio.current_time() + FINAL_WRITE_SECONDS
+        while len(self.http.state.trailing_data[0]) < MAX_READ_AHEAD_BYTES:
+            try:
+                data = await self.stream.receive(READ_BYTES)
+            except CONNECTION_ERRORS:
+                self.must_close = True
+                scope.cancel()
+                return
+            self.http.state.receive_data(data)
 
     async def answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -180,24 +165,22 @@
             status_code=status, headers=other_headers + self._connection_headers()
         )
         data = b"" if self.method == b"HEAD" else body
-        if len(data) > WRITE_PIECE_BYTES:
-            limit_unsent_bytes(self.stream, MAX_UNSENT_BYTES)
         self.response_started = True
         # A complete answer is sent even if the deadline passes during the write.
         await self._send_shielded(head, h11.Data(data=data), h11.EndOfMessage())
 
     async def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of an answer of unknown length."""
-        limit_unsent_bytes(self.stream, MAX_UNSENT_BYTES)
         self.response_started = True
-        head = h11.Response(
-            status_code=status, headers=headers + self._connection_headers()
+        await self._send(
+            h11.Response(
+                status_code=status, headers=headers + self._connection_headers()
+            )
         )
-        await self._write(self.http.encode(head), WRITE_TIMEOUT_SECONDS)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._write(self.http.encode(h11.Data(data=data)), WRITE_TIMEOUT_SECONDS)
+        await self._send(h11.Data(data=data))
 
     async def finish(self) -> None:
         """Mark the body as complete."""
@@ -230,24 +213,18 @@
 
     async def _send_shielded(self, *events: h11.Event) -> None:
         """Send the end of an answer, shielded from cancellation."""
-        # The framing allows one end for each request, and a scope is entered once.
-        data = self.http.encode(*events)
-        with self.final_scope:
-            await self._write(data, FINAL_WRITE_SECONDS)
-        if self.final_scope.cancelled_caught:
+        with anyio.move_on_after(FINAL_WRITE_SECONDS, shield=True) as scope:
+            await self._send(*events)
+        if scope.cancelled_caught:
             # Bytes that the framing already counts may not have been sent.
-            raise CallerDisconnectedError("the rest of the answer took too long")
+            raise CallerDisconnectedError("the caller accepts no data")
 
-    async def _write(self, data: bytes, timeout: float) -> None:
-        """Write encoded events; ``timeout`` limits the seconds without progress."""
+    async def _send(self, *events: h11.Event) -> None:
         try:
-            for start in range(0, len(data), WRITE_PIECE_BYTES):
-                with anyio.fail_after(timeout):
-                    await self.http.write(data[start : start + WRITE_PIECE_BYTES])
-        except ConnectionLostError as error:
+            with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
+                await self.http.send(*events)
+        except (ConnectionLostError, TimeoutError) as error:
             raise CallerDisconnectedError(str(error)) from error
-        except TimeoutError as error:
-            raise CallerDisconnectedError("the caller accepts no data") from error
 
 
 def _check_framing(request: h11.Request) -> None:
--- a/currantdyke/http1/__init__.py
+++ b/currantdyke/http1/__init__.py
@@ -4,7 +4,6 @@
     CONNECTION_ERRORS,
     ConnectionLostError,
     Http1Connection,
-    limit_unsent_bytes,
     set_socket_options,
 )
 from currantdyke.http1.messages import (
@@ -22,7 +21,6 @@
     "Http1Connection",
     "MessageTooLargeError",
     "header_values",
-    "limit_unsent_bytes",
     "one_value",
     "read_body",
     "set_socket_options",
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -12,7 +12,6 @@
     "CONNECTION_ERRORS",
     "ConnectionLostError",
     "Http1Connection",
-    "limit_unsent_bytes",
     "set_socket_options",
 ]
 
@@ -56,18 +55,6 @@
             raw_socket.setsockopt(level, option, value)
 
 
-def limit_unsent_bytes(stream: anyio.abc.SocketStream, size: int) -> None:
-    """Make the kernel accept data only while fewer than ``size`` bytes are unsent.
-
-    Without this limit it accepts megabytes at a time, then none for seconds if the peer
-    reads slowly, so that a write can't tell a slow peer from a stalled one.
-    """
-    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    # A kernel that lacks the option is still usable.
-    with contextlib.suppress(OSError):
-        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
-
-
 class Http1Connection:
     """HTTP/1.1 connection over a byte stream.
 
@@ -115,20 +102,12 @@
 
     async def send(self, *events: h11.Event) -> None:
         """Write events in a single send."""
-        data = self.encode(*events)
+        data = b"".join(self.state.send(event) or b"" for event in events)
         if data:
-            await self.write(data)
-
-    def encode(self, *events: h11.Event) -> bytes:
-        """Return events as bytes, which the framing then counts as sent."""
-        return b"".join(self.state.send(event) or b"" for event in events)
-
-    async def write(self, data: bytes) -> None:
-        """Write encoded events or a part of them."""
-        try:
-            await self.stream.send(data)
-        except CONNECTION_ERRORS as error:
-            raise ConnectionLostError(str(error) or "reset") from error
+            try:
+                await self.stream.send(data)
+            except CONNECTION_ERRORS as error:
+                raise ConnectionLostError(str(error) or "reset") from error
 
     @property
     def reusable(self) -> bool:
