--- a/currantdyke/soak/__main__.py
+++ b/currantdyke/soak/__main__.py
@@ -7,7 +7,7 @@
 import click
 
 from currantdyke.soak.planted import PLANTED
-from currantdyke.soak.world import soak
+from currantdyke.soak.world import GATEWAY_COUNT, SLOW_GATEWAY_COUNT, soak
 
 SECONDS_PER_MINUTE = 60.0
 
@@ -32,15 +32,45 @@
     default=None,
     help="Fault to inject into the gateways' code.",
 )
-def main(seed: int, seeds: int, minutes: float, planted: str | None) -> None:
+@click.option(
+    "--gateways",
+    type=click.IntRange(1, 40),
+    default=GATEWAY_COUNT,
+    show_default=True,
+    help="Number of gateways with fast links.",
+)
+@click.option(
+    "--slow-gateways",
+    type=click.IntRange(0, 10),
+    default=SLOW_GATEWAY_COUNT,
+    show_default=True,
+    help="Number of gateways behind slow links.",
+)
+def main(
+    seed: int,
+    seeds: int,
+    minutes: float,
+    planted: str | None,
+    gateways: int,
+    slow_gateways: int,
+) -> None:
     """Run gateways under faults and print a report; exit 1 on a violated guarantee."""
-    failed = False
+    failed: list[int] = []
     for number in range(seed, seed + seeds):
         seconds = minutes * SECONDS_PER_MINUTE
-        run = functools.partial(soak, number, seconds, planted=planted or "")
+        run = functools.partial(
+            soak,
+            number,
+            seconds,
+            planted=planted or "",
+            gateways=gateways,
+            slow_gateways=slow_gateways,
+        )
         report = anyio.run(run)
         print(report.text(), flush=True)
-        failed = failed or bool(report.broken)
+        if report.broken:
+            failed.append(number)
+    print(f"{len(failed)} of {seeds} seeds failed: {failed}")
     sys.exit(1 if failed else 0)
 
 
--- a/currantdyke/soak/callers.py
+++ b/currantdyke/soak/callers.py
@@ -9,11 +9,14 @@
 
 from currantdyke.emulator import Caller, CallerAnswer, caller_headers
 from currantdyke.http1 import ConnectionLostError
+from currantdyke.soak.configurations import FIRST_KEY
 from currantdyke.soak.gateways import Incarnation, SupervisedGateway
 
 __all__ = ["Attempt", "send_requests"]
 
-API_KEY = "k1"
+# Share of the requests for added routes that are for the last ones.
+LATEST_SHARE = 0.5
+LATEST_ROUTES = 5
 # Short enough that the caller sends another request on each connection while a
 # stopping gateway still serves; the gateway closes the connection after its answer.
 MAX_THINK_SECONDS = 0.15
@@ -36,7 +39,11 @@
     Attributes
     ----------
     kind : str
-        ``plain`` is idempotent, ``once`` is not, ``stream`` goes to an engine.
+        ``plain`` is idempotent, ``once`` is not, ``stream`` goes to an engine;
+        ``added`` is idempotent, on a route that was added during the run.
+    allowed_since : float
+        Since when, as of its end, all configurations have allowed the request; infinite
+        if the last one does not.
     answer : CallerAnswer or None
         None before the answer, if the connection was lost before its head, or if the
         answer did not end in time.
@@ -52,6 +59,7 @@
     incarnation: Incarnation
     sent_at: float
     ended_at: float = float("inf")
+    allowed_since: float = float("inf")
     answer: CallerAnswer | None = None
     error: str = ""
 
@@ -90,17 +98,17 @@
     rng: random.Random,
 ) -> bool:
     """Send one request, check its answer, and return whether the connection is open."""
-    kind = rng.choice(("plain", "once", "stream"))
+    kind, prefix, key = _choose_route(world, rng)
     attempt = Attempt(
         attempt_id=f"s{next(ATTEMPT_NUMBERS)}",
         kind=kind,
-        target=f"/{kind}/{rng.randrange(1_000)}",
+        target=f"{prefix}{rng.randrange(1_000)}",
         body=rng.randbytes(rng.randrange(MAX_BODY_BYTES)).hex().encode(),
         gateway=gateway,
         incarnation=incarnation,
         sent_at=anyio.current_time(),
     )
-    headers = caller_headers(attempt.attempt_id, key=API_KEY, streams=kind == "stream")
+    headers = caller_headers(attempt.attempt_id, key=key, streams=kind == "stream")
     world.attempts.append(attempt)
     try:
         await caller.send("POST", attempt.target, body=attempt.body, headers=headers)
@@ -108,5 +116,18 @@
     except CONNECTION_ERRORS as error:
         attempt.error = f"{type(error).__name__}: {error}"
     attempt.ended_at = anyio.current_time()
+    attempt.allowed_since = world.configurations.both_allowed_since(prefix, key)
     world.checker.check_attempt(attempt)
     return attempt.answer is not None and caller.connection is not None
+
+
+def _choose_route(world, rng: random.Random) -> tuple[str, str, str]:
+    """Return a kind of request, a path prefix and a key."""
+    kind = rng.choice(("plain", "once", "stream", "added"))
+    prefixes = world.configurations.grown_prefixes
+    if kind != "added" or not prefixes:
+        kind = "plain" if kind == "added" else kind
+        return kind, f"/{kind}/", FIRST_KEY
+    if rng.random() < LATEST_SHARE:
+        prefixes = prefixes[-LATEST_ROUTES:]
+    return kind, rng.choice(prefixes), rng.choice(world.configurations.keys)
--- /dev/null
+++ b/currantdyke/soak/configurations.py
@@ -0,0 +1,147 @@
+"""The configurations that the operators write, and what all recent ones allow."""
+
+import random
+
+import anyio
+import attrs
+import msgspec
+
+from currantdyke.emulator import StoreEmulator
+from currantdyke.testing.gateways import (
+    configuration,
+    plain_route,
+    stream_route,
+)
+
+__all__ = ["FIRST_KEY", "Configurations", "grow_configuration"]
+
+FIRST_KEY = "k1"
+ROUTE_STAGES = [{"service": "rank", "after": [], "size_bytes": 1_000}]
+# A version with this many routes has 370 KB of JSON, 490 KB as the store sends it.
+MAX_GROWN_ROUTES = 1_800
+MIN_GROWTH, MAX_GROWTH = 300, 1_500
+MAX_FURTHER_VERSIONS = 4
+MAX_FURTHER_ROUTES = 3
+# Versions of one series follow each other faster than a slow link transfers them.
+MAX_SERIES_INTERVAL_SECONDS = 1.2
+MAX_PAUSE_SECONDS = 4.0
+# The store sends values in base64.
+STORE_BYTES_PER_BYTE = 4 / 3
+
+
+@attrs.define(kw_only=True, eq=False)
+class Configurations:
+    """Versions of the configuration in the store.
+
+    Attributes
+    ----------
+    documents : dict of int to dict
+        All versions.
+    grown_prefixes, keys : list of str
+        Path prefixes of the added routes, and keys; all later versions contain them.
+    version : int
+        The latest version.
+    written_at : float
+        When the store acknowledged the last write.
+    write_bytes : float
+        Size of the last write, as the store sends it.
+    writes : list of (float, float)
+        Time and size of each write.
+    allowed_since : dict of str to float
+        Since when every write has contained a path prefix or a key.
+    lock : Lock
+        Held during a series of writes.
+    """
+
+    store: StoreEmulator
+    documents: dict[int, dict] = attrs.field(factory=dict)
+    grown_prefixes: list[str] = attrs.field(factory=list)
+    keys: list[str] = attrs.field(factory=lambda: [FIRST_KEY])
+    version: int = 0
+    written_at: float = 0.0
+    write_bytes: float = 0.0
+    writes: list[tuple[float, float]] = attrs.field(factory=list)
+    allowed_since: dict[str, float] = attrs.field(factory=dict)
+    lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+
+    def publish(self, *, routes: int = 1) -> None:
+        """Write the next version.
+
+        Parameters
+        ----------
+        routes : int
+            One more than the number of its routes that later versions need not contain.
+        """
+        self.version += 1
+        self.documents[self.version] = self._next_document(routes)
+        self.write(self.version)
+
+    def grow(self, count: int) -> None:
+        """Write a version with a number of additional routes and one more key."""
+        first = len(self.grown_prefixes)
+        self.grown_prefixes += [f"/grown/{first + n}/" for n in range(count)]
+        self.keys.append(f"k{len(self.keys) + 1}")
+        self.publish()
+
+    def write(self, version: int) -> None:
+        """Write a version, the next one or one that was written before."""
+        document = self.documents[version]
+        self.store.configure(document)
+        now = anyio.current_time()
+        present = [route["prefix"] for route in document["route_list"]]
+        for tenant in document["tenants"]:
+            present += tenant["api_keys"]
+        since = self.allowed_since
+        self.allowed_since = {name: since.get(name, now) for name in present}
+        self.written_at = now
+        self.write_bytes = len(msgspec.json.encode(document)) * STORE_BYTES_PER_BYTE
+        self.writes.append((now, self.write_bytes))
+
+    def both_allowed_since(self, prefix: str, key: str) -> float:
+        """Return since when all writes have contained both; infinite if one lacks."""
+        never = float("inf")
+        return max(
+            self.allowed_since.get(prefix, never), self.allowed_since.get(key, never)
+        )
+
+    def transferred_at(self, bytes_per_second: float) -> float:
+        """Return when a link that transfers all writes in order has the last one."""
+        busy_until = float("-inf")
+        for written_at, size in self.writes:
+            busy_until = max(busy_until, written_at) + size / bytes_per_second
+        return busy_until
+
+    def _next_document(self, routes: int) -> dict:
+        once = plain_route(
+            name="r-once", prefix="/once/", type="non_idempotent", max_attempts=3
+        )
+        temporary = [
+            plain_route(name=f"r-{n}", prefix=f"/more/{n}/") for n in range(routes - 1)
+        ]
+        grown = [
+            plain_route(name=f"r-grown-{n}", prefix=prefix)
+            for n, prefix in enumerate(self.grown_prefixes)
+        ]
+        return configuration(
+            self.version,
+            [plain_route(), once, stream_route(stages=ROUTE_STAGES)]
+            + temporary
+            + grown,
+            tenants=[{"name": "cider", "api_keys": list(self.keys), "priority": 1}],
+        )
+
+
+async def grow_configuration(world, rng: random.Random) -> None:
+    """Add routes in one version, then some in further ones, until the run ends."""
+    configurations = world.configurations
+    while not world.finished:
+        async with configurations.lock:
+            room = MAX_GROWN_ROUTES - len(configurations.grown_prefixes)
+            growth = min(room, rng.randint(MIN_GROWTH, MAX_GROWTH))
+            configurations.grow(max(growth, MAX_FURTHER_ROUTES))
+            world.checker.counts["large versions"] += 1
+            for _ in range(rng.randint(1, MAX_FURTHER_VERSIONS)):
+                await anyio.sleep(rng.uniform(0.0, MAX_SERIES_INTERVAL_SECONDS))
+                configurations.grow(rng.randint(1, MAX_FURTHER_ROUTES))
+                world.checker.counts["large versions"] += 1
+        await anyio.sleep(rng.uniform(0.0, MAX_PAUSE_SECONDS))
--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -20,6 +20,8 @@
 STORE_FAULTS = ("busy", "reset", "silent")
 FAULT_MODES = tuple(mode for mode in Mode if mode is not Mode.PASS)
 STALE_CONFIGURATION_SECONDS = 1.0
+# Longer than the time for which a gateway may serve by its last read of the store.
+MAX_CUT_OFF_SECONDS = 6.0
 
 
 async def inject_faults(world, rng: random.Random) -> None:
@@ -83,12 +85,28 @@
 
 async def _disrupt_store_connections(world, rng: random.Random) -> None:
     world.checker.record_disruption()
-    await _disrupt_connections(world.store_proxy, rng)
+    proxies = [gateway.store_proxy for gateway in world.gateways]
+    await _disrupt_connections(proxies, rng)
+    world.checker.record_disruption()
+
+
+async def _cut_gateway_off_store(world, rng: random.Random) -> None:
+    """Disrupt the connections of one gateway to the store, mostly of a slow one."""
+    slow = [g for g in world.gateways if g.bytes_per_second is not None]
+    candidates = slow if slow and rng.random() < 0.5 else world.gateways
+    gateway: SupervisedGateway = rng.choice(candidates)
+    world.checker.record_disruption()
+    proxy = gateway.store_proxy
+    proxy.set_mode(rng.choice(FAULT_MODES))
+    if proxy.mode is Mode.REFUSE:
+        await proxy.reset_all()
+    await anyio.sleep(rng.uniform(0.1, MAX_CUT_OFF_SECONDS))
+    proxy.set_mode(Mode.PASS)
     world.checker.record_disruption()
 
 
 async def _disrupt_endpoint_connections(world, rng: random.Random) -> None:
-    await _disrupt_connections(rng.choice(list(world.proxies.values())), rng)
+    await _disrupt_connections([rng.choice(list(world.proxies.values()))], rng)
 
 
 async def _lose_endpoint_answers(world, rng: random.Random) -> None:
@@ -100,13 +118,17 @@
     proxy.set_mode(Mode.PASS)
 
 
-async def _disrupt_connections(proxy: Proxy, rng: random.Random) -> None:
+async def _disrupt_connections(proxies: list[Proxy], rng: random.Random) -> None:
     if rng.random() < 0.3:
-        await proxy.reset_all()
+        for proxy in proxies:
+            await proxy.reset_all()
         return
-    proxy.set_mode(rng.choice(FAULT_MODES))
+    mode = rng.choice(FAULT_MODES)
+    for proxy in proxies:
+        proxy.set_mode(mode)
     await anyio.sleep(_draw_duration(rng))
-    proxy.set_mode(Mode.PASS)
+    for proxy in proxies:
+        proxy.set_mode(Mode.PASS)
 
 
 async def _replace_endpoint(world, rng: random.Random) -> None:
@@ -122,16 +144,18 @@
 
 
 async def _change_configuration(world, rng: random.Random) -> None:
-    async with world.configuration_lock:
-        world.publish_configuration(routes=rng.choice((1, 1, 300)))
+    async with world.configurations.lock:
+        world.configurations.publish(routes=rng.choice((1, 1, 300)))
 
 
 async def _write_stale_configuration(world, rng: random.Random) -> None:
     """Write an old configuration over the current one, as a delayed write would."""
-    async with world.configuration_lock:
-        world.write_configuration(1, routes=1)
+    configurations = world.configurations
+    async with configurations.lock:
+        recent = max(1, configurations.version - rng.randint(1, 3))
+        configurations.write(rng.choice((1, recent, recent, recent)))
         await anyio.sleep(STALE_CONFIGURATION_SECONDS)
-        world.write_configuration(world.version, routes=1)
+        configurations.write(configurations.version)
 
 
 FAULTS: dict[str, Callable[..., Awaitable[None]]] = {
@@ -141,6 +165,7 @@
     "trouble of the store": _disrupt_store,
     "history of the store": _drop_store_history,
     "connections to the store": _disrupt_store_connections,
+    "connections of a gateway to the store": _cut_gateway_off_store,
     "connections to an endpoint": _disrupt_endpoint_connections,
     "answers of an endpoint": _lose_endpoint_answers,
     "replace an endpoint": _replace_endpoint,
--- a/currantdyke/soak/gateways.py
+++ b/currantdyke/soak/gateways.py
@@ -15,6 +15,7 @@
 from currantdyke.emulator.nodes import CALLERS_PORT, READINESS_PORT
 from currantdyke.platform.names import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from currantdyke.platform.settings import SETTINGS_VARIABLE
+from currantdyke.soak.proxy import Proxy
 
 __all__ = ["ROTATION_SECONDS", "Incarnation", "SupervisedGateway", "gateway_command"]
 
@@ -22,6 +23,8 @@
 FETCH_TIMEOUT_SECONDS = 0.5
 # The platform takes a process out of rotation after two failed probes, a second apart.
 ROTATION_SECONDS = 2.0
+# Processor time of VMs with slow links, as a share of that of the others.
+SLOW_CORES_SHARE = 0.36
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -51,10 +54,14 @@
 
     Attributes
     ----------
+    store_proxy : Proxy
+        Forwards its connections to the store.
     command : list of str
         The command line of the process.
     on_exit : callable
         Called with this gateway, the incarnation that exited, and its exit code.
+    bytes_per_second : float or None
+        Bandwidth of its connections if it is behind a slow link.
     signal_lock : Lock
         Held by the fault that pauses, kills or stops the gateway.
     """
@@ -62,10 +69,11 @@
     name: str
     ip: str
     folder: pathlib.Path
-    store_port: int
+    store_proxy: Proxy
     seed_ips: list[str]
     command: list[str]
     on_exit: Callable[["SupervisedGateway", Incarnation, int], None]
+    bytes_per_second: float | None = None
     incarnations: list[Incarnation] = attrs.field(factory=list)
     signal_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
@@ -92,9 +100,11 @@
         document = node_settings(
             name=self.name,
             ip=self.ip,
-            store_address=f"127.0.0.1:{self.store_port}",
+            store_address=f"127.0.0.1:{self.store_proxy.port}",
             seed_ips=self.seed_ips,
         )
+        if self.bytes_per_second is not None:
+            document["limits"]["cpu_quota"] = SLOW_CORES_SHARE
         settings.write_text(yaml.safe_dump(document))
         environment = os.environ | {SETTINGS_VARIABLE: str(settings)}
         started = False
@@ -162,8 +172,19 @@
         return (int(words[1]) if len(words) > 1 else 0), body
 
 
-def gateway_command(planted: str) -> list[str]:
-    """Return the command line of a gateway, with an injected fault if one is named."""
-    if planted:
-        return [sys.executable, "-m", "currantdyke.soak.planted", planted]
-    return [sys.executable, "-m", "currantdyke.gateway"]
+def gateway_command(planted: str, bytes_per_second: float | None) -> list[str]:
+    """Return the command line of a gateway.
+
+    Parameters
+    ----------
+    planted : str
+        Name of a fault to inject into its code; empty for none.
+    bytes_per_second : float or None
+        Bandwidth of its connections; None for no limit.
+    """
+    names = [planted] if planted else []
+    module = "currantdyke.soak.planted" if planted else "currantdyke.gateway"
+    if bytes_per_second is not None:
+        module = "currantdyke.soak.slow_link"
+        names = [str(bytes_per_second), *names]
+    return [sys.executable, "-m", module, *names]
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -3,6 +3,7 @@
 ``python -m currantdyke.soak.planted NAME``
 """
 
+import asyncio
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -19,6 +20,9 @@
 
 __all__ = ["PLANTED"]
 
+# Twice the time in which a configuration must be in force.
+LATE_SECONDS = 4.0
+
 
 def _repeat_attempts() -> None:
     plain._may_retry = lambda exchange, context: exchange.runs < 3
@@ -54,6 +58,16 @@
     Directory._configured = accept_any_version  # type: ignore[method-assign]
 
 
+def _apply_configurations_late() -> None:
+    configured: Any = Directory._configured
+
+    def apply_later(self: Directory, *arguments: Any) -> None:
+        seconds = 0.0 if self.routes is None else LATE_SECONDS
+        asyncio.get_running_loop().call_later(seconds, configured, self, *arguments)
+
+    Directory._configured = apply_later  # type: ignore[assignment,method-assign]
+
+
 def _use_leaving_endpoints() -> None:
     announce: Any = EndpointTable.announce
 
@@ -69,6 +83,7 @@
     "not-run": _claim_not_run,
     "own-answer": _corrupt_answers,
     "shutdown": _stop_at_once,
+    "final-refusal": _apply_configurations_late,
     "configuration": _accept_older_configuration,
     "leaving": _use_leaving_endpoints,
 }
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -17,6 +17,8 @@
 # The platform kills a process this long after SIGTERM; see ``grace_s`` in the settings.
 GRACE_SECONDS = 8.0
 STREAM_EVENTS = 5
+# Statuses that ask callers to send the request again, unlike others from 300 to 499.
+RETRY_STATUSES = frozenset((408, 421, 429))
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -35,6 +37,9 @@
         Descriptions of the violations, without duplicates.
     counts : Counter
         Numbers of checked events by kind, and of injected faults.
+    refusing : set of (str, int)
+        Gateways and the numbers of their incarnations that refused a request finally
+        without knowing what all configurations allow.
     """
 
     executions: collections.Counter[str] = attrs.field(factory=collections.Counter)
@@ -42,12 +47,15 @@
     leaving_since: dict[str, float] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    refusing: set[tuple[str, int]] = attrs.field(factory=set)
 
     def record_disruption(self) -> None:
         """Record the start or end of a fault that may delay updates to the gateways."""
         self.disrupted_at = anyio.current_time()
 
-    def check_arrival(self, instance: str, attempt_id: str) -> None:
+    def check_arrival(
+        self, instance: str, attempt_id: str, gateway: str = "a gateway"
+    ) -> None:
         """Check that a request did not arrive long after an endpoint began to leave."""
         self.executions[attempt_id] += 1
         left = self.leaving_since.get(instance)
@@ -57,13 +65,16 @@
         late = now - max(left, self.disrupted_at)
         if late > MAX_LEAVING_DELAY_SECONDS:
             self._add_violation(
-                f"{instance} got {attempt_id} {late:.1f} s after it left"
+                f"{instance} got {attempt_id} from {gateway} {late:.1f} s after it left"
             )
         self.counts["work at a leaving endpoint"] += 1
 
     def check_attempt(self, attempt: Attempt) -> None:
         """Check the answer of an attempt, or the lack of one."""
         answer = attempt.answer
+        allowed = attempt.sent_at - attempt.allowed_since
+        if attempt.kind == "added" and allowed > MAX_CONFIGURATION_DELAY_SECONDS:
+            self.counts["added in time"] += 1
         if answer is None:
             self.counts["lost"] += 1
             self._check_lost_connection(attempt)
@@ -75,9 +86,12 @@
             self.counts["said not to have run"] += 1
             if not answer.has_retry_after:
                 self._add_violation(
-                    f"{attempt.attempt_id}: a refusal without Retry-After"
+                    f"{attempt.attempt_id} ({attempt.kind}) at {attempt.gateway.name}: "
+                    f"a refusal without Retry-After"
                 )
             self.check_executions(attempt)
+        elif not answer.signed and 300 <= answer.status < 500:
+            self._check_final_refusal(attempt, answer.status)
 
     def check_executions(self, attempt: Attempt) -> None:
         """Check how often a request ran; repeated at the end, for late arrivals."""
@@ -154,6 +168,26 @@
         if answer.complete and answer.attempt_id != attempt.attempt_id:
             self._add_violation(f"{attempt.attempt_id} got another attempt's id")
 
+    def _check_final_refusal(self, attempt: Attempt, status: int) -> None:
+        """Check that a request that callers do not resend was refused rightly.
+
+        No disruption is an excuse: a gateway knows when it asked for the state by which
+        it refuses, and asks callers to retry if that is too long ago.
+        """
+        if status in RETRY_STATUSES:
+            return
+        allowed = attempt.sent_at - attempt.allowed_since
+        if allowed <= MAX_CONFIGURATION_DELAY_SECONDS:
+            return
+        self.counts["final refusals"] += 1
+        gateway, number = attempt.gateway.name, attempt.incarnation.number
+        if (gateway, number) not in self.refusing:
+            self.refusing.add((gateway, number))
+            self._add_violation(
+                f"{attempt.attempt_id} at {gateway} got {status} for {attempt.target}, "
+                f"allowed for {allowed:.1f} s"
+            )
+
     def _check_lost_connection(self, attempt: Attempt) -> None:
         """Check that a graceful stop did not cause a connection to be lost."""
         incarnation = attempt.incarnation
--- a/currantdyke/soak/tests/test_soak.py
+++ b/currantdyke/soak/tests/test_soak.py
@@ -1,11 +1,17 @@
+import functools
 import unittest
 
 import anyio
 import attrs
 
-from currantdyke.emulator import CallerAnswer
+from currantdyke.emulator import CallerAnswer, StoreEmulator
 from currantdyke.soak.callers import Attempt
-from currantdyke.soak.promises import MAX_LEAVING_DELAY_SECONDS, GuaranteeChecker
+from currantdyke.soak.configurations import FIRST_KEY, Configurations
+from currantdyke.soak.promises import (
+    MAX_CONFIGURATION_DELAY_SECONDS,
+    MAX_LEAVING_DELAY_SECONDS,
+    GuaranteeChecker,
+)
 from currantdyke.soak.world import soak
 from currantdyke.testing.virtual import run_virtual
 
@@ -22,15 +28,22 @@
         self.assertGreater(answered, MIN_ANSWERS, report.text())
 
     def test_injected_fault_is_detected(self):
-        async def run_with_fault():
-            return await soak(SEED, 2.0, planted="own-answer")
-
-        report = anyio.run(run_with_fault)
+        run = functools.partial(soak, SEED, 2.0, planted="own-answer")
+        report = anyio.run(run)
         self.assertIn("another answer than its own", " ".join(report.broken))
 
+    # Routes are added at the start, and applied after twice the bound.
+    def test_late_configuration_is_detected_as_a_final_refusal(self):
+        run = functools.partial(soak, SEED, 6.0, planted="final-refusal")
+        report = anyio.run(run)
+        self.assertRegex(
+            " ".join(report.broken), "at gateway-[123] got 404 for /grown/"
+        )
+
 
 @attrs.define(kw_only=True)
 class FakeIncarnation:
+    number: int = 1
     sigterm_at: float | None = None
     interrupted: bool = False
     max_version: int = 0
@@ -46,7 +59,7 @@
         return self.reported_version
 
 
-def build_attempt(kind="once", answer=None, incarnation=None):
+def build_attempt(kind="once", answer=None, incarnation=None, **changes):
     return Attempt(
         attempt_id="s1",
         kind=kind,
@@ -57,6 +70,7 @@
         sent_at=1.0,
         answer=answer,
         error="" if answer else "reset",
+        **changes,
     )
 
 
@@ -96,6 +110,24 @@
                 found = violations_of(build_attempt(answer=answer), runs=runs)
                 self.assertIn(words, " ".join(found))
 
+    def test_final_refusal_is_a_violation_if_all_recent_configurations_allow_it(self):
+        allowed, bound = 1.0, MAX_CONFIGURATION_DELAY_SECONDS
+        for status, since, violations in (
+            (404, allowed - bound - 0.1, 1),
+            (401, allowed - bound - 0.1, 1),
+            (413, allowed - bound - 0.1, 1),
+            (404, allowed - bound, 0),
+            (404, float("inf"), 0),
+            (408, allowed - bound - 0.1, 0),
+            (502, allowed - bound - 0.1, 0),
+        ):
+            with self.subTest(status=status, since=since):
+                answer = CallerAnswer(
+                    status=status, headers={}, body=b"", complete=True
+                )
+                attempt = build_attempt(answer=answer, allowed_since=since)
+                self.assertEqual(len(violations_of(attempt)), violations)
+
     def test_lost_connection_is_a_violation_only_after_sigterm(self):
         stopped = FakeIncarnation(sigterm_at=0.5)
         killed = FakeIncarnation(sigterm_at=0.5, interrupted=True)
@@ -156,5 +188,56 @@
         self.assertIn("i got s2", run_virtual(scenario, False)[0])
 
 
+class TestConfigurations(unittest.TestCase):
+    def test_added_routes_and_keys_stay_and_are_allowed_since_they_were_added(self):
+        async def scenario():
+            configurations = Configurations(store=StoreEmulator())
+            configurations.publish()
+            await anyio.sleep(1.0)
+            configurations.grow(2)
+            await anyio.sleep(1.0)
+            configurations.publish(routes=3)
+            configurations.publish()
+            return [
+                configurations.both_allowed_since(prefix, key)
+                for prefix, key in (
+                    ("/plain/", FIRST_KEY),
+                    ("/plain/", "k2"),
+                    ("/grown/1/", FIRST_KEY),
+                    ("/grown/2/", FIRST_KEY),
+                    ("/more/0/", FIRST_KEY),
+                )
+            ]
+
+        start, *others = run_virtual(scenario)
+        never = float("inf")
+        self.assertEqual(others, [start + 1.0, start + 1.0, never, never])
+
+    def test_route_counts_as_added_anew_after_a_write_without_it(self):
+        async def scenario():
+            configurations = Configurations(store=StoreEmulator())
+            configurations.publish()
+            configurations.grow(1)
+            configurations.write(1)
+            removed = configurations.both_allowed_since("/grown/0/", FIRST_KEY)
+            await anyio.sleep(1.0)
+            configurations.write(2)
+            added = configurations.both_allowed_since("/grown/0/", FIRST_KEY)
+            return removed, added - anyio.current_time()
+
+        self.assertEqual(run_virtual(scenario), (float("inf"), 0.0))
+
+    def test_slow_link_transfers_one_write_after_another(self):
+        async def scenario():
+            configurations = Configurations(store=StoreEmulator())
+            started = anyio.current_time()
+            configurations.grow(1_000)
+            size = configurations.write_bytes
+            configurations.write(1)
+            return configurations.transferred_at(size / 2.0) - started
+
+        self.assertAlmostEqual(run_virtual(scenario), 4.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -18,6 +18,7 @@
 )
 from currantdyke.emulator.endpoints import EndpointEmulator
 from currantdyke.soak.callers import send_requests
+from currantdyke.soak.configurations import Configurations, grow_configuration
 from currantdyke.soak.faults import inject_faults
 from currantdyke.soak.gateways import SupervisedGateway, gateway_command
 from currantdyke.soak.promises import (
@@ -25,25 +26,24 @@
     GuaranteeChecker,
 )
 from currantdyke.soak.proxy import Proxy
-from currantdyke.testing.gateways import (
-    configuration,
-    loopback_ip,
-    plain_route,
-    stream_route,
-)
+from currantdyke.testing.gateways import loopback_ip
 
-__all__ = ["Report", "soak"]
+__all__ = ["GATEWAY_COUNT", "SLOW_GATEWAY_COUNT", "Report", "soak"]
 
 GATEWAY_COUNT = 3
+SLOW_GATEWAY_COUNT = 1
+# Half of 10 Mbit/s.
+SLOW_BYTES_PER_SECOND = 625_000.0
 FIRST_HOST_NUMBER = 200
-CALLER_COUNT = 12
-FAULT_SERIES_COUNT = 5
+CALLERS_PER_GATEWAY = 4
+MIN_FAULT_SERIES = 5
+# The platform names at most this many VMs to a process.
+MAX_SEEDS = 3
 ENDPOINTS = ((PlainEmulator, "plain", 3), (EngineEmulator, "engine", 3))
 STAGE_ENDPOINTS = (StageEmulator, "rank", 2)
 READY_TIMEOUT_SECONDS = 30.0
 SETTLE_SECONDS = 2.0
 CHECK_INTERVAL_SECONDS = 0.25
-ROUTE_STAGES = [{"service": "rank", "after": [], "size_bytes": 1_000}]
 
 
 @attrs.frozen(kw_only=True)
@@ -78,15 +78,14 @@
     ----------
     endpoints, proxies : dict
         Endpoints and the proxies in front of them, by instance.
-    replacement_lock, configuration_lock : Lock
-        Held while an endpoint is replaced, and while a configuration is written.
-    version : int
-        The latest configuration version.
+    gateways : list of SupervisedGateway
+        Those behind slow links come last.
+    replacement_lock : Lock
+        Held while an endpoint is replaced.
     """
 
     tasks: anyio.abc.TaskGroup
     store: StoreEmulator = attrs.field(factory=StoreEmulator)
-    store_proxy: Proxy | None = None
     endpoints: dict[str, EndpointEmulator] = attrs.field(factory=dict)
     proxies: dict[str, Proxy] = attrs.field(factory=dict)
     gateways: list[SupervisedGateway] = attrs.field(factory=list)
@@ -94,40 +93,59 @@
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
     instance_numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     replacement_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
-    configuration_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
-    version: int = 0
-    published_at: float = 0.0
     finished: bool = False
+    configurations: Configurations = attrs.field(
+        default=attrs.Factory(
+            lambda self: Configurations(store=self.store), takes_self=True
+        )
+    )
 
-    async def start(self, folder: pathlib.Path, command: list[str]) -> None:
+    async def start(
+        self, folder: pathlib.Path, *, planted: str, gateways: int, slow_gateways: int
+    ) -> None:
         """Start the platform, then the gateways, and wait until all are ready."""
         await self.tasks.start(self.store.run)
-        self.store_proxy = Proxy(target_port=self.store.port)
-        await self.tasks.start(self.store_proxy.run)
-        self.publish_configuration(routes=1)
+        self.configurations.publish()
         for endpoint_class, service, count in (*ENDPOINTS, STAGE_ENDPOINTS):
             for _ in range(count):
                 await self.start_endpoint(endpoint_class, service)
         ips = [
-            loopback_ip(FIRST_HOST_NUMBER + number) for number in range(GATEWAY_COUNT)
+            loopback_ip(FIRST_HOST_NUMBER + number)
+            for number in range(gateways + slow_gateways)
         ]
-        for ip in ips:
-            gateway = SupervisedGateway(
-                name=f"gateway-{len(self.gateways) + 1}",
-                ip=ip,
-                folder=folder,
-                store_port=self.store_proxy.port,
-                seed_ips=ips,
-                command=command,
-                on_exit=self.checker.check_exit,
+        for number, ip in enumerate(ips):
+            slow = number >= gateways
+            await self._start_gateway(
+                folder, ip, ips, planted, SLOW_BYTES_PER_SECOND if slow else None
             )
-            self.gateways.append(gateway)
-            await self.tasks.start(gateway.run)
         for gateway in self.gateways:
             if not await gateway.wait_ready(READY_TIMEOUT_SECONDS):
                 log = (folder / f"{gateway.name}.log").read_text()[-2_000:]
                 raise RuntimeError(f"{gateway.name} did not become ready: {log}")
 
+    async def _start_gateway(
+        self,
+        folder: pathlib.Path,
+        ip: str,
+        seed_ips: list[str],
+        planted: str,
+        bytes_per_second: float | None,
+    ) -> None:
+        store_proxy = Proxy(target_port=self.store.port)
+        await self.tasks.start(store_proxy.run)
+        gateway = SupervisedGateway(
+            name=f"gateway-{len(self.gateways) + 1}",
+            ip=ip,
+            folder=folder,
+            store_proxy=store_proxy,
+            seed_ips=seed_ips[:MAX_SEEDS],
+            command=gateway_command(planted, bytes_per_second),
+            on_exit=self.checker.check_exit,
+            bytes_per_second=bytes_per_second,
+        )
+        self.gateways.append(gateway)
+        await self.tasks.start(gateway.run)
+
     async def start_endpoint(self, endpoint_class: type, service: str) -> None:
         """Start an endpoint behind a proxy and announce it."""
         instance = f"{service}-{next(self.instance_numbers)}"
@@ -152,45 +170,52 @@
         self.endpoints.pop(instance)
         self.proxies.pop(instance)
 
-    def publish_configuration(self, *, routes: int) -> None:
-        """Write the next version of the configuration to the store."""
-        self.version += 1
-        self.write_configuration(self.version, routes=routes)
-        self.published_at = anyio.current_time()
-
-    def write_configuration(self, version: int, *, routes: int) -> None:
-        """Write a given version of the configuration to the store."""
-        self.store.configure(self._configuration_document(version, routes))
-
-    def _configuration_document(self, version: int, routes: int) -> dict:
-        extra = [
-            plain_route(name=f"r-{n}", prefix=f"/more/{n}/") for n in range(routes - 1)
-        ]
-        once = plain_route(
-            name="r-once", prefix="/once/", type="non_idempotent", max_attempts=3
-        )
-        stream = stream_route(stages=ROUTE_STAGES)
-        return configuration(version, [plain_route(), once, stream, *extra])
-
     async def _record_arrival(self, instance: str, request, reply) -> bool:
-        self.checker.check_arrival(instance, request.attempt_id)
+        names = (
+            attempt.gateway.name
+            for attempt in reversed(self.attempts)
+            if attempt.attempt_id == request.attempt_id
+        )
+        gateway = next(names, "the owner of its stages")
+        self.checker.check_arrival(instance, request.attempt_id, gateway)
         return False
 
     async def check_configurations(self) -> None:
         """Check the gateways' configurations until the run ends."""
         while not self.finished:
-            settled = (
-                anyio.current_time() - self.published_at
-                > MAX_CONFIGURATION_DELAY_SECONDS
-            )
-            undisrupted = self.checker.is_undisrupted(MAX_CONFIGURATION_DELAY_SECONDS)
-            required_version = self.version if settled and undisrupted else 0
             for gateway in self.gateways:
-                await self.checker.check_configuration(gateway, required_version)
+                await self.checker.check_configuration(
+                    gateway, self._required_version(gateway)
+                )
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
 
+    def _required_version(self, gateway: SupervisedGateway) -> int:
+        """Return the version that a gateway must have by now; 0 if undetermined.
 
-async def soak(seed: int, seconds: float, *, planted: str = "") -> Report:
+        A slow link transfers each write once, and after a disruption the last one.
+        """
+        configurations = self.configurations
+        received_at = configurations.written_at
+        transfer_seconds = 0.0
+        if gateway.bytes_per_second is not None:
+            received_at = configurations.transferred_at(gateway.bytes_per_second)
+            transfer_seconds = configurations.write_bytes / gateway.bytes_per_second
+        elapsed = anyio.current_time() - received_at
+        settled = elapsed > MAX_CONFIGURATION_DELAY_SECONDS
+        undisrupted = self.checker.is_undisrupted(
+            MAX_CONFIGURATION_DELAY_SECONDS + transfer_seconds
+        )
+        return configurations.version if settled and undisrupted else 0
+
+
+async def soak(
+    seed: int,
+    seconds: float,
+    *,
+    planted: str = "",
+    gateways: int = GATEWAY_COUNT,
+    slow_gateways: int = SLOW_GATEWAY_COUNT,
+) -> Report:
     """Run gateways under faults for a time and check their guarantees.
 
     Parameters
@@ -202,17 +227,26 @@
         Duration of the run.
     planted : str
         Name of a fault in `PLANTED` to inject into the gateways; empty for none.
+    gateways, slow_gateways : int
+        Number of gateways, and of additional ones behind slow links.
     """
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory(prefix="currantdyke-soak-") as folder:
         async with anyio.create_task_group() as tasks:
             world = World(tasks=tasks)
-            await world.start(pathlib.Path(folder), gateway_command(planted))
+            await world.start(
+                pathlib.Path(folder),
+                planted=planted,
+                gateways=gateways,
+                slow_gateways=slow_gateways,
+            )
+            count = len(world.gateways)
             async with anyio.create_task_group() as activity:
                 activity.start_soon(world.check_configurations)
-                for _ in range(CALLER_COUNT):
+                activity.start_soon(grow_configuration, world, _derive_random(rng))
+                for _ in range(CALLERS_PER_GATEWAY * count):
                     activity.start_soon(send_requests, world, _derive_random(rng))
-                for _ in range(FAULT_SERIES_COUNT):
+                for _ in range(max(MIN_FAULT_SERIES, count)):
                     activity.start_soon(inject_faults, world, _derive_random(rng))
                 await anyio.sleep(seconds)
                 world.finished = True
--- a/currantdyke/testing/throttle.py
+++ b/currantdyke/testing/throttle.py
@@ -22,14 +22,14 @@
 
     Attributes
     ----------
-    local_host : str
-        Address from which connections over the link are opened.
+    local_host : str or None
+        Address from which connections over the link are opened; None for any.
     busy_until : float
         Time at which the bytes that were taken so far have crossed the link.
     """
 
     bytes_per_second: float
-    local_host: str
+    local_host: str | None = None
     busy_until: float = float("-inf")
 
     async def wait(self) -> None:
@@ -107,7 +107,7 @@
         bandwidth = _current.get()
         if bandwidth is None:
             return await connect(host, port, **options)
-        options.setdefault("local_host", bandwidth.local_host)
+        options = {"local_host": bandwidth.local_host} | options
         stream = await connect(host, port, **options)
         return ThrottledStream(stream=stream, bandwidth=bandwidth)
 
