Ask peers whatever the store sends

The follower did not ask its peers while data of an answer arrived. A store that sent slowly kept it from them for the whole of its answer. A 410 to the listing also passed for an answer.

A 410 counts as an answer of the store only where the listing follows it.

The test of the condition is replaced by test_peers_are_asked_while_the_store_refuses_or_ responds_slowly, with the bound of PEER_POLL_SECONDS, and test_peers_are_asked_while_the_store_has_no_history_to_list.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -52,8 +52,6 @@
     ask_relay : callable
         The same from a relay, a daemon that reads the store for this one; None also if
         this daemon must read the store itself.
-    received_at : callable
-        Returns the time at which data of an unfinished answer last arrived.
     answered_at : float
         Time at which the store last answered this daemon or the relay that it asked.
     lost_since : float or None
@@ -71,7 +69,6 @@
     reads_per_second: float
     ask_peer: Callable[[int], Awaitable[ChangeSet | None]]
     ask_relay: Callable[[int], Awaitable[ChangeSet | None]]
-    received_at: Callable[[], float] = lambda: float("-inf")
     answered_at: float = -1.0
     lost_since: float | None = None
     watching: bool = False
@@ -113,9 +110,9 @@
                     after=self.directory.replica.revision,
                     reason=str(error),
                 )
-                self._record_answer()
                 if self.watching:
                     self.watching = False
+                    self._record_answer()
                     continue
             except StoreUnavailableError as error:
                 self._record_outage(str(error))
@@ -181,9 +178,6 @@
             await anyio.sleep(PEER_POLL_SECONDS)
             if self.store_age < MAX_ANSWER_AGE_SECONDS and self.directory.complete:
                 continue
-            if anyio.current_time() - self.received_at() < PEER_POLL_SECONDS:
-                # A second transfer would only slow down the one in progress.
-                continue
             changes = await self.ask_peer(self.directory.replica.revision)
             if changes is not None:
                 new = self.directory.apply(changes, source="peer")
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -7,6 +7,7 @@
 from currantdyke.directory.follow import (
     MAX_ANSWER_AGE_SECONDS,
     MIN_READ_INTERVAL_SECONDS,
+    PEER_POLL_SECONDS,
 )
 from currantdyke.directory.tests.builders import (
     FakeStore,
@@ -183,28 +184,31 @@
 
         self.assertEqual(run_virtual(scenario), (4, False))
 
-    # Guards against transfers of the same document that slow each other down.
-    def test_peers_are_not_asked_while_an_answer_arrives(self):
-        for arriving, asked in ((True, False), (False, True)):
-            with self.subTest(arriving=arriving):
-                requests = []
+    # Guards against a store that keeps a daemon from asking its peers in time.
+    def test_peers_are_asked_while_the_store_refuses_or_responds_slowly(self):
+        async def refuse():
+            raise StoreUnavailableError("status 429")
+
+        async def respond_slowly():
+            await anyio.sleep_forever()
 
-                async def never(*args):
-                    await anyio.sleep_forever()
+        async def scenario(list_all):
+            requests = []
 
-                async def answer(revision, requests=requests):
-                    requests.append(revision)
+            async def answer(revision):
+                requests.append(anyio.current_time())
+                return build_configuration(1)
 
-                async def scenario(arriving=arriving, answer=answer):
-                    follower = build_follower(
-                        FakeStore(list_all=never), ask_peer=answer
-                    )
-                    if arriving:
-                        follower.received_at = anyio.current_time
-                    await follow(follower)
+            store = FakeStore(list_all=list_all)
+            follower = build_follower(store, ask_peer=answer)
+            await follow(follower)
+            return len(requests), follower.directory.decides
 
-                run_virtual(scenario)
-                self.assertEqual(bool(requests), asked)
+        for list_all in (refuse, respond_slowly):
+            with self.subTest(list_all.__name__):
+                count, decides = run_virtual(scenario, list_all)
+                self.assertGreaterEqual(count, FOLLOWED_SECONDS / PEER_POLL_SECONDS - 1)
+                self.assertTrue(decides)
 
     # Guards against calls without pause to a store that also refuses the listing.
     def test_listing_without_history_is_not_repeated_at_once(self):
@@ -225,6 +229,27 @@
             len(calls), 2 + FOLLOWED_SECONDS / MIN_READ_INTERVAL_SECONDS
         )
 
+    # Guards against a store without any history that passes for one that answers.
+    def test_peers_are_asked_while_the_store_has_no_history_to_list(self):
+        requests = []
+
+        async def gone(*args):
+            raise HistoryGoneError
+
+        async def answer(revision):
+            requests.append(revision)
+
+        async def scenario():
+            store = FakeStore(list_all=gone, watch=gone)
+            follower = build_follower(store, ask_peer=answer)
+            follower.watching = True
+            follower.directory.routes = object()
+            follower.directory.listed = True
+            await follow(follower)
+
+        run_virtual(scenario)
+        self.assertGreater(len(requests), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -122,7 +122,6 @@
             reads_per_second=settings.store.reads_per_second,
             ask_peer=self.peers.ask_changes,
             ask_relay=self.peers.ask_relay,
-            received_at=self._received_at,
         )
         self.registration = Registration(
             entry=self.own_entry,
@@ -306,10 +305,6 @@
         )
         self.stage_retry_budgets.clear()
 
-    def _received_at(self) -> float:
-        """Return when data of an unfinished answer about the fleet last arrived."""
-        return max(self.store.received_at, self.peers.received_at)
-
     async def _check_for_stall(self) -> None:
         """After a stall, close idle endpoint connections and read the store at once.
 
