Judge a request by limits in force, not by those of its connection

A caller on an open connection got a final 413 or 431 by limits that had been raised before its request: the limits were taken over at the end of the request before, that on heads when the connection was opened.

Change: the limits are taken over when a head has arrived, before its body is read. A head over the limit of its connection, where the limit in force is higher, gets 503 with Retry-After; the caller's next connection has the new limit.

--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -54,6 +54,8 @@
 
     Attributes
     ----------
+    max_header_bytes : int
+        Limit on the size of a head, which a connection keeps as long as it is open.
     response_started : bool
         Whether sending of the answer to the current request has started.
     must_close : bool
@@ -65,6 +67,7 @@
     def __init__(self, *, stream: anyio.abc.SocketStream, limits: CallerLimits):
         self.stream = stream
         self.limits = limits
+        self.max_header_bytes = limits.header_bytes
         self.http = Http1Connection(
             stream=stream, role=h11.SERVER, max_header_bytes=limits.header_bytes
         )
--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -14,7 +14,7 @@
     CallerDisconnectedError,
     SlowCallerError,
 )
-from currantdyke.gateway.denials import DENIALS, deny
+from currantdyke.gateway.denials import DENIALS, TEMPORARY_RETRY_SECONDS, deny
 from currantdyke.gateway.handler import RequestHandler
 from currantdyke.http1 import (
     BadRequestError,
@@ -112,6 +112,7 @@
             request = await connection.read_request()
             if request is None:
                 return False
+            connection.limits = self._limits()
             body = await connection.read_body()
         except h11.RemoteProtocolError as error:
             too_large = error.error_status_hint == 431
@@ -140,12 +141,29 @@
             self.buffered_bytes -= len(body)
         return connection.prepare_next_request()
 
+    def _deny(
+        self, connection: CallerConnection, kind: FailureKind, detail: str
+    ) -> Failure:
+        """Return the failure of a request that exceeds a limit of its connection."""
+        limits = self._limits()
+        if (
+            connection.max_header_bytes < limits.header_bytes
+            or connection.limits.body_bytes < limits.body_bytes
+        ):
+            # The limit was raised after it had been taken over.
+            return Failure(
+                kind=FailureKind.STALE_CONFIGURATION,
+                detail=detail,
+                retry_after=TEMPORARY_RETRY_SECONDS,
+            )
+        return deny(self.directory, kind, detail)
+
     async def _refuse(
         self, connection: CallerConnection, kind: FailureKind, detail: str
     ) -> bool:
         """Refuse a request before it is handled, and close its connection."""
         if kind in DENIALS:
-            failure = deny(self.directory, kind, detail)
+            failure = self._deny(connection, kind, detail)
         else:
             failure = Failure(
                 kind=kind, detail=detail, retry_after=REFUSED_RETRY_SECONDS
