Break a link whose peer reads nothing when its queue is full

Cause: at 1,000 queued frames a link was marked as closed, but the send that was blocked went on, and so did the link: until the kernel gave the connection up, the requests that the peer had placed were not cancelled, and further responses were still queued without a limit. Change: at the limit the link is cancelled, and nothing is queued on a closed link. Tests: TestQueueLimit; both tests failed before: the peer did not see the connection end, and 2,002 frames were queued.

--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -34,8 +34,7 @@
 
 READ_BYTES = 65_536
 LENGTH_PREFIX_BYTES = 4
-# Frames that are queued for a peer that does not read; beyond that the link takes no
-# new requests or notifications, and breaks at the latest when the current send returns.
+# Frames that are queued for a peer that does not read; beyond that the link breaks.
 MAX_QUEUED_FRAMES = 1_000
 CONNECT_TIMEOUT_SECONDS = 0.3
 # A peer that answers no ping for this long is frozen or unreachable. Half a second is a
@@ -91,6 +90,8 @@
         The part of an unfinished frame that has been received.
     received_at : float
         Time at which a part of an unfinished frame last arrived, -inf if none has.
+    scope : anyio.CancelScope
+        Of the running link; cancelled to break it.
     """
 
     peer: str
@@ -104,6 +105,7 @@
     silent_since: float = 0.0
     incoming: bytearray = attrs.field(factory=bytearray)
     received_at: float = -math.inf
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     closed: bool = False
 
     async def request(self, content: Content, *, timeout: float = math.inf) -> Content:
@@ -181,11 +183,12 @@
         """Send and receive frames until the link breaks."""
         self.silent_since = anyio.current_time()
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._send_frames, tasks.cancel_scope)
-                tasks.start_soon(self._monitor_peer, tasks.cancel_scope)
-                await self._receive_frames(tasks)
-                tasks.cancel_scope.cancel()
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._send_frames)
+                    tasks.start_soon(self._monitor_peer)
+                    await self._receive_frames(tasks)
+                    self.scope.cancel()
         finally:
             self.closed = True
             for request in self.pending.values():
@@ -199,13 +202,17 @@
         )
 
     def _enqueue(self, frame: Frame, *, compressed: bool = False) -> None:
+        if self.closed:
+            return
         if len(self.outgoing) >= MAX_QUEUED_FRAMES:
             self.closed = True
+            self.scope.cancel()
+            return
         data = encode_frame(frame, compressed=compressed)
         self.outgoing.append(len(data).to_bytes(LENGTH_PREFIX_BYTES, "big") + data)
         self.frames_queued.set()
 
-    async def _send_frames(self, scope: anyio.CancelScope) -> None:
+    async def _send_frames(self) -> None:
         while not self.closed:
             await self.frames_queued.wait()
             self.frames_queued = anyio.Event()
@@ -215,18 +222,18 @@
                 await self.stream.send(data)
             except CONNECTION_ERRORS:
                 break
-        scope.cancel()
+        self.scope.cancel()
 
     def _is_silent(self) -> bool:
         return anyio.current_time() - self.silent_since > SILENCE_TIMEOUT_SECONDS
 
-    async def _monitor_peer(self, scope: anyio.CancelScope) -> None:
+    async def _monitor_peer(self) -> None:
         while True:
             await anyio.sleep(PING_INTERVAL_SECONDS)
             if not self.pending:
                 continue
             if self._is_silent():
-                scope.cancel()
+                self.scope.cancel()
                 return
             self._enqueue(Frame(number=0, content=Ping()))
 
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -8,7 +8,7 @@
 from currantdyke.directory import ChangeSet
 from currantdyke.links import ChangesRequest, CrashReport, Frame, LinkLostError, Unknown
 from currantdyke.links.codec import decode_frame, encode_frame
-from currantdyke.links.link import LossReason
+from currantdyke.links.link import MAX_QUEUED_FRAMES, LossReason
 from currantdyke.links.tests.builders import build_changes, run_linked
 from currantdyke.platform.requests import PromptPart
 from currantdyke.platform.store import Change
@@ -66,6 +66,7 @@
 
 
 LIMIT_SECONDS = 0.6
+NOTIFICATION = CrashReport(fingerprint="f", endpoint="i")
 
 
 class TestFrames(unittest.TestCase):
@@ -224,6 +225,54 @@
         run_virtual(run_linked, answer, scenario, bytes_per_second=100_000)
 
 
+class TestQueueLimit(unittest.TestCase):
+    def test_link_to_a_peer_that_does_not_read_ends_at_the_queue_limit(self):
+        """Guards against a dead link that stays open, with the requests that use it."""
+
+        async def answer(link, content):
+            return Unknown()
+
+        async def never_return(data):
+            await anyio.sleep_forever()
+
+        async def scenario(asking, answering):
+            asking.stream.send = never_return
+            asking.notify(NOTIFICATION)
+            await anyio.sleep(1.0)
+            for _ in range(2 * MAX_QUEUED_FRAMES):
+                asking.notify(NOTIFICATION)
+            await anyio.sleep(0.1)
+            # The peer sees that the connection has ended.
+            self.assertTrue(answering.closed)
+            return len(asking.outgoing)
+
+        queued = run_virtual(run_linked, answer, scenario)
+        self.assertLessEqual(queued, MAX_QUEUED_FRAMES)
+
+    def test_responses_are_not_queued_beyond_the_limit(self):
+        """Guards against responses that fill the memory while the peer reads none."""
+
+        async def answer(link, content):
+            await anyio.sleep(0.1)
+            return Unknown()
+
+        async def never_return(data):
+            await anyio.sleep_forever()
+
+        async def scenario(asking, answering):
+            answering.stream.send = never_return
+            answering.notify(NOTIFICATION)
+            await anyio.sleep(0.1)
+            for revision in range(2 * MAX_QUEUED_FRAMES):
+                asking.send_request(ChangesRequest(revision=revision))
+                await anyio.sleep(0)
+            await anyio.sleep(0.3)
+            return len(answering.outgoing)
+
+        queued = run_virtual(run_linked, answer, scenario)
+        self.assertLessEqual(queued, MAX_QUEUED_FRAMES)
+
+
 class DiscardingList(list):
     def append(self, data):
         return None
