Require versions in the fault soak while something is disrupted

A fault of one gateway is no excuse for the others, and an undisrupted gateway must have the lowest version that the store has held within the last 2 s, also while newer ones follow. A cut-off of one gateway counts as a disruption as long as it lasts.

--- a/currantdyke/soak/configurations.py
+++ b/currantdyke/soak/configurations.py
@@ -29,6 +29,23 @@
 STORE_BYTES_PER_BYTE = 4 / 3
 
 
+@attrs.frozen(kw_only=True)
+class Write:
+    """A version that was written to the store.
+
+    Attributes
+    ----------
+    at : float
+        When the store acknowledged it.
+    size : float
+        Bytes of the value as the store sends it.
+    """
+
+    at: float
+    version: int
+    size: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Configurations:
     """Versions of the configuration in the store.
@@ -41,12 +58,8 @@
         Path prefixes of the added routes, and keys; all later versions contain them.
     version : int
         The latest version.
-    written_at : float
-        When the store acknowledged the last write.
-    write_bytes : float
-        Size of the last write, as the store sends it.
-    writes : list of (float, float)
-        Time and size of each write.
+    writes : list of Write
+        All writes to the store, in order.
     allowed_since : dict of str to float
         Since when every write has contained a path prefix or a key.
     lock : Lock
@@ -58,9 +71,7 @@
     grown_prefixes: list[str] = attrs.field(factory=list)
     keys: list[str] = attrs.field(factory=lambda: [FIRST_KEY])
     version: int = 0
-    written_at: float = 0.0
-    write_bytes: float = 0.0
-    writes: list[tuple[float, float]] = attrs.field(factory=list)
+    writes: list[Write] = attrs.field(factory=list)
     allowed_since: dict[str, float] = attrs.field(factory=dict)
     lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
@@ -93,9 +104,8 @@
             present += tenant["api_keys"]
         since = self.allowed_since
         self.allowed_since = {name: since.get(name, now) for name in present}
-        self.written_at = now
-        self.write_bytes = len(msgspec.json.encode(document)) * STORE_BYTES_PER_BYTE
-        self.writes.append((now, self.write_bytes))
+        size = len(msgspec.json.encode(document)) * STORE_BYTES_PER_BYTE
+        self.writes.append(Write(at=now, version=version, size=size))
 
     def both_allowed_since(self, prefix: str, key: str) -> float:
         """Return since when all writes have contained both; infinite if one lacks."""
@@ -104,12 +114,23 @@
             self.allowed_since.get(prefix, never), self.allowed_since.get(key, never)
         )
 
-    def transferred_at(self, bytes_per_second: float) -> float:
-        """Return when a link that transfers all writes in order has the last one."""
+    def required_version(self, delay: float, bytes_per_second: float) -> int:
+        """Return the lowest version that an undisrupted gateway may have.
+
+        It has read the store within the last ``delay`` seconds, as it was when a link
+        that transfers all writes in order had transferred them; 0 if nothing had been
+        written by then.
+        """
+        oldest_read = anyio.current_time() - delay
         busy_until = float("-inf")
-        for written_at, size in self.writes:
-            busy_until = max(busy_until, written_at) + size / bytes_per_second
-        return busy_until
+        lowest = 0
+        for write in self.writes:
+            busy_until = max(busy_until, write.at) + write.size / bytes_per_second
+            if busy_until < oldest_read:
+                lowest = write.version
+            else:
+                lowest = min(lowest, write.version)
+        return lowest
 
     def _next_document(self, routes: int) -> dict:
         once = plain_route(
--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -40,20 +40,20 @@
 async def _kill_gateway(world, rng: random.Random) -> None:
     gateway: SupervisedGateway = rng.choice(world.gateways)
     async with gateway.signal_lock:
-        world.checker.record_disruption()
+        world.checker.record_disruption(gateway)
         gateway.send_signal(signal.SIGKILL)
         await gateway.wait_ready(READY_TIMEOUT_SECONDS)
-        world.checker.record_disruption()
+        world.checker.record_disruption(gateway)
 
 
 async def _pause_gateway(world, rng: random.Random) -> None:
     gateway: SupervisedGateway = rng.choice(world.gateways)
     async with gateway.signal_lock:
-        world.checker.record_disruption()
+        world.checker.record_disruption(gateway)
         gateway.send_signal(signal.SIGSTOP)
         await anyio.sleep(_draw_duration(rng))
         gateway.send_signal(signal.SIGCONT)
-        world.checker.record_disruption()
+        world.checker.record_disruption(gateway)
 
 
 async def _stop_gateway(world, rng: random.Random) -> None:
@@ -65,9 +65,9 @@
         gateway.send_signal(signal.SIGTERM)
         await incarnation.process.wait()
         # The next incarnation starts from what the store shows at that moment.
-        world.checker.record_disruption()
+        world.checker.record_disruption(gateway)
         await gateway.wait_ready(READY_TIMEOUT_SECONDS)
-        world.checker.record_disruption()
+        world.checker.record_disruption(gateway)
 
 
 async def _disrupt_store(world, rng: random.Random) -> None:
@@ -95,14 +95,17 @@
     slow = [g for g in world.gateways if g.bytes_per_second is not None]
     candidates = slow if slow and rng.random() < 0.5 else world.gateways
     gateway: SupervisedGateway = rng.choice(candidates)
-    world.checker.record_disruption()
     proxy = gateway.store_proxy
     proxy.set_mode(rng.choice(FAULT_MODES))
     if proxy.mode is Mode.REFUSE:
         await proxy.reset_all()
-    await anyio.sleep(rng.uniform(0.1, MAX_CUT_OFF_SECONDS))
+    ends_at = anyio.current_time() + rng.uniform(0.1, MAX_CUT_OFF_SECONDS)
+    # The disruption lasts longer than the bounds that start anew after it.
+    while anyio.current_time() < ends_at:
+        world.checker.record_disruption(gateway)
+        await anyio.sleep(min(MAX_FAULT_SECONDS / 2, ends_at - anyio.current_time()))
     proxy.set_mode(Mode.PASS)
-    world.checker.record_disruption()
+    world.checker.record_disruption(gateway)
 
 
 async def _disrupt_endpoint_connections(world, rng: random.Random) -> None:
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -30,7 +30,11 @@
     executions : Counter
         How often endpoints began to handle each attempt, which counts as a run.
     disrupted_at : float
-        When a fault that may delay updates to the gateways last began or ended.
+        When a fault that may delay updates to any gateway last began or ended.
+    store_disrupted_at : float
+        The same for faults that affect all gateways.
+    gateways_disrupted_at : dict of str to float
+        The same for faults of one gateway, by its name.
     leaving_since : dict of str to float
         When each leaving endpoint was announced as draining.
     violations : list of str
@@ -44,14 +48,26 @@
 
     executions: collections.Counter[str] = attrs.field(factory=collections.Counter)
     disrupted_at: float = float("-inf")
+    store_disrupted_at: float = float("-inf")
+    gateways_disrupted_at: dict[str, float] = attrs.field(factory=dict)
     leaving_since: dict[str, float] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
     refusing: set[tuple[str, int]] = attrs.field(factory=set)
 
-    def record_disruption(self) -> None:
-        """Record the start or end of a fault that may delay updates to the gateways."""
+    def record_disruption(self, gateway: SupervisedGateway | None = None) -> None:
+        """Record the start or end of a fault that may delay updates to the gateways.
+
+        Parameters
+        ----------
+        gateway : SupervisedGateway or None
+            The only gateway that is affected; None for all.
+        """
         self.disrupted_at = anyio.current_time()
+        if gateway is None:
+            self.store_disrupted_at = self.disrupted_at
+        else:
+            self.gateways_disrupted_at[gateway.name] = self.disrupted_at
 
     def check_arrival(
         self, instance: str, attempt_id: str, gateway: str = "a gateway"
@@ -135,6 +151,7 @@
         if not version or gateway.incarnation is not incarnation:
             return
         self.counts["versions"] += 1
+        self.counts["versions that were required"] += bool(required_version)
         if version < incarnation.max_version:
             self._add_violation(
                 f"{gateway.name} went back from {incarnation.max_version} to {version}"
@@ -145,9 +162,14 @@
                 f"{gateway.name} has version {version}, not {required_version}"
             )
 
-    def is_undisrupted(self, seconds: float) -> bool:
-        """Whether the last disruption is more than ``seconds`` ago."""
-        return anyio.current_time() - self.disrupted_at > seconds
+    def is_undisrupted(self, gateway: SupervisedGateway, seconds: float) -> bool:
+        """Whether the last disruption of a gateway is more than ``seconds`` ago."""
+        never = float("-inf")
+        disrupted_at = max(
+            self.store_disrupted_at,
+            self.gateways_disrupted_at.get(gateway.name, never),
+        )
+        return anyio.current_time() - disrupted_at > seconds
 
     def _check_answer(self, attempt: Attempt) -> None:
         answer = attempt.answer
