End a request whose local placement is cancelled

Seen in 2 of 23 runs of test_ended_requests_leave_no_state_behind beside load: {'a52': ''}.

test_cancelled_local_placement_ends_the_request failed before.

--- a/currantdyke/scheduler/client.py
+++ b/currantdyke/scheduler/client.py
@@ -87,7 +87,11 @@
             if isinstance(answer, (Placement, Refusal)):
                 return answer
         self.placed_by[request.attempt_id] = ""
-        return await self.local.place(request)
+        try:
+            return await self.local.place(request)
+        except anyio.get_cancelled_exc_class():
+            self.report_progress(request.attempt_id, ProgressKind.CANCELLED)
+            raise
 
     def _startup_wait(self, now: float) -> float:
         """Return the seconds to wait for an owner that does not accept connections."""
