Show the body of a refusal without Retry-After in the soak's report

The report named only the attempt, and the lines of the gateway's log that would explain it are often lost with a killed process.

--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -103,7 +103,7 @@
             if not answer.has_retry_after:
                 self._add_violation(
                     f"{attempt.attempt_id} ({attempt.kind}) at {attempt.gateway.name}: "
-                    f"a refusal without Retry-After"
+                    f"a refusal without Retry-After: {answer.body[:200]!r}"
                 )
             self.check_executions(attempt)
         elif not answer.signed and 300 <= answer.status < 500:
