--- a/currantdyke/gateway/tests/test_slow_links.py
+++ b/currantdyke/gateway/tests/test_slow_links.py
@@ -166,7 +166,6 @@
     # What a long transfer brings is as old as its request, not as its last byte.
     @run_on_sockets
     async def test_gateway_gives_no_404_for_a_route_added_while_it_reads(self):
-        statuses = set()
         async with run_deployment(OLD_DOCUMENT) as deployment:
             await deployment.endpoint(PlainEmulator, "i-1", "plain")
             slow = await deployment.gateway(bytes_per_second=self.bytes_per_second)
@@ -176,14 +175,34 @@
             document = configuration(3, [*BULK_ROUTES, ADDED_ROUTE])
             deployment.store.put("op/config", document)
             await anyio.sleep(IN_FORCE_SECONDS)
-            with anyio.move_on_after(self.bound):
-                while version_of(slow) < 3:
-                    caller = deployment.caller()
-                    answer = await caller.request("GET", "/added/", headers=KEY)
-                    statuses.add(answer.status)
-                    await caller.close()
+            statuses = await self.statuses_until_version(deployment, slow, 3)
+        self.assertLessEqual(statuses, {200, 503})
+
+    # An answer that the history is gone brings no changes, so it makes nothing current.
+    @run_on_sockets
+    async def test_outdated_gateway_gives_no_404_while_it_lists_the_store_again(self):
+        async with run_deployment(OLD_DOCUMENT) as deployment:
+            await deployment.endpoint(PlainEmulator, "i-1", "plain")
+            slow = await deployment.gateway(bytes_per_second=self.bytes_per_second)
+            await lose_store(deployment, slow)
+            document = configuration(2, [*BULK_ROUTES, ADDED_ROUTE])
+            deployment.store.put("op/config", document)
+            deployment.store.compact()
+            deployment.store.fault = ""
+            statuses = await self.statuses_until_version(deployment, slow, 2)
         self.assertLessEqual(statuses, {200, 503})
 
+    async def statuses_until_version(self, deployment, gateway, version):
+        """Request the added route until a version is in force or the bound passes."""
+        statuses = set()
+        with anyio.move_on_after(self.bound):
+            while version_of(gateway) < version:
+                caller = deployment.caller()
+                answer = await caller.request("GET", "/added/", headers=KEY)
+                statuses.add(answer.status)
+                await caller.close()
+        return statuses
+
 
 class TestRefusalsByKnowledge(unittest.TestCase):
     async def answer_of_outdated_gateway(self, target, headers):
