Do not decide by an old version after one that could not be read

After a configuration that could not be read, an older version written again made the configuration in force decide final refusals again, though what could not be read may have been newer. Only a newer readable version does so now; the extended test_unreadable_configuration_does_not_decide_until_one_is_readable failed before. A request over a limit is judged by that limit of its connection only.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -144,9 +144,9 @@
     def _configured(self, catalog: Catalog, source: str, started: float) -> None:
         """Put a newer configuration in force; its decoding started at ``started``."""
         before = -1 if self.routes is None else self.routes.catalog.version
-        self.newest_readable = True
         if catalog.version <= before:
             return
+        self.newest_readable = True
         self.routes = RouteTable.of(catalog=catalog)
         self.configuration_applied_at = anyio.current_time()
         for callback in self.on_configuration:
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -1,6 +1,7 @@
 import unittest
 
 import anyio
+import attrs
 
 from currantdyke.directory import ChangeSet
 from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
@@ -79,7 +80,11 @@
         self.apply(build_configuration(3))
         self.apply(build_configuration(4, document=b"{"))
         self.assertFalse(self.directory.decides)
-        self.apply(build_configuration(5))
+        old_version = build_configuration(2).changes[0]
+        written_again = attrs.evolve(old_version, revision=5)
+        self.apply(ChangeSet(changes=(written_again,), revision=5))
+        self.assertFalse(self.directory.decides)
+        self.apply(build_configuration(6))
         self.assertTrue(self.directory.decides)
 
 
--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -146,11 +146,12 @@
     ) -> Failure:
         """Return the failure of a request that exceeds a limit of its connection."""
         limits = self._limits()
-        if (
-            connection.max_header_bytes < limits.header_bytes
-            or connection.limits.body_bytes < limits.body_bytes
-        ):
-            # The limit was raised after it had been taken over.
+        if kind is FailureKind.HEADERS_TOO_LARGE:
+            raised = connection.max_header_bytes < limits.header_bytes
+        else:
+            raised = connection.limits.body_bytes < limits.body_bytes
+        if raised:
+            # The connection took its limit over before that.
             return Failure(
                 kind=FailureKind.STALE_CONFIGURATION,
                 detail=detail,
