Give up a silent run only when another one serves the request

Callers saw streams cut after a pause of 1.4 s, and requests answered 502 ("no endpoint is left to try"), while the endpoint was about to go on: at the silence limit the run was cancelled first, and only then was it asked whether a retry is left, whether a placement is granted, and whether another endpoint serves the request.

Now the live runs of a request form a race (forward/race.py). A silent run goes on while another one is placed and sent, if the route, the retry budget and the directory allow it. The run that relays first, an event or a final response, claims the request, which cancels the others in the same step; so no event comes twice, and the replaced engine stops when the new one has begun. A run that fails, is refused or is not placed leaves the others as they are. Without an alternative a run goes on until the deadline. The log tells "given up for another" from "silent until the end".

A second placement keeps the first: the scheduler hands out the results of the stages again instead of releasing them, and a refusal leaves the earlier placement. Silence of a stream counts from its last complete event instead of its last byte.

--- a/currantdyke/forward/exchange.py
+++ b/currantdyke/forward/exchange.py
@@ -9,7 +9,13 @@
 from currantdyke.core import Failure, FailureKind, Outcome
 from currantdyke.platform.requests import RequestMetadata
 
-__all__ = ["AttemptRecord", "Exchange", "RequestFailedError", "ResponseWriter"]
+__all__ = [
+    "AttemptRecord",
+    "Exchange",
+    "RequestFailedError",
+    "ResponseWriter",
+    "StreamBrokenError",
+]
 
 # Used where nothing is known of the time at which an endpoint will be free. Short
 # compared with the deadlines of callers, which wait at most a third of what is left.
@@ -44,6 +50,10 @@
         self.failure = failure
 
 
+class StreamBrokenError(Exception):
+    """A started response can't be completed; the caller's connection must be closed."""
+
+
 @attrs.frozen(kw_only=True)
 class AttemptRecord:
     """Log record of one attempt.
--- /dev/null
+++ b/currantdyke/forward/race.py
@@ -0,0 +1,159 @@
+"""Runs of one request at several endpoints, of which the first to serve it wins."""
+
+import math
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import attrs
+
+__all__ = ["Race", "Run"]
+
+# Bounds the rate of checks for silence, whatever a route's target latency.
+MIN_SILENCE_SECONDS = 0.05
+# A cancelled run that has received nothing for this long is logged as silent.
+SILENT_RUN_SECONDS = 0.5
+GIVEN_UP = "given up for another"
+SILENT = "silent until the end"
+CANCELLED = "cancelled"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """An attempt to have a request served by one endpoint.
+
+    Attributes
+    ----------
+    instance : str
+        The endpoint; empty until one is chosen.
+    sent : bool
+        Whether sending of the request has started.
+    given_up : bool
+        Whether another run serves the request.
+    heard_at : float
+        Monotonic time in seconds at which it was sent or last received anything.
+    """
+
+    instance: str = ""
+    sent: bool = False
+    given_up: bool = False
+    heard_at: float = attrs.field(factory=anyio.current_time)
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+    def cancelled_outcome(self) -> str:
+        """Return the log's outcome of an attempt that was cancelled."""
+        if self.given_up:
+            return GIVEN_UP
+        silent = anyio.current_time() - self.heard_at >= SILENT_RUN_SECONDS
+        return SILENT if silent else CANCELLED
+
+
+@attrs.define(kw_only=True, eq=False)
+class Race:
+    """The live runs of a request.
+
+    A run is given up only when another one serves the request. Until then, a silent run
+    goes on beside those that are started because of its silence.
+
+    Attributes
+    ----------
+    live : list of Run
+        Runs that have not ended, in the order of their start.
+    silent_at : float
+        Monotonic time in seconds at which the runs count as silent.
+    paused : bool
+        Whether silence is not measured, because a response is being relayed.
+    """
+
+    live: list[Run] = attrs.field(factory=list)
+    silent_at: float = math.inf
+    paused: bool = False
+    error: Exception | None = None
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
+    tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self, control: Callable[[], Awaitable[None]]) -> None:
+        """Await ``control``, which starts runs, and end the runs that are left."""
+        error: Exception | None = None
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            try:
+                await control()
+            except Exception as raised:
+                # Raised below, since the task group would wrap it in a group.
+                error = raised
+            tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    def start(self, function: Callable[[Run], Awaitable[None]]) -> None:
+        """Start a run; silence is measured again once it is sent."""
+        assert self.tasks is not None
+        run = Run()
+        self.live.append(run)
+        self.silent_at = math.inf
+        self.tasks.start_soon(self._run, run, function)
+
+    def record_sent(self, run: Run, silence_seconds: float) -> None:
+        """Record that a run is being sent."""
+        run.sent = True
+        run.heard_at = anyio.current_time()
+        self.extend(silence_seconds)
+        self._notify()
+
+    def extend(self, silence_seconds: float) -> None:
+        """Count the runs as silent only after this time, in seconds from now."""
+        seconds = max(MIN_SILENCE_SECONDS, silence_seconds)
+        self.silent_at = anyio.current_time() + seconds
+
+    def claim(self, run: Run) -> bool:
+        """Give up all other runs; return False if this one was given up.
+
+        A run must claim the request each time before it relays anything of a response,
+        without an ``await`` between.
+        """
+        if run.given_up:
+            return False
+        for other in self.live:
+            if other is not run:
+                other.given_up = True
+                other.scope.cancel()
+        return True
+
+    def is_silent(self) -> bool:
+        """Return whether all runs were sent and are silent."""
+        return (
+            not self.paused
+            and anyio.current_time() >= self.silent_at
+            and all(run.sent for run in self.live)
+        )
+
+    async def wait(self) -> None:
+        """Wait until a run is sent or ends, or until the runs count as silent.
+
+        Raises
+        ------
+        Exception
+            The error of a run that failed.
+        """
+        changed = self.changed
+        timeout = max(MIN_SILENCE_SECONDS, self.silent_at - anyio.current_time())
+        with anyio.move_on_after(timeout):
+            await changed.wait()
+        if self.error is not None:
+            raise self.error
+
+    async def _run(self, run: Run, function: Callable[[Run], Awaitable[None]]) -> None:
+        try:
+            with run.scope:
+                await function(run)
+        except Exception as error:
+            # Raised by `wait`, in the task that serves the request.
+            self.error = self.error or error
+        finally:
+            self.live.remove(run)
+            self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -3,7 +3,6 @@
 import math
 
 import anyio
-import anyio.lowlevel
 
 from currantdyke.catalog import Endpoint
 from currantdyke.core import FailureKind
@@ -15,7 +14,8 @@
 )
 from currantdyke.forward.context import ForwardContext, build_outgoing_request
 from currantdyke.forward.events import EventSplitter, EventTooLongError
-from currantdyke.forward.exchange import Exchange
+from currantdyke.forward.exchange import Exchange, StreamBrokenError
+from currantdyke.forward.race import CANCELLED, Race, Run
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
 from currantdyke.scheduler.messages import (
@@ -30,21 +30,17 @@
 # Limit per request of attempts that no engine ran: refusals, failed connections,
 # missing stage results, and engines that may no longer be used.
 MAX_NOT_RUN_ATTEMPTS = 3
-# Time without data after which a resumable stream moves to another engine. Callers
-# wait for at least two seconds.
+# Time without an event after which a resumable stream is sent to another engine too.
+# Callers wait for at least two seconds.
 SILENCE_TIMEOUT_SECONDS = 1.4
-# Time-out of the first event as a multiple of the target latency; it includes the wait
-# for a place in the batch.
+# The same before the first event, as a multiple of the target latency; it includes the
+# wait for a place in the batch.
 START_TIMEOUT_TARGETS = 1.5
 LOWEST_URGENCY = 9
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
 
 
-class StreamBrokenError(Exception):
-    """A started stream can't be completed; the caller's connection must be closed."""
-
-
 async def forward_stream(
     exchange: Exchange, context: ForwardContext, scheduler: SchedulerClient
 ) -> None:
@@ -63,7 +59,22 @@
 
 
 class ForwardedStream:
-    """A stream to a caller that one or more engines produce in turn."""
+    """A stream to a caller that one or more engines produce in turn.
+
+    Attributes
+    ----------
+    last_event_id : bytes or None
+        Id of the last event that was relayed from an engine.
+    placed : Run or None
+        The run whose placement is the latest.
+    ended : bool
+        Whether a response was relayed to its end.
+    final_error : Exception or None
+        Error of the last live run after which no other one may follow.
+    failure : tuple or None
+        Status, headers and body of an engine's failure, relayed if no other engine
+        serves the request.
+    """
 
     def __init__(
         self, exchange: Exchange, context: ForwardContext, scheduler: SchedulerClient
@@ -71,21 +82,59 @@
         self.exchange = exchange
         self.context = context
         self.scheduler = scheduler
+        self.race = Race()
         self.last_event_id: bytes | None = None
+        self.placed: Run | None = None
         self.ended = False
+        self.final_error: Exception | None = None
+        self.failure: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
 
     async def run(self) -> None:
         """Forward the stream until it ends."""
+        try:
+            await self.race.run(self._control)
+        finally:
+            # No report is due unless the last run ended beside another one.
+            self._report(ProgressKind.CANCELLED)
+
+    async def _control(self) -> None:
+        self.race.start(self._run)
         while True:
-            placement = await self._place()
-            await self._run_attempt(placement)
-            if self.ended:
+            await self.race.wait()
+            if self.race.live:
+                if not self.ended and self.race.is_silent():
+                    self._handle_silence()
+            elif self.ended:
                 return
-            self._check_may_retry()
+            else:
+                await self._retry_or_fail()
+                if self.ended:
+                    return
+
+    def _handle_silence(self) -> None:
+        """Start a run at another engine, if that is allowed; the live runs go on."""
+        if not self._may_run_again():
+            self.race.extend(math.inf)
+            return
+        self.race.extend(SILENCE_TIMEOUT_SECONDS)
+        if (
+            self._has_other_engine()
+            and self.exchange.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
+            and self.context.take_retry(self.exchange.service)
+        ):
+            self.race.start(self._run)
 
-    async def _place(self) -> Placement:
+    def _tried_engines(self) -> set[str]:
+        return self.exchange.excluded | {run.instance for run in self.race.live}
+
+    def _has_other_engine(self) -> bool:
+        known = self.context.directory.endpoints.of_service(self.exchange.service)
+        return not self._tried_engines().issuperset(known)
+
+    async def _place(self) -> Placement | Refusal:
         exchange = self.exchange
         now = anyio.current_time()
+        live = {run.instance for run in self.race.live if run.instance}
         answer = await self.scheduler.place(
             PlacementRequest(
                 attempt_id=exchange.facts.attempt_id,
@@ -101,16 +150,15 @@
                 output_tokens=exchange.facts.max_output_tokens,
                 parts=exchange.facts.prompt_parts,
                 availability_zone=self.context.availability_zone,
-                excluded=tuple(exchange.excluded),
+                excluded=tuple(exchange.excluded | live),
                 is_retry=exchange.sends > 0,
             )
         )
-        if isinstance(answer, Refusal):
-            if exchange.caller.response_started:
-                raise StreamBrokenError(answer.detail)
-            detail = f"{answer.code}: {answer.detail}"
-            raise exchange.failure(
-                FailureKind.NO_ENDPOINT, detail, retry_after=answer.retry_after
+        if isinstance(answer, Placement) and answer.instance in live:
+            return Refusal(
+                code="no_other_engine",
+                detail="the only engine runs the request already",
+                retry_after=RETRY_AFTER_SECONDS,
             )
         return answer
 
@@ -126,10 +174,21 @@
         count = len(self.exchange.route.stages)
         return (named + (0,) * count)[:count]
 
-    async def _run_attempt(self, placement: Placement) -> None:
+    async def _run(self, run: Run) -> None:
+        """Place the request and send it to the engine."""
+        answer = await self._place()
+        if isinstance(answer, Placement):
+            self.placed = run
+            run.instance = answer.instance
+            await self._run_attempt(run, answer)
+            return
+        detail = f"{answer.code}: {answer.detail}"
+        self._end_with(self._failure(detail, answer.retry_after))
+
+    async def _run_attempt(self, run: Run, placement: Placement) -> None:
         exchange = self.exchange
         started = anyio.current_time()
-        outcome = "cancelled"
+        outcome = CANCELLED
         progress = ProgressKind.CANCELLED
         endpoint = self.context.directory.endpoints.usable(placement.instance)
         try:
@@ -137,7 +196,7 @@
                 outcome, progress = "leaving", ProgressKind.ENGINE_FULL
                 exchange.not_run_attempts += 1
                 return
-            outcome, progress = await self._send(endpoint, placement)
+            outcome, progress = await self._send(run, endpoint, placement)
         except NotSentError as error:
             outcome, progress = f"not sent: {error}", ProgressKind.ENGINE_LOST
             exchange.not_run_attempts += 1
@@ -145,15 +204,20 @@
             outcome, progress = str(error), ProgressKind.ENGINE_LOST
             if endpoint is not None:
                 self.context.crashes.start_probe(exchange.fingerprint, endpoint)
+        except anyio.get_cancelled_exc_class():
+            outcome = run.cancelled_outcome()
+            if run.given_up and endpoint is not None:
+                self.context.crashes.start_probe(exchange.fingerprint, endpoint)
+            raise
         finally:
             if not self.ended:
                 exchange.excluded.add(placement.instance)
-            self.scheduler.report_progress(exchange.facts.attempt_id, progress)
+            self._report_end(run, progress)
             seconds = anyio.current_time() - started
             exchange.record_attempt(placement.instance, outcome, seconds)
 
     async def _send(
-        self, endpoint: Endpoint, placement: Placement
+        self, run: Run, endpoint: Endpoint, placement: Placement
     ) -> tuple[str, ProgressKind]:
         """Send to an engine; return the outcome for the log and the scheduler."""
         exchange = self.exchange
@@ -164,28 +228,19 @@
             rank=min(LOWEST_URGENCY, exchange.rank),
             last_event_id=self.last_event_id,
         )
-        with anyio.CancelScope() as timeout_scope:
-            self._set_start_timeout(timeout_scope)
-            async with attempt(
-                self.context.connections,
-                endpoint,
-                request,
-                on_send=exchange.record_send,
-            ) as response:
-                if response.facts.success:
-                    await self._relay_events(response, timeout_scope)
-                    return "finished", ProgressKind.FINISHED
-                return await self._relay_failure(response)
-        raise MaybeRanError("the engine is silent")
-
-    def _set_start_timeout(self, timeout_scope: anyio.CancelScope) -> None:
-        if self._may_run_again():
-            seconds = START_TIMEOUT_TARGETS * self.exchange.route.target_latency
-            timeout_scope.deadline = anyio.current_time() + seconds
-
-    def _set_event_timeout(self, timeout_scope: anyio.CancelScope) -> None:
-        if self._may_run_again():
-            timeout_scope.deadline = anyio.current_time() + SILENCE_TIMEOUT_SECONDS
+
+        def on_send() -> None:
+            exchange.record_send()
+            seconds = START_TIMEOUT_TARGETS * exchange.route.target_latency
+            self.race.record_sent(run, seconds)
+
+        async with attempt(
+            self.context.connections, endpoint, request, on_send=on_send
+        ) as response:
+            if response.facts.success:
+                await self._relay_events(run, response)
+                return "finished", ProgressKind.FINISHED
+            return await self._handle_failure(run, response)
 
     def _may_run_again(self) -> bool:
         exchange = self.exchange
@@ -194,27 +249,23 @@
         runs = max(exchange.runs, 1)
         return exchange.route.may_repeat and runs < exchange.route.max_attempts
 
-    async def _relay_events(
-        self, response: EndpointResponse, timeout_scope: anyio.CancelScope
-    ) -> None:
+    async def _relay_events(self, run: Run, response: EndpointResponse) -> None:
         """Relay complete events; return at the end of the stream."""
         caller = self.exchange.caller
         splitter = EventSplitter()
         started = False
         while (data := await response.read()) is not None:
-            # The time-out is suspended during writes, so that a slow caller is not
-            # taken for a silent engine. If the time-out expired as the data arrived,
-            # the checkpoint raises the cancellation here; raised during a write, it
-            # could lose bytes that the framing already counts as sent.
-            timeout_scope.deadline = math.inf
-            await anyio.lowlevel.checkpoint_if_cancelled()
             events, last_id = splitter.feed(data)
             if not events:
-                self._set_event_timeout(timeout_scope)
                 continue
+            run.heard_at = anyio.current_time()
+            if not self.race.claim(run):
+                return
+            # A slow caller is not taken for a silent engine.
+            self.race.paused = True
             if not started:
                 started = True
-                self._report_start()
+                self._report_start(run)
             if not caller.response_started:
                 await caller.begin(
                     response.facts.status, end_to_end_headers(response.head)
@@ -222,21 +273,20 @@
                 self.exchange.first_event_at = anyio.current_time()
             await caller.write(events)
             self.last_event_id = last_id or self.last_event_id
-            self._set_event_timeout(timeout_scope)
+            self.race.extend(SILENCE_TIMEOUT_SECONDS)
+            self.race.paused = False
         if splitter.has_partial_event:
             raise MaybeRanError("the stream ended within an event")
+        if not self.race.claim(run):
+            return
+        self.ended = True
         if not caller.response_started:
             await caller.begin(response.facts.status, end_to_end_headers(response.head))
-        self.ended = True
         self.context.crashes.table.clear(self.exchange.fingerprint)
         await caller.finish()
 
-    def _report_start(self) -> None:
-        attempt_id = self.exchange.facts.attempt_id
-        self.scheduler.report_progress(attempt_id, ProgressKind.STARTED)
-
-    async def _relay_failure(
-        self, response: EndpointResponse
+    async def _handle_failure(
+        self, run: Run, response: EndpointResponse
     ) -> tuple[str, ProgressKind]:
         """Relay an engine's failure unless another engine may serve the request."""
         exchange = self.exchange
@@ -246,37 +296,61 @@
         facts = response.facts
         if facts.not_run:
             exchange.record_not_run()
-            retryable = facts.misdirected or facts.status in (409, 429, 503)
-            if retryable and exchange.not_run_attempts < MAX_NOT_RUN_ATTEMPTS:
+            if facts.misdirected or facts.status in (409, 429, 503):
                 return f"not run: {facts.status}", ProgressKind.ENGINE_FULL
-            if retryable and not exchange.caller.response_started:
-                detail = f"engines answered {facts.status}"
-                raise exchange.failure(
-                    FailureKind.NO_ENDPOINT, detail, retry_after=RETRY_AFTER_SECONDS
-                )
-        elif facts.status >= 500 and self._may_run_again():
+        headers = end_to_end_headers(response.head)
+        if not facts.not_run and facts.status >= 500:
+            self.failure = (facts.status, headers, body)
             return f"failed: {facts.status}", ProgressKind.FINISHED
         if exchange.caller.response_started:
-            raise StreamBrokenError(f"the engine answered {facts.status}")
-        self.ended = True
-        headers = end_to_end_headers(response.head)
-        await exchange.caller.answer(facts.status, headers, body)
+            self._end_with(StreamBrokenError(f"the engine answered {facts.status}"))
+        elif self.race.claim(run):
+            self.ended = True
+            await exchange.caller.answer(facts.status, headers, body)
         return f"passed on: {facts.status}", ProgressKind.FINISHED
 
-    def _check_may_retry(self) -> None:
-        """Raise unless another engine may be tried."""
+    async def _retry_or_fail(self) -> None:
+        """Start another run, or relay a failure or raise if none may follow."""
         exchange = self.exchange
+        if self.final_error is not None:
+            raise self.final_error
         may_run = exchange.runs == 0 or self._may_run_again()
         allowed = may_run and exchange.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
         if allowed and exchange.sends:
             allowed = self.context.take_retry(exchange.service)
         if allowed:
-            return
-        detail = exchange.attempts[-1].outcome
+            self.race.start(self._run)
+        elif self.failure is not None and not exchange.caller.response_started:
+            self.ended = True
+            await exchange.caller.answer(*self.failure)
+        else:
+            raise self._failure(exchange.attempts[-1].outcome, RETRY_AFTER_SECONDS)
+
+    def _failure(self, detail: str, retry_after: float) -> Exception:
+        """Return the error by which the request ends without a whole response."""
+        exchange = self.exchange
         if exchange.caller.response_started:
-            raise StreamBrokenError(detail)
-        if exchange.runs:
-            raise exchange.failure(FailureKind.STAGE_FAILED, detail)
-        raise exchange.failure(
-            FailureKind.NO_ENDPOINT, detail, retry_after=RETRY_AFTER_SECONDS
-        )
+            return StreamBrokenError(detail)
+        kind = FailureKind.STAGE_FAILED if exchange.runs else FailureKind.NO_ENDPOINT
+        return exchange.failure(kind, detail, retry_after=retry_after)
+
+    def _end_with(self, error: Exception) -> None:
+        """End the request after this run, unless another one is live."""
+        if len(self.race.live) == 1:
+            self.final_error = error
+
+    def _report_start(self, run: Run) -> None:
+        # The scheduler knows one run of a request, the one that it placed last.
+        placed = run is self.placed
+        self._report(ProgressKind.STARTED if placed else ProgressKind.CANCELLED)
+
+    def _report_end(self, run: Run, kind: ProgressKind) -> None:
+        """Report the end of a run, unless a report would end that of another one."""
+        others = [other for other in self.race.live if other is not run]
+        started = self.exchange.caller.response_started
+        pending = any(not other.sent for other in others)
+        if run is self.placed and (not others or (started and not pending)):
+            self._report(kind)
+
+    def _report(self, kind: ProgressKind) -> None:
+        self.scheduler.report_progress(self.exchange.facts.attempt_id, kind)
--- a/currantdyke/scheduler/client.py
+++ b/currantdyke/scheduler/client.py
@@ -41,8 +41,9 @@
         The group of each service in the current configuration.
     started_at : float
         Monotonic time in seconds at which this daemon started.
-    placed_by : dict of str to str
-        IP of the daemon that places a request, by attempt id; empty for this daemon.
+    placed_by : dict of str to tuple of str
+        IPs of the daemons that were asked to place a request, by attempt id; empty for
+        this daemon. They keep its state until its end is reported.
     """
 
     peers: Peers
@@ -51,13 +52,20 @@
     is_leaving: Callable[[], bool]
     started_at: float = float("-inf")
     groups: dict[str, str] = attrs.field(factory=dict)
-    placed_by: dict[str, str] = attrs.field(factory=dict)
+    placed_by: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     async def place(self, request: PlacementRequest) -> Placement | Refusal:
-        """Run the request's stages and choose its engine."""
+        """Run the request's stages and choose its engine.
+
+        A request that is at an engine already may be placed at another one too. If that
+        is refused, the earlier placement stays.
+        """
+        earlier = self.placed_by.get(request.attempt_id, ())
         answer = await self._ask_owners(request)
         if isinstance(answer, Refusal):
             self.placed_by.pop(request.attempt_id, None)
+            if earlier:
+                self.placed_by[request.attempt_id] = earlier
         return answer
 
     async def _ask_owners(self, request: PlacementRequest) -> Placement | Refusal:
@@ -66,7 +74,7 @@
             if ip == "" or asked >= MAX_OWNERS_ASKED:
                 break
             asked += 1
-            self.placed_by[request.attempt_id] = ip
+            self._add_owner(request.attempt_id, ip)
             started = anyio.current_time()
             try:
                 answer = await self.peers.request(
@@ -86,7 +94,7 @@
                 raise
             if isinstance(answer, (Placement, Refusal)):
                 return answer
-        self.placed_by[request.attempt_id] = ""
+        self._add_owner(request.attempt_id, "")
         try:
             return await self.local.place(request)
         except anyio.get_cancelled_exc_class():
@@ -98,17 +106,21 @@
         return max(0.0, self.started_at + STARTUP_SPREAD_SECONDS - now)
 
     def report_progress(self, attempt_id: str, kind: ProgressKind) -> None:
-        """Report a request's progress to the daemon that placed it."""
-        ip = self.placed_by.get(attempt_id)
+        """Report a request's progress to the daemons that placed it."""
+        ips = self.placed_by.get(attempt_id, ())
         if kind is not ProgressKind.STARTED:
             self.placed_by.pop(attempt_id, None)
-        if ip is None:
-            return
         progress = Progress(attempt_id=attempt_id, kind=kind)
-        if ip == "":
-            self.local.record_progress(progress)
-        else:
-            self.peers.notify(ip, progress)
+        for ip in ips:
+            if ip == "":
+                self.local.record_progress(progress)
+            else:
+                self.peers.notify(ip, progress)
+
+    def _add_owner(self, attempt_id: str, ip: str) -> None:
+        known = self.placed_by.get(attempt_id, ())
+        if ip not in known:
+            self.placed_by[attempt_id] = (*known, ip)
 
     def _ranked_daemons(self, service: str) -> list[tuple[str, str]]:
         """Return names and IPs of the daemons, the owner first.
--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -51,8 +51,18 @@
         self.admission = AdmissionControl(stages=self.stages)
 
     async def place(self, request: PlacementRequest) -> Placement | Refusal:
-        """Run a request's stages and choose its engine."""
+        """Run a request's stages and choose its engine.
+
+        A request whose engine is silent is placed at another one with the same results
+        of its stages. The earlier placement stays if this is refused.
+        """
         started = anyio.current_time()
+        held = self._held_chain(request)
+        if held is not None:
+            answer = self._choose_engine(held, started)
+            if isinstance(answer, Refusal):
+                self._log_refusal(request, answer)
+            return answer
         refusal = self.admission.check(request, started)
         if refusal is not None:
             self._log_refusal(request, refusal)
@@ -95,6 +105,17 @@
             cancelled = Progress(attempt_id=attempt_id, kind=ProgressKind.CANCELLED)
             self.record_progress(cancelled)
 
+    def _held_chain(self, request: PlacementRequest) -> Chain | None:
+        """Return a placed request's chain if its engine may not have its results yet.
+
+        It has the limits of the new request.
+        """
+        chain = self.chains.get(request.attempt_id)
+        if chain is None or not chain.ended.is_set() or chain.refusal is not None:
+            return None
+        chain.request = request
+        return chain
+
     def _choose_engine(self, chain: Chain, started: float) -> Placement | Refusal:
         request = chain.request
         if not chain.ended.is_set():
@@ -122,6 +143,9 @@
                 detail="no engine takes new work",
                 retry_after=NO_ENGINE_RETRY_SECONDS,
             )
+        # The request is no longer expected at the engine that it was placed at before.
+        lost = ProgressKind.ENGINE_LOST
+        self.engines.record_progress(request.attempt_id, lost, now)
         placed = self.engines.record_placement(engine, request, limits, now)
         self.log.write(
             "placed",
--- a/currantdyke/scheduler/tests/test_stages.py
+++ b/currantdyke/scheduler/tests/test_stages.py
@@ -51,6 +51,43 @@
     fleet.size_spread = 0.0
 
 
+async def place_twice(*, withdraw_engines=False):
+    """Place a request at a second engine while the first one is silent."""
+    fleet = small_fleet()
+    fleet.work["r"] = (1.0,) * 4
+    engines = fleet.scheduler.engines
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.stages.run)
+        first = await fleet.scheduler.place(REQUEST)
+        calls = fleet.stages.calls
+        excluded = (first.instance,)
+        if withdraw_engines:
+            excluded = tuple(fleet.directory.endpoints.of_service("engine"))
+        again = attrs.evolve(REQUEST, is_retry=True, excluded=excluded)
+        second = await fleet.scheduler.place(again)
+        placed = {name: list(one.placed) for name, one in engines.engines.items()}
+        tasks.cancel_scope.cancel()
+    return first, second, fleet.stages.calls - calls, placed, fleet
+
+
+class TestSecondPlacement(unittest.TestCase):
+    # Guards against results that are released while the first engine may fetch them.
+    def test_second_engine_gets_the_same_results(self):
+        first, second, calls, placed, _ = run_virtual(place_twice)
+        self.assertNotEqual(second.instance, first.instance)
+        self.assertEqual((second.handles, calls), (first.handles, 0))
+        self.assertEqual((placed[first.instance], placed[second.instance]), ([], ["r"]))
+
+    # Guards against a live run that ends because a second placement is refused.
+    def test_refused_second_placement_keeps_the_results_of_the_first(self):
+        first, second, _, placed, fleet = run_virtual(
+            place_twice, withdraw_engines=True
+        )
+        self.assertIsInstance(second, Refusal)
+        self.assertEqual(placed[first.instance], ["r"])
+        self.assertEqual(list(fleet.scheduler.chains), ["r"])
+
+
 class TestChains(unittest.TestCase):
     def test_placement_has_each_result_of_the_final_stages_once(self):
         request = attrs.evolve(
