Log a long answer that breaks off as broken off

Operators saw "answered" for a response over 1 MiB whose endpoint broke off while it was relayed; the caller's connection was closed within the body. Cause: after the response had started, any end of the run counted as its end. forward_plain now raises StreamBrokenError, as for streams.

--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -20,6 +20,7 @@
 from currantdyke.forward.exchange import (
     Exchange,
     RequestFailedError,
+    StreamBrokenError,
 )
 from currantdyke.forward.race import CANCELLED, Race, Run
 from currantdyke.platform.answers import ResponseMetadata, end_to_end_headers
@@ -55,6 +56,8 @@
     ------
     RequestFailedError
         If no endpoint's response can be relayed.
+    StreamBrokenError
+        If a long response has started and can't be completed.
     """
     context.budget(exchange.service).earn()
     request = ForwardedRequest(exchange, context)
@@ -70,6 +73,8 @@
         The response that ends the request.
     last_failure : BufferedResponse or None
         A failure that is relayed if no endpoint serves the request.
+    broken : str
+        Why a long response that has started can't be completed; empty if it can.
     """
 
     def __init__(self, exchange: Exchange, context: ForwardContext):
@@ -78,6 +83,7 @@
         self.race = Race()
         self.final: BufferedResponse | None = None
         self.last_failure: BufferedResponse | None = None
+        self.broken = ""
         self.silence_seconds = SILENCE_TARGETS * exchange.route.target_latency
 
     async def serve(self) -> None:
@@ -94,6 +100,8 @@
             if self.race.live:
                 if self.race.is_silent():
                     self._handle_silence()
+            elif self.broken:
+                raise StreamBrokenError(self.broken)
             elif caller.response_started:
                 return
             elif not _may_retry(self.exchange, self.context):
@@ -154,6 +162,8 @@
             outcome = str(error)
             health.record_unreachable(anyio.current_time())
             self.context.crashes.start_probe(self.exchange.fingerprint, endpoint)
+            if self.exchange.caller.response_started and not run.given_up:
+                self.broken = outcome
         except anyio.get_cancelled_exc_class():
             outcome = run.cancelled_outcome()
             raise
