Bound the bodies of failures and the number of interim responses

For a failure whose body has no end, callers got the endless body (plain requests) or nothing until the deadline, and a gateway held over 16 MiB of it for one stream. Bodies of failures were collected without a bound for streams and relayed as they arrived beyond 1 MiB otherwise; interim responses were skipped without a bound; and many small parts that arrive together were read without letting other tasks run. A failure over 1 MiB or 4,096 parts, or a 33rd interim response, now counts as a broken answer: the request goes elsewhere or gets 502.

--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 
 import anyio
+import anyio.lowlevel
 import attrs
 import h11
 
@@ -24,6 +25,13 @@
 # Larger ones are written while reading, since an endpoint may respond before it has
 # read the whole request.
 MAX_DIRECT_WRITE_BYTES = 8_192
+# Endpoints send at most a few interim responses.
+MAX_INTERIM_RESPONSES = 32
+# Failures of endpoints have short bodies, in few parts.
+MAX_FAILURE_BYTES = 1_048_576
+MAX_FAILURE_PARTS = 4_096
+# Parts of a body after which other tasks run, even if more parts have arrived.
+PARTS_PER_CHECKPOINT = 64
 
 
 class NotSentError(Exception):
@@ -72,6 +80,7 @@
     head: h11.Response
     facts: ResponseMetadata
     written: bool = True
+    parts_read: int = 0
 
     async def read(self) -> bytes | None:
         """Return the next part of the body, or None after its end.
@@ -81,6 +90,9 @@
         MaybeRanError
             If the response is incomplete.
         """
+        self.parts_read += 1
+        if self.parts_read % PARTS_PER_CHECKPOINT == 0:
+            await anyio.lowlevel.checkpoint()
         try:
             event = await self.connection.next_event()
         except (ConnectionLostError, h11.ProtocolError) as error:
@@ -91,6 +103,23 @@
             return None
         raise MaybeRanError("the endpoint closed the connection in its answer")
 
+    async def read_failure(self) -> bytes:
+        """Return the body of a failure.
+
+        Raises
+        ------
+        MaybeRanError
+            If the response is incomplete, or the body too long for a failure.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (data := await self.read()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > MAX_FAILURE_BYTES or len(parts) > MAX_FAILURE_PARTS:
+                raise MaybeRanError("the body of a failure is too long")
+        return b"".join(parts)
+
 
 @contextlib.asynccontextmanager
 async def attempt(
@@ -177,7 +206,11 @@
 ) -> EndpointResponse:
     try:
         event = await connection.next_event()
+        interim_responses = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_responses += 1
+            if interim_responses > MAX_INTERIM_RESPONSES:
+                raise MaybeRanError("too many interim responses")
             event = await connection.next_event()
     except (ConnectionLostError, h11.ProtocolError) as error:
         raise MaybeRanError(f"no answer: {error}") from error
--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -208,6 +208,8 @@
         async with attempt(
             self.context.connections, endpoint, request, on_send=on_send
         ) as response:
+            if not response.facts.success:
+                return _buffered(response, await response.read_failure())
             parts: list[bytes] = []
             size = 0
             while (data := await response.read()) is not None:
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -290,9 +290,7 @@
     ) -> tuple[str, ProgressKind]:
         """Relay an engine's failure unless another engine may serve the request."""
         exchange = self.exchange
-        body = b""
-        while (data := await response.read()) is not None:
-            body += data
+        body = await response.read_failure()
         facts = response.facts
         if facts.not_run:
             exchange.record_not_run()
