Answer or break off a request that HTTP can't express for an endpoint

A caller's connection was closed without an answer or a line in the log when an engine sent an event id that no header can hold, and broke off: the request to resume the stream raised h11.LocalProtocolError, which the server of callers takes for a caller that has left. Such a request now counts as not sent.

--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -141,10 +141,17 @@
     Raises
     ------
     NotSentError
-        If the endpoint can't be reached.
+        If the endpoint can't be reached, or HTTP can't express the request, for example
+        with the event id of another endpoint.
     MaybeRanError
         If there is no response, or it does not belong to this request.
     """
+    try:
+        head = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
+    except h11.LocalProtocolError as error:
+        raise NotSentError(str(error)) from error
     try:
         connection = await connections.acquire(endpoint, once=request.once)
     except ConnectionLostError as error:
@@ -154,7 +161,7 @@
     try:
         async with anyio.create_task_group() as tasks:
             written = anyio.Event()
-            await _write_request(connection, request, tasks, written)
+            await _write_request(connection, head, request.body, tasks, written)
             response = await _read_head(connection, request)
             yield response
             response.written = written.is_set()
@@ -178,14 +185,12 @@
 
 async def _write_request(
     connection: Http1Connection,
-    request: OutgoingRequest,
+    head: h11.Request,
+    body: bytes,
     tasks: anyio.abc.TaskGroup,
     written: anyio.Event,
 ) -> None:
-    head = h11.Request(
-        method=request.method, target=request.target, headers=request.headers
-    )
-    events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+    events = (head, h11.Data(data=body), h11.EndOfMessage())
 
     async def write() -> None:
         try:
@@ -195,7 +200,7 @@
             return
         written.set()
 
-    if len(request.body) <= MAX_DIRECT_WRITE_BYTES:
+    if len(body) <= MAX_DIRECT_WRITE_BYTES:
         await write()
     else:
         tasks.start_soon(write)
