Take a result handle that no header can hold for a failed piece

A caller's connection was closed without an answer when a stage endpoint returned a handle that can't be sent to an engine (outside ASCII, with a space or a comma): encoding the engine's request raised an error in the task of the caller's connection. Such a handle is now a failed piece: the stage runs again or the request is refused.

--- a/currantdyke/platform/stagecalls.py
+++ b/currantdyke/platform/stagecalls.py
@@ -1,6 +1,7 @@
 """Encode and decode calls to the endpoints of a stage service."""
 
 import enum
+import re
 
 import attrs
 import msgspec
@@ -20,6 +21,8 @@
 
 RUN_TARGET = b"/api/stage-run"
 FREE_TARGET = b"/api/stage-free"
+# Handles are sent to engines in one header, separated by commas.
+HANDLE_PATTERN = re.compile(r"[!-+\--~]{1,500}")
 
 
 class PieceFailure(enum.Enum):
@@ -100,7 +103,7 @@
 
 def _decode_result(entry: dict) -> PieceResult:
     handle = entry.get("handle")
-    if isinstance(handle, str) and handle:
+    if isinstance(handle, str) and HANDLE_PATTERN.fullmatch(handle):
         return PieceResult(handle=handle)
     try:
         return PieceResult(failure=PieceFailure(entry.get("reason")))
