Emulate silent endpoints, undelimited answers and endless bytes

Cause: tests could make an endpoint misbehave only by a handler of their own that wrote raw bytes, so silences, answers that end with the connection, streams that end inside an event and bytes without end had no tests in common.

Change: AnswerPlan states how one answer is written, chosen by an endpoint for each request. Without a plan, answers are as before but for a plain body, which is sent in two halves.

--- a/currantdyke/emulator/__init__.py
+++ b/currantdyke/emulator/__init__.py
@@ -3,6 +3,7 @@
 It speaks the published protocol on local sockets and injects faults on request.
 """
 
+from currantdyke.emulator.answers import AnswerPlan, Ending, Framing, Garbage
 from currantdyke.emulator.callers import Caller, CallerAnswer, caller_headers
 from currantdyke.emulator.endpoints import (
     EngineEmulator,
@@ -14,9 +15,13 @@
 from currantdyke.emulator.store import StoreEmulator
 
 __all__ = [
+    "AnswerPlan",
     "Caller",
     "CallerAnswer",
+    "Ending",
     "EngineEmulator",
+    "Framing",
+    "Garbage",
     "PlainEmulator",
     "Reply",
     "StageEmulator",
--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -4,10 +4,23 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.abc
 import attrs
 import msgspec
 
-from currantdyke.emulator.http import Handler, Reply, Request, serve_http
+from currantdyke.emulator.answers import (
+    AnswerPlan,
+    Ending,
+    Framing,
+    plan_sound,
+    write_answer,
+)
+from currantdyke.emulator.http import (
+    Handler,
+    Reply,
+    Request,
+    serve_http,
+)
 
 __all__ = ["EngineEmulator", "PlainEmulator", "StageEmulator"]
 
@@ -36,8 +49,12 @@
     handle_first : callable
         Called with each request that passes the check of the expected instance, and
         with its reply. If it returns True, the endpoint does not handle the request.
+    plan_answer : callable
+        Returns how the answer to a request is written; stages don't use it.
     cancel_scope : CancelScope
-        Stops the endpoint at once when cancelled, like a crash.
+        Stops the endpoint at once when cancelled; one for each call of `run`.
+    streams : set
+        The open connections.
     """
 
     instance: str
@@ -51,6 +68,8 @@
     runs: list[str] = attrs.field(factory=list)
     stopped: list[str] = attrs.field(factory=list)
     handle_first: FaultHandler = inject_no_fault
+    plan_answer: Callable[[Request], AnswerPlan] = plan_sound
+    streams: set[anyio.abc.SocketStream] = attrs.field(factory=set)
     cancel_scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
     @property
@@ -75,9 +94,12 @@
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         handler: Handler = self._handle
+        self.cancel_scope = anyio.CancelScope()
         with self.cancel_scope:
             async with anyio.create_task_group() as tasks:
-                self.port = await tasks.start(serve_http, self.host, self.port, handler)
+                self.port = await tasks.start(
+                    serve_http, self.host, self.port, handler, self.streams
+                )
                 task_status.started()
 
     def answer_headers(self, request: Request) -> dict[str, str]:
@@ -106,15 +128,22 @@
     """Plain endpoint that echoes the request's method, target and body."""
 
     async def _serve(self, request: Request, reply: Reply) -> None:
-        attempt_id = request.headers.get("x-attempt-id", "")
+        attempt_id = request.attempt_id
         self.runs.append(attempt_id)
+        body = f"{request.method} {request.target} ".encode() + request.body
+        half = len(body) // 2
         try:
             await anyio.sleep(self.work_seconds)
+            await write_answer(
+                reply,
+                self.answer_headers(request),
+                [body[:half], body[half:]],
+                self.plan_answer(request),
+                framing=Framing.LENGTH,
+            )
         except anyio.get_cancelled_exc_class():
             self.stopped.append(attempt_id)
             raise
-        body = f"{request.method} {request.target} ".encode() + request.body
-        await reply.send_response(200, self.answer_headers(request), body)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -134,26 +163,31 @@
     break_after: int | None = None
 
     async def _serve(self, request: Request, reply: Reply) -> None:
-        attempt_id = request.headers.get("x-attempt-id", "")
+        attempt_id = request.attempt_id
         first = int(request.headers.get("last-event-id", "0")) + 1
         self.runs.append(attempt_id)
+        numbers = range(first, self.events + 1)
+        headers = {"content-type": "text/event-stream"}
         try:
             await anyio.sleep(self.work_seconds)
-            headers = self.answer_headers(request) | {
-                "content-type": "text/event-stream"
-            }
-            await reply.send_head(200, headers)
-            for number in range(first, self.events + 1):
-                if self.break_after is not None and number > self.break_after:
-                    await reply.send_chunk(b"id: %d\nda" % number)
-                    await reply.reset()
-                await reply.send_chunk(b"id: %d\ndata: %d\n\n" % (number, number))
-                await anyio.sleep(self.event_seconds)
-            await reply.send_end()
+            await write_answer(
+                reply,
+                self.answer_headers(request) | headers,
+                [b"id: %d\ndata: %d\n\n" % (number, number) for number in numbers],
+                self._plan(request, first),
+                framing=Framing.CHUNKS,
+                part_seconds=self.event_seconds,
+            )
         except anyio.get_cancelled_exc_class():
             self.stopped.append(attempt_id)
             raise
 
+    def _plan(self, request: Request, first: int) -> AnswerPlan:
+        if self.break_after is None:
+            return self.plan_answer(request)
+        parts = max(0, self.break_after - first + 1)
+        return AnswerPlan(break_after=parts, ending=Ending.RESET)
+
 
 @attrs.define(kw_only=True, eq=False)
 class StageEmulator(EndpointEmulator):
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -9,7 +9,12 @@
 import attrs
 import h11
 
-from currantdyke.http1 import ConnectionLostError, Http1Connection, read_body
+from currantdyke.http1 import (
+    CONNECTION_ERRORS,
+    ConnectionLostError,
+    Http1Connection,
+    read_body,
+)
 
 __all__ = ["Handler", "Reply", "Request", "reset_on_close", "serve_http"]
 
@@ -61,22 +66,44 @@
             h11.EndOfMessage(),
         )
 
-    async def send_head(self, status: int, headers: dict[str, str]) -> None:
-        """Send the status and headers of an answer with a chunked body."""
-        fields = _encode_headers(headers) + [(b"transfer-encoding", b"chunked")]
+    async def send_head(
+        self, status: int, headers: dict[str, str], length: int | None = None
+    ) -> None:
+        """Send the status and headers of an answer.
+
+        Parameters
+        ----------
+        length : int or None
+            Size of the body; None for a chunked body.
+        """
+        delimiter = (b"transfer-encoding", b"chunked")
+        if length is not None:
+            delimiter = (b"content-length", b"%d" % length)
+        fields = [*_encode_headers(headers), delimiter]
         await self.connection.send(h11.Response(status_code=status, headers=fields))
 
+    async def send_undelimited_head(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of an answer whose body ends with the connection.
+
+        The body is sent with `send_raw`, since h11 would add a delimiter.
+        """
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        await self.send_raw(f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode())
+
     async def send_chunk(self, data: bytes) -> None:
-        """Send one chunk of the body."""
+        """Send a part of the body, as one chunk if the body is chunked."""
         await self.connection.send(h11.Data(data=data))
 
     async def send_end(self) -> None:
-        """Send the last chunk, which ends the body."""
+        """Send the end of the body."""
         await self.connection.send(h11.EndOfMessage())
 
     async def send_raw(self, data: bytes) -> None:
         """Send bytes directly to the socket, without HTTP framing."""
-        await self.connection.stream.send(data)
+        try:
+            await self.connection.stream.send(data)
+        except CONNECTION_ERRORS as error:
+            raise ConnectionLostError(str(error) or "closed by the caller") from error
 
     async def close(self) -> None:
         """Close the connection without a reset; raise ConnectionLostError."""
@@ -111,20 +138,30 @@
     host: str,
     port: int,
     handler: Handler,
+    streams: set[anyio.abc.SocketStream] | None = None,
     *,
     task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until cancelled; the task's start value is the port."""
+    """Serve until cancelled; the task's start value is the port.
+
+    Parameters
+    ----------
+    streams : set, optional
+        Contains the open connections while this runs.
+    """
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    open_streams = set() if streams is None else streams
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         connection = Http1Connection(stream=stream, role=h11.SERVER)
+        open_streams.add(stream)
         try:
             while await _serve_one(connection, handler):
                 connection.state.start_next_cycle()
         except (ConnectionLostError, h11.ProtocolError):
             return
         finally:
+            open_streams.discard(stream)
             await connection.close()
 
     async with listener:
