--- a/currantdyke/emulator/__init__.py
+++ b/currantdyke/emulator/__init__.py
@@ -12,6 +12,7 @@
 )
 from currantdyke.emulator.http import Reply, serve_http
 from currantdyke.emulator.nodes import node_settings
+from currantdyke.emulator.restarts import Restarts, run_with_restarts
 from currantdyke.emulator.store import StoreEmulator
 
 __all__ = [
@@ -24,9 +25,11 @@
     "Garbage",
     "PlainEmulator",
     "Reply",
+    "Restarts",
     "StageEmulator",
     "StoreEmulator",
     "caller_headers",
     "node_settings",
+    "run_with_restarts",
     "serve_http",
 ]
--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -19,6 +19,7 @@
     Handler,
     Reply,
     Request,
+    reset_on_close,
     serve_http,
 )
 
@@ -51,6 +52,13 @@
         with its reply. If it returns True, the endpoint does not handle the request.
     plan_answer : callable
         Returns how the answer to a request is written; stages don't use it.
+    crash_part : str
+        The endpoint crashes when it begins an answer to a prompt with this part,
+        anywhere but last; empty for none. Stages don't use it.
+    crashed_on : list of str
+        Attempt ids of the requests that crashed it.
+    incarnation, born : int
+        Number and start of the current lifetime, in Unix milliseconds.
     cancel_scope : CancelScope
         Stops the endpoint at once when cancelled; one for each call of `run`.
     streams : set
@@ -69,6 +77,10 @@
     stopped: list[str] = attrs.field(factory=list)
     handle_first: FaultHandler = inject_no_fault
     plan_answer: Callable[[Request], AnswerPlan] = plan_sound
+    crash_part: str = ""
+    crashed_on: list[str] = attrs.field(factory=list)
+    incarnation: int = 1
+    born: int = 1
     streams: set[anyio.abc.SocketStream] = attrs.field(factory=set)
     cancel_scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
@@ -77,7 +89,7 @@
         """Host and port of the endpoint."""
         return f"{self.host}:{self.port}"
 
-    def entry(self, *, state: str = "ready", born: int = 1) -> dict:
+    def entry(self, *, state: str = "ready", born: int | None = None) -> dict:
         """Return the endpoint's entry in the store."""
         return {
             "service": self.service,
@@ -88,11 +100,11 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": born,
+            "born": self.born if born is None else born,
         }
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled or crashed."""
         handler: Handler = self._handle
         self.cancel_scope = anyio.CancelScope()
         with self.cancel_scope:
@@ -102,6 +114,12 @@
                 )
                 task_status.started()
 
+    def crash(self) -> None:
+        """Close the listener, reset all connections and stop all runs."""
+        for stream in self.streams:
+            reset_on_close(stream)
+        self.cancel_scope.cancel()
+
     def answer_headers(self, request: Request) -> dict[str, str]:
         """Return the headers of an answer by this endpoint, with its signature."""
         return {
@@ -122,6 +140,13 @@
     async def _serve(self, request: Request, reply: Reply) -> None:
         raise NotImplementedError
 
+    async def _crash_if_provoked(self, request: Request) -> None:
+        """Crash if the prompt has the crashing part; called as an answer begins."""
+        if self.crash_part and self.crash_part in request.prompt_parts[:-1]:
+            self.crashed_on.append(request.attempt_id)
+            self.crash()
+            await anyio.sleep_forever()
+
 
 @attrs.define(kw_only=True, eq=False)
 class PlainEmulator(EndpointEmulator):
@@ -134,6 +159,7 @@
         half = len(body) // 2
         try:
             await anyio.sleep(self.work_seconds)
+            await self._crash_if_provoked(request)
             await write_answer(
                 reply,
                 self.answer_headers(request),
@@ -170,6 +196,7 @@
         headers = {"content-type": "text/event-stream"}
         try:
             await anyio.sleep(self.work_seconds)
+            await self._crash_if_provoked(request)
             await write_answer(
                 reply,
                 self.answer_headers(request) | headers,
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -40,6 +40,12 @@
         """The attempt id of the request; empty if it has none."""
         return self.headers.get("x-attempt-id", "")
 
+    @property
+    def prompt_parts(self) -> list[str]:
+        """The ids of the prompt's parts, in order."""
+        entries = self.headers.get("x-prefix-hash", "")
+        return [entry.partition(":")[0] for entry in entries.split(",") if entry]
+
 
 class Reply:
     """Methods to answer a request, completely, partly or not at all.
--- a/currantdyke/emulator/store.py
+++ b/currantdyke/emulator/store.py
@@ -78,6 +78,13 @@
         self._record_event(item)
         return self.revision
 
+    def document(self, key: str) -> dict:
+        """Return the JSON document of an item; empty if there is none."""
+        item = self.items.get(key)
+        return (
+            {} if item is None else msgspec.json.decode(base64.b64decode(item["value"]))
+        )
+
     def configure(self, document: object) -> None:
         """Write the configuration, as the operators would."""
         self.put("op/config", document)
--- a/currantdyke/emulator/tests/builders.py
+++ b/currantdyke/emulator/tests/builders.py
@@ -14,11 +14,16 @@
 )
 from currantdyke.emulator.endpoints import EndpointEmulator
 
-__all__ = ["STREAM", "request_once", "running_endpoint"]
+__all__ = ["STREAM", "prompt_headers", "request_once", "running_endpoint"]
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
 
+def prompt_headers(*parts: str) -> dict[str, str]:
+    """Return the headers of a request with a prompt of these parts."""
+    return {"x-prefix-hash": ",".join(f"{part}:10" for part in parts)}
+
+
 @contextlib.asynccontextmanager
 async def running_endpoint(
     kind: type, plan: AnswerPlan
--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -18,8 +18,10 @@
     Caller,
     EngineEmulator,
     PlainEmulator,
+    Restarts,
     StageEmulator,
     StoreEmulator,
+    run_with_restarts,
 )
 from currantdyke.gateway.daemon import GatewayDaemon
 from currantdyke.gateway.settings import GatewaySettings, StoreSettings
@@ -182,12 +184,27 @@
     lines: dict[str, list[dict]] = attrs.field(factory=dict)
 
     async def endpoint(
-        self, kind: type, instance: str, service: str, **settings: Any
+        self,
+        kind: type,
+        instance: str,
+        service: str,
+        *,
+        restarts: Restarts | None = None,
+        **settings: Any,
     ) -> PlainEmulator | EngineEmulator | StageEmulator:
-        """Start an endpoint and write its entry to the store."""
+        """Start an endpoint and write its entry to the store.
+
+        Parameters
+        ----------
+        restarts : Restarts, optional
+            How the endpoint comes back after a crash; None for never.
+        """
         endpoint: Any = kind(instance=instance, service=service, **settings)
-        await self.tasks.start(endpoint.run)
-        self.store.put(f"servers/{instance}", endpoint.entry())
+        if restarts is None:
+            await self.tasks.start(endpoint.run)
+            self.store.put(f"servers/{instance}", endpoint.entry())
+        else:
+            await self.tasks.start(run_with_restarts, endpoint, self.store, restarts)
         return endpoint
 
     async def gateway(
