--- /dev/null
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -0,0 +1,228 @@
+"""Ends of connections when the process stops, or a part of it fails.
+
+docs/design/closings.md lists the ways from a request to the end of its connection.
+"""
+
+import unittest
+from unittest import mock
+
+import anyio
+import attrs
+
+from currantdyke.emulator import PlainEmulator
+from currantdyke.gateway import caller_server
+from currantdyke.gateway.registration import Registration
+from currantdyke.gateway.tests.builders import (
+    KEY,
+    UnexpectedError,
+    build_request_bytes,
+    connect_at_once,
+    forward_with,
+    read_answer,
+    send_request,
+)
+from currantdyke.testing.gateways import (
+    configuration,
+    plain_route,
+    run_deployment,
+    run_on_sockets,
+    wait_until,
+)
+
+REQUEST = build_request_bytes()
+# With it, the drain deadline is 0.5 s after the stop.
+SHORT_GRACE_SECONDS = 1.5
+
+
+def shorten_grace(gateway):
+    gateway.settings = attrs.evolve(gateway.settings, grace=SHORT_GRACE_SECONDS)
+
+
+def call_at_last_check(gateway, function):
+    """Call a function at the last moment at which the stopping gateway is idle."""
+    server = gateway.caller_server
+    close_idle = server.close_idle
+    calls = []
+
+    def close_idle_after(*_):
+        if not calls and server.is_idle():
+            calls.append(function())
+        return close_idle()
+
+    return mock.patch.object(caller_server.CallerServer, "close_idle", close_idle_after)
+
+
+async def wait_for_end(lines):
+    await wait_until(lambda: any(line["event"] == "stopped" for line in lines))
+
+
+class TestStop(unittest.TestCase):
+    # Guards against a request that is cut because it arrives on an open connection
+    # between the last check for requests and the end of the process.
+    @run_on_sockets
+    async def test_request_at_the_last_check_is_answered(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            await deployment.endpoint(PlainEmulator, "i-1", "plain")
+            gateway = await deployment.gateway()
+            shorten_grace(gateway)
+            with connect_at_once(gateway.settings.caller_address) as connection:
+                await wait_until(lambda: gateway.caller_server.connections)
+                with call_at_last_check(
+                    gateway, lambda: send_request(connection, REQUEST)
+                ):
+                    gateway.stop_requested.set()
+                    status, whole, _ = await read_answer(connection)
+                    self.assertEqual((status, whole), (200, True))
+                    await wait_for_end(deployment.lines[gateway.settings.name])
+
+    # Guards against the same on a connection that waits to be accepted.
+    @run_on_sockets
+    async def test_connection_at_the_last_check_is_served(self):
+        connections = []
+
+        def connect():
+            connection = connect_at_once(gateway.settings.caller_address)
+            connections.append(connection)
+            send_request(connection, REQUEST)
+
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            await deployment.endpoint(PlainEmulator, "i-1", "plain")
+            gateway = await deployment.gateway()
+            shorten_grace(gateway)
+            with call_at_last_check(gateway, connect):
+                gateway.stop_requested.set()
+                await wait_until(lambda: connections)
+                with connections[0] as connection:
+                    status, whole, _ = await read_answer(connection)
+        self.assertEqual((status, whole), (200, True))
+
+    # Guards against requests that are cut at the end of the time for draining.
+    @run_on_sockets
+    async def test_request_in_progress_at_the_drain_deadline_gets_502(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            endpoint = await deployment.endpoint(
+                PlainEmulator, "i-1", "plain", work_seconds=5.0
+            )
+            gateway = await deployment.gateway()
+            shorten_grace(gateway)
+            caller = deployment.caller()
+            await caller.send("GET", "/plain/", headers=KEY)
+            await wait_until(lambda: endpoint.runs)
+            gateway.stop_requested.set()
+            with anyio.fail_after(SHORT_GRACE_SECONDS):
+                answer = await caller.answer()
+                await wait_for_end(deployment.lines[gateway.settings.name])
+        self.assertEqual(answer.status, 502)
+        self.assertTrue(answer.complete)
+        self.assertEqual(answer.headers["connection"], "close")
+
+    # Guards against the same for requests that were not sent, which may be repeated.
+    @run_on_sockets
+    async def test_unsent_request_at_the_drain_deadline_gets_503(self):
+        async def wait(exchange, context):
+            await anyio.sleep_forever()
+
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            gateway = await deployment.gateway()
+            shorten_grace(gateway)
+            caller = deployment.caller()
+            with forward_with(wait):
+                await caller.send("POST", "/plain/", headers=KEY)
+                await wait_until(lambda: gateway.caller_server.requests_in_progress)
+                gateway.stop_requested.set()
+                with anyio.fail_after(SHORT_GRACE_SECONDS):
+                    answer = await caller.answer()
+        self.assertEqual(answer.status, 503)
+        self.assertTrue(answer.has_retry_after)
+
+    # Guards against a kept connection that closes though no answer said so.
+    @run_on_sockets
+    async def test_answer_begun_after_the_stop_says_that_the_connection_closes(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            endpoint = await deployment.endpoint(
+                PlainEmulator, "i-1", "plain", work_seconds=0.3
+            )
+            gateway = await deployment.gateway()
+            caller = deployment.caller()
+            await caller.send("GET", "/plain/", headers=KEY)
+            await wait_until(lambda: endpoint.runs)
+            gateway.stop_requested.set()
+            answer = await caller.answer()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers.get("connection"), "close")
+
+
+class TestFailingParts(unittest.TestCase):
+    # Guards against a background task whose failure ends the process and cuts all
+    # requests.
+    @run_on_sockets
+    async def test_failing_background_task_is_started_again(self):
+        starts = []
+
+        async def fail(registration):
+            starts.append(registration)
+            raise UnexpectedError
+
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            await deployment.endpoint(PlainEmulator, "i-1", "plain")
+            with mock.patch.object(Registration, "run", fail):
+                gateway = await deployment.gateway()
+                await wait_until(lambda: len(starts) > 1)
+                answer = await deployment.caller().request(
+                    "GET", "/plain/", headers=KEY
+                )
+            lines = deployment.lines[gateway.settings.name]
+        self.assertEqual(answer.status, 200)
+        self.assertIn("internal_error", {line["event"] for line in lines})
+
+    # Guards against an error at one connection that ends all connections.
+    @run_on_sockets
+    async def test_failing_connection_does_not_affect_others(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            endpoint = await deployment.endpoint(
+                PlainEmulator, "i-1", "plain", work_seconds=0.2
+            )
+            await deployment.gateway()
+            caller = deployment.caller()
+            await caller.send("GET", "/plain/", headers=KEY)
+            await wait_until(lambda: endpoint.runs)
+            with mock.patch.object(
+                caller_server, "set_socket_options", side_effect=UnexpectedError
+            ):
+                self.assertEqual(await deployment.caller().raw(b"GET"), b"")
+            answer = await caller.answer()
+            after = await deployment.caller().request("GET", "/plain/", headers=KEY)
+        self.assertEqual((answer.status, after.status), (200, 200))
+
+    # Guards against an error of accepting a connection that ends all connections.
+    @run_on_sockets
+    async def test_failing_accept_does_not_affect_requests(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            endpoint = await deployment.endpoint(
+                PlainEmulator, "i-1", "plain", work_seconds=0.2
+            )
+            await deployment.gateway()
+            caller = deployment.caller()
+            await caller.send("GET", "/plain/", headers=KEY)
+            await wait_until(lambda: endpoint.runs)
+            loop_class = type(anyio.lowlevel.current_token().native_token)
+            accept = loop_class.sock_accept
+            failures = [ConnectionAbortedError(103, "aborted")]
+
+            async def fail_once(loop, listener):
+                accepted = await accept(loop, listener)
+                if failures:
+                    accepted[0].close()
+                    raise failures.pop()
+                return accepted
+
+            with mock.patch.object(loop_class, "sock_accept", fail_once):
+                for _ in range(2):
+                    await deployment.caller().raw(b"")
+            answer = await caller.answer()
+            after = await deployment.caller().request("GET", "/plain/", headers=KEY)
+        self.assertEqual((answer.status, after.status), (200, 200))
+
+
+if __name__ == "__main__":
+    unittest.main()
