--- /dev/null
+++ b/currantdyke/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and parts of prompts that crash endpoints."""
