Give up a late stage call only if its pieces may run elsewhere

Callers got 503 ("stage_failed: silent") while a stage endpoint was still working on their pieces: at its time-out a call was closed first, and only then was it asked whether a retry is left; nor was it asked whether there is another endpoint.

Now a late call is closed only if another endpoint of the service is reachable and a retry could be taken for each of its pieces; otherwise it goes on until the deadline of its requests. One periodic check of the calls in progress decides this.

The new test failed before: Refusal(code='stage_failed', detail='silent') without a retry left, and with a single endpoint.

--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -18,6 +18,7 @@
     results_fit,
 )
 from currantdyke.scheduler.chain import Chain, Piece, StageWork
+from currantdyke.scheduler.livecall import LiveCall
 from currantdyke.scheduler.messages import Refusal
 from currantdyke.scheduler.queue import ServiceQueue
 from currantdyke.scheduler.results import HeldResults
@@ -27,10 +28,13 @@
 
 __all__ = ["StageQueues"]
 
-# A call times out after this multiple of its expected duration; slow endpoints take up
-# to five times the expected duration and still return results.
+# A call is late after this multiple of its expected duration; slow endpoints take up to
+# five times the expected duration and still return results. A late call is given up
+# only if its pieces may run at another endpoint.
 CALL_TIMEOUT_FACTOR = 6.0
 CALL_TIMEOUT_EXTRA_SECONDS = 0.5
+# Interval of the check for calls that exceed their time-out.
+LATE_CHECK_SECONDS = 0.1
 # A request is refused when this many calls with one of its pieces have failed.
 MAX_FAILED_CALLS = 4
 # A chain is restarted once if an endpoint has lost one of its results.
@@ -62,6 +66,8 @@
         The state of the endpoints, by instance.
     active_chains : dict of str to Chain
         Chains whose stages are not all done, by attempt id.
+    live_calls : list of LiveCall
+        Calls in progress.
     calls, pieces_called : int
         Number of calls sent, and of pieces in them.
     """
@@ -76,6 +82,7 @@
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     active_chains: dict[str, Chain] = attrs.field(factory=dict)
+    live_calls: list[LiveCall] = attrs.field(factory=list)
     calls: int = 0
     pieces_called: int = 0
     results: HeldResults = attrs.field(init=False)
@@ -92,7 +99,9 @@
             self.tasks = self.results.tasks = tasks
             for service in list(self.queues):
                 self.dispatch(service)
-            await anyio.sleep_forever()
+            while True:
+                await anyio.sleep(LATE_CHECK_SECONDS)
+                self._give_up_late_calls()
 
     def limits(self, service: str) -> StageLimits | None:
         """Return the call limits of a service's endpoints, or None if it has none."""
@@ -289,7 +298,14 @@
         started = anyio.current_time()
         calls = [self._piece_call(piece, started) for piece in pieces]
         timeout = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_SECONDS
-        outcome = await self._run_pieces(worker, calls, timeout)
+        deadline = max(piece.chain.deadline_at for piece in pieces) - started
+        live = LiveCall(worker=worker, pieces=pieces, late_at=started + timeout)
+        self.live_calls.append(live)
+        outcome = CallOutcome(reason="silent")
+        with live.scope:
+            seconds = max(timeout, deadline)
+            outcome = await self._run_pieces(worker, calls, seconds)
+        self.live_calls.remove(live)
         now = anyio.current_time()
         worker.calls -= 1
         worker.reserved -= sum(piece.result_bytes for piece in pieces)
@@ -300,7 +316,9 @@
                 self._handle_result(piece, result, worker, limits, now)
             self._restart_chains(pieces, outcome.results)
         else:
-            self._handle_failed_call(worker, pieces, outcome, now)
+            self._handle_failed_call(
+                worker, pieces, outcome, now, prepaid=live.given_up
+            )
         for chain in {id(piece.chain): piece.chain for piece in pieces}.values():
             self._advance(chain)
         self.dispatch(worker.endpoint.service)
@@ -377,7 +395,13 @@
                 self._retry(piece, "a stage failed")
 
     def _handle_failed_call(
-        self, worker: Worker, pieces: list[Piece], outcome: CallOutcome, now: float
+        self,
+        worker: Worker,
+        pieces: list[Piece],
+        outcome: CallOutcome,
+        now: float,
+        *,
+        prepaid: bool = False,
     ) -> None:
         if outcome.not_run and not outcome.misdirected:
             worker.avoid_until = now + BUSY_AVOID_SECONDS
@@ -394,15 +418,50 @@
         )
         for piece in pieces:
             if not piece.chain.ended.is_set():
-                self._retry(piece, outcome.reason)
+                self._retry(piece, outcome.reason, prepaid=prepaid)
 
-    def _retry(self, piece: Piece, reason: str) -> None:
-        """Queue a piece again within the retry budget, or refuse its chain."""
+    def _give_up_late_calls(self) -> None:
+        """Give up the late calls whose pieces may run elsewhere; the others go on."""
+        now = anyio.current_time()
+        for call in self.live_calls:
+            if now >= call.late_at and not call.checked:
+                call.checked = True
+                if self._take_retries(call.worker, call.pieces):
+                    call.given_up = True
+                    call.scope.cancel()
+
+    def _take_retries(self, worker: Worker, pieces: list[Piece]) -> bool:
+        """Take a retry for each piece of a late call; return whether all may retry.
+
+        Another endpoint must be reachable.
+        """
+        now = anyio.current_time()
+        service = worker.endpoint.service
+        others = (w for w in self.service_workers(service) if w is not worker)
+        live = [piece for piece in pieces if not piece.chain.ended.is_set()]
+        return not live or (
+            any(other.is_reachable(now) for other in others)
+            and all(piece.failed_calls + 1 < MAX_FAILED_CALLS for piece in live)
+            and all(self._take_retry(service) for _ in live)
+        )
+
+    def _take_retry(self, service: str) -> bool:
+        return self.retry_budget(service).spend(
+            now=anyio.current_time(), daemons=self.count_daemons()
+        )
+
+    def _retry(self, piece: Piece, reason: str, *, prepaid: bool = False) -> None:
+        """Queue a piece again within the retry budget, or refuse its chain.
+
+        Parameters
+        ----------
+        prepaid : bool
+            Whether the retry was taken from the budget before.
+        """
         piece.failed_calls += 1
-        service = piece.step.service
-        allowed = piece.failed_calls < MAX_FAILED_CALLS and self.retry_budget(
-            service
-        ).spend(now=anyio.current_time(), daemons=self.count_daemons())
+        allowed = piece.failed_calls < MAX_FAILED_CALLS and (
+            prepaid or self._take_retry(piece.step.service)
+        )
         if allowed:
             self._requeue(piece)
         else:
--- a/currantdyke/scheduler/tests/test_stages.py
+++ b/currantdyke/scheduler/tests/test_stages.py
@@ -4,6 +4,7 @@
 import attrs
 
 from currantdyke.catalog import StageStep
+from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.platform.stagecalls import PieceFailure, PieceResult
 from currantdyke.scheduler.chain import Chain
 from currantdyke.scheduler.messages import Placement, PlacementRequest, Refusal
@@ -16,6 +17,8 @@
 )
 from currantdyke.testing.virtual import run_virtual
 
+# Calls of an endpoint that is this much slower than configured are late.
+LATE_SLOWNESS = 12.0
 REQUEST = PlacementRequest(
     attempt_id="r",
     service="engine",
@@ -177,6 +180,52 @@
         for answer in answers.values():
             self.assertIsInstance(answer, Placement)
 
+    # Guards against a live call given up although no other one can be made.
+    def test_late_call_counts_if_there_is_no_retry_or_no_other_endpoint(self):
+        def slow_down(fleet):
+            run_pieces = fleet.stages.run_pieces
+
+            async def run_in_time(endpoint, pieces, timeout):
+                with anyio.move_on_after(timeout):
+                    return await run_pieces(endpoint, pieces, timeout)
+                return CallOutcome(reason="silent")
+
+            fleet.stages.run_pieces = run_in_time
+            for worker in fleet.workers.values():
+                worker.slowness = LATE_SLOWNESS
+
+        def slow_down_without_retries(fleet):
+            slow_down(fleet)
+            budget = FleetRetryBudget(ratio=0.0, window=10.0, slack=0.0)
+            fleet.stages.retry_budget = lambda service: budget
+
+        def slow_down_the_only_endpoints(fleet):
+            slow_down(fleet)
+            for name, endpoints in fleet.directory.endpoints.by_service.items():
+                if name != "engine":
+                    while len(endpoints) > 1:
+                        endpoints.popitem()
+
+        request = attrs.evolve(REQUEST, target=20.0, deadline=30.0)
+        for prepare in (slow_down_without_retries, slow_down_the_only_endpoints):
+            with self.subTest(prepare=prepare.__name__):
+                fleet, answers = run_virtual(
+                    lambda p=prepare: place([request], prepare=p)
+                )
+                self.assertIsInstance(answers["r"], Placement)
+                self.assertEqual(fleet.stages.calls, fleet.figures.calls)
+
+    # Guards against a chain that waits for a silent endpoint while another one is free.
+    def test_pieces_of_a_late_call_run_at_another_endpoint(self):
+        def silence_one(fleet):
+            next(iter(fleet.workers.values())).silent = True
+
+        request = attrs.evolve(REQUEST, target=20.0, deadline=30.0)
+        requests = [attrs.evolve(request, attempt_id=f"r{n}") for n in range(4)]
+        _, answers = run_virtual(lambda: place(requests, prepare=silence_one))
+        for answer in answers.values():
+            self.assertIsInstance(answer, Placement)
+
     def test_refused_chain_is_no_longer_active(self):
         fleet, answers = run_virtual(place, [attrs.evolve(REQUEST, deadline=0.4)])
         self.assertIsInstance(answers["r"], Refusal)
