Log and count requests that end without a whole answer

An answer that was broken off, and a connection that was closed by an error, left only request_ended outcome=cancelled or broken off, the former also for a caller that had left. The connection now records whether a whole answer was written and whether the caller has left; a request that ends with neither gives a line request_unanswered and counts in currantdyke_gateway_unanswered, with the reason.

--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -58,6 +58,10 @@
         Limit on the size of a head, which a connection keeps as long as it is open.
     response_started : bool
         Whether sending of the answer to the current request has started.
+    answered : bool
+        Whether a complete answer to the current request was written.
+    has_left : bool
+        Whether the caller has disconnected.
     must_close : bool
         Whether the connection closes after the current answer.
     idle_scope : CancelScope or None
@@ -72,6 +76,8 @@
             stream=stream, role=h11.SERVER, max_header_bytes=limits.header_bytes
         )
         self.response_started = False
+        self.answered = False
+        self.has_left = False
         self.must_close = False
         self.method = b""
         self.idle_scope: anyio.CancelScope | None = None
@@ -94,6 +100,7 @@
             If the connection breaks within the head.
         """
         self.response_started = False
+        self.answered = False
         event = self.http.state.next_event()
         if event is h11.NEED_DATA and not self.http.state.trailing_data[0]:
             if not await self._wait_for_bytes():
@@ -151,6 +158,7 @@
             try:
                 data = await self.stream.receive(READ_BYTES)
             except CONNECTION_ERRORS:
+                self.has_left = True
                 self.must_close = True
                 scope.cancel()
                 return
@@ -171,6 +179,7 @@
         self.response_started = True
         # A complete answer is sent even if the deadline passes during the write.
         await self._send_shielded(head, h11.Data(data=data), h11.EndOfMessage())
+        self.answered = True
 
     async def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of an answer of unknown length."""
@@ -188,6 +197,7 @@
     async def finish(self) -> None:
         """Mark the body as complete."""
         await self._send_shielded(h11.EndOfMessage())
+        self.answered = True
 
     def prepare_next_request(self) -> bool:
         """Prepare for another request; return False if the connection must close."""
@@ -226,7 +236,10 @@
         try:
             with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
                 await self.http.send(*events)
-        except (ConnectionLostError, TimeoutError) as error:
+        except ConnectionLostError as error:
+            self.has_left = True
+            raise CallerDisconnectedError(str(error)) from error
+        except TimeoutError as error:
             raise CallerDisconnectedError(str(error)) from error
 
 
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -36,6 +36,30 @@
 LOG_DECIMALS = 3
 
 
+@attrs.define(kw_only=True, eq=False)
+class ServedRequest:
+    """A request from its arrival to its end.
+
+    Attributes
+    ----------
+    started_at : float
+        Monotonic time in seconds.
+    facts, exchange
+        None until the request is decoded and validated.
+    outcome : str
+        How the request ended, for the log.
+    unanswered_reason : str
+        Why there is no whole answer, unless the caller has one or has left.
+    """
+
+    request: h11.Request
+    started_at: float
+    facts: RequestMetadata | None = None
+    exchange: Exchange | None = None
+    outcome: str = "cancelled"
+    unanswered_reason: str = "internal_error"
+
+
 @attrs.define(kw_only=True, eq=False)
 class RequestHandler:
     """Validates requests, forwards them and answers the callers."""
@@ -51,41 +75,43 @@
         self, request: h11.Request, body: bytes, caller: CallerConnection
     ) -> None:
         """Answer a request; if the answer can't be finished, the connection closes."""
-        started = anyio.current_time()
-        exchange: Exchange | None = None
-        facts: RequestMetadata | None = None
-        outcome = "cancelled"
+        served = ServedRequest(request=request, started_at=anyio.current_time())
+        try:
+            await self._serve(served, body, caller)
+        finally:
+            self._record_unanswered(served, caller)
+            self._log_outcome(served)
+
+    async def _serve(
+        self, served: ServedRequest, body: bytes, caller: CallerConnection
+    ) -> None:
+        """Forward a request and relay its answer, or answer with a failure."""
         try:
             try:
-                facts = decode_request_metadata(request)
-                exchange = self._open_exchange(request, body, facts, caller, started)
-                await self._forward(exchange)
-                outcome = "answered"
+                served.facts = decode_request_metadata(served.request)
+                served.exchange = self._open_exchange(served, body, caller)
+                await self._forward(served.exchange)
+                served.outcome = "answered"
             except BadRequestError as error:
                 raise RequestFailedError(_malformed_failure(str(error))) from error
         except RequestFailedError as error:
-            outcome = error.failure.kind.code
-            attempt_id = facts.attempt_id if facts else None
-            await self._answer_failure(caller, error.failure, attempt_id)
+            served.outcome = error.failure.kind.code
+            await self._answer_failure(served, caller, error.failure)
         except StreamBrokenError as error:
-            outcome = f"broken off: {error}"
+            served.outcome = f"broken off: {error}"
+            served.unanswered_reason = "broken_off"
             caller.must_close = True
         except CallerDisconnectedError:
-            outcome = "caller left"
+            served.outcome = "caller left"
+            served.unanswered_reason = "write_time_out"
             caller.must_close = True
-        finally:
-            seconds = anyio.current_time() - started
-            self._log_outcome(request, facts, exchange, outcome, seconds)
 
     def _open_exchange(
-        self,
-        request: h11.Request,
-        body: bytes,
-        facts: RequestMetadata,
-        caller: CallerConnection,
-        now: float,
+        self, served: ServedRequest, body: bytes, caller: CallerConnection
     ) -> Exchange:
         """Validate a request against the configuration in force."""
+        request, facts, now = served.request, served.facts, served.started_at
+        assert facts is not None
         routes = self.directory.routes
         if routes is None or not self.directory.listed:
             raise RequestFailedError(
@@ -172,51 +198,68 @@
         )
 
     async def _answer_failure(
-        self, caller: CallerConnection, failure: Failure, attempt_id: str | None
+        self, served: ServedRequest, caller: CallerConnection, failure: Failure
     ) -> None:
+        attempt_id = served.facts.attempt_id if served.facts else None
         status, headers, body = encode_failure_response(failure, attempt_id)
         self.metrics.refusals.labels(failure.kind.code, str(status)).inc()
         try:
             await caller.answer(status, headers, body)
         except CallerDisconnectedError:
+            served.unanswered_reason = "write_time_out"
             caller.must_close = True
 
-    def _log_outcome(
-        self,
-        request: h11.Request,
-        facts: RequestMetadata | None,
-        exchange: Exchange | None,
-        outcome: str,
-        seconds: float,
+    def _record_unanswered(
+        self, served: ServedRequest, caller: CallerConnection
     ) -> None:
+        """Log a request that ends without a whole answer for a caller that waits."""
+        if caller.answered or caller.has_left:
+            return
+        reason = served.unanswered_reason
+        self.metrics.unanswered.labels(reason).inc()
+        self.log.write(
+            "request_unanswered",
+            failure=True,
+            request=served.facts.attempt_id if served.facts else None,
+            reason=reason,
+            answer_started=caller.response_started,
+        )
+
+    def _log_outcome(self, served: ServedRequest) -> None:
+        facts, exchange = served.facts, served.exchange
+        seconds = anyio.current_time() - served.started_at
         fields: dict = {
             "request": facts.attempt_id if facts else None,
-            "outcome": outcome,
+            "outcome": served.outcome,
             "seconds": round(seconds, LOG_DECIMALS),
             "directory_age": round(self.directory.age, LOG_DECIMALS),
         }
         if exchange is not None:
-            first = exchange.first_event_at
-            fields |= {
-                "route": exchange.route.name,
-                "service": exchange.service,
-                "configuration": exchange.configuration,
-                "deadline": exchange.facts.deadline,
-                "first_event": first
-                and round(first - exchange.arrived_at, LOG_DECIMALS),
-                "attempts": [
-                    (
-                        attempt.endpoint,
-                        attempt.outcome,
-                        round(attempt.seconds, LOG_DECIMALS),
-                    )
-                    for attempt in exchange.attempts
-                ],
-            }
-            self.metrics.record_request(exchange, outcome, seconds)
+            fields |= _exchange_fields(exchange)
+            self.metrics.record_request(exchange, served.outcome, seconds)
         else:
-            fields["target"] = request.target[:100].decode("latin-1")
-        self.log.write("request_ended", failure=outcome != "answered", **fields)
+            fields["target"] = served.request.target[:100].decode("latin-1")
+        self.log.write("request_ended", failure=served.outcome != "answered", **fields)
+
+
+def _exchange_fields(exchange: Exchange) -> dict:
+    """Return what the line of an ended request tells of its exchange."""
+    first = exchange.first_event_at
+    return {
+        "route": exchange.route.name,
+        "service": exchange.service,
+        "configuration": exchange.configuration,
+        "deadline": exchange.facts.deadline,
+        "first_event": first and round(first - exchange.arrived_at, LOG_DECIMALS),
+        "attempts": [
+            (
+                attempt.endpoint,
+                attempt.outcome,
+                round(attempt.seconds, LOG_DECIMALS),
+            )
+            for attempt in exchange.attempts
+        ],
+    }
 
 
 def _malformed_failure(detail: str) -> Failure:
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -40,6 +40,12 @@
             ("reason", "status"),
             registry=self.registry,
         )
+        self.unanswered = prometheus_client.Counter(
+            "currantdyke_gateway_unanswered",
+            "Requests read whole that ended without a whole answer, by reason",
+            ("reason",),
+            registry=self.registry,
+        )
         self.sends = prometheus_client.Counter(
             "currantdyke_gateway_sends",
             "Requests sent to endpoints, by service",
