Answer a request whose handling fails with an internal error

Callers saw the connection of a whole request close without an answer. An unexpected exception in the scheduler, the forwarding or the framing left RequestHandler.handle, reached CallerServer as a group of errors and closed the connection; h11.LocalProtocolError was even taken for a disconnect of the caller, without a line.

RequestHandler.handle now is the one place that every error of a request reaches: it is logged, and the caller gets 500, or 503 if nothing was sent to an endpoint, which is the only case in which that promise holds. Where the answer has begun, the connection closes, as before, and the line request_unanswered tells of it. Five tests of test_closings failed before this.

--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -92,7 +92,7 @@
         try:
             while await self._serve_request(connection):
                 connection.limits = self._limits()
-        except (ConnectionLostError, CallerDisconnectedError, h11.LocalProtocolError):
+        except (ConnectionLostError, CallerDisconnectedError):
             # The caller has disconnected; calls to endpoints for it are cancelled.
             return
         except Exception as error:
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -9,7 +9,7 @@
 
 from currantdyke.catalog import Repeatability, Route, RouteTable, max_event_gap
 from currantdyke.core import Failure, FailureKind, Outcome
-from currantdyke.decisionlog import DecisionLog
+from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.directory import Directory
 from currantdyke.forward.context import ForwardContext
 from currantdyke.forward.exchange import Exchange, RequestFailedError
@@ -59,6 +59,12 @@
     outcome: str = "cancelled"
     unanswered_reason: str = "internal_error"
 
+    def failure(self, kind: FailureKind, detail: str) -> Failure:
+        """Return a failure whose outcome states whether the request may have run."""
+        if self.exchange is None:
+            return refuse_for_now(kind, detail)
+        return self.exchange.failure(kind, detail).failure
+
 
 @attrs.define(kw_only=True, eq=False)
 class RequestHandler:
@@ -74,10 +80,19 @@
     async def handle(
         self, request: h11.Request, body: bytes, caller: CallerConnection
     ) -> None:
-        """Answer a request; if the answer can't be finished, the connection closes."""
+        """Answer a request; if the answer can't be finished, the connection closes.
+
+        Whatever ends the handling, a caller that waits gets an answer here, unless its
+        answer has begun.
+        """
         served = ServedRequest(request=request, started_at=anyio.current_time())
         try:
             await self._serve(served, body, caller)
+        except Exception as error:
+            log_internal_error(self.log, error, where="request of a caller")
+            served.outcome = FailureKind.INTERNAL.code
+            failure = served.failure(FailureKind.INTERNAL, "an internal error occurred")
+            await self._answer_failure(served, caller, failure)
         finally:
             self._record_unanswered(served, caller)
             self._log_outcome(served)
@@ -200,6 +215,10 @@
     async def _answer_failure(
         self, served: ServedRequest, caller: CallerConnection, failure: Failure
     ) -> None:
+        """Answer with a failure, or close the connection if the answer has begun."""
+        if caller.response_started:
+            caller.must_close = True
+            return
         attempt_id = served.facts.attempt_id if served.facts else None
         status, headers, body = encode_failure_response(failure, attempt_id)
         self.metrics.refusals.labels(failure.kind.code, str(status)).inc()
--- a/currantdyke/platform/answers.py
+++ b/currantdyke/platform/answers.py
@@ -21,6 +21,10 @@
 # Statuses that guarantee to a caller that its request has not run and never will. An
 # endpoint guarantees it only with status 421 or the header X-Not-Executed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Kinds of failure whose status guarantees nothing.
+KINDS_WITHOUT_GUARANTEE = frozenset(
+    (FailureKind.DEADLINE_PASSED, FailureKind.INTERNAL, FailureKind.QUARANTINED)
+)
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 
@@ -114,11 +118,11 @@
 def _status(failure: Failure) -> int:
     status = failure.kind.status
     if failure.outcome is Outcome.NOT_RUN:
-        # Statuses 504, 422 and 502 do not guarantee that the request has not run; 503
-        # does. A request whose deadline passed before it ran keeps the guarantee; one
-        # that crashes endpoints must not be answered like an invalid request.
-        late_or_quarantined = (FailureKind.DEADLINE_PASSED, FailureKind.QUARANTINED)
-        if failure.kind in late_or_quarantined or status == BAD_GATEWAY:
+        # Statuses 504, 422, 500 and 502 do not guarantee that the request has not run;
+        # 503 does. A request whose deadline passed or whose handling failed before it
+        # ran keeps the guarantee; one that crashes endpoints must not be answered like
+        # an invalid request.
+        if failure.kind in KINDS_WITHOUT_GUARANTEE or status == BAD_GATEWAY:
             return UNAVAILABLE
         return status
     if status in NOT_RUN_STATUSES:
