Refuse CONNECT, whose success ends HTTP on a connection

A caller that sent CONNECT to a route whose endpoint answers 200 got the head of the answer and then a closed connection: after that head h11 accepts no body (LocalProtocolError, 'state SWITCHED_PROTOCOL' in the log of test_connect_is_refused before this). The gateway opens no tunnels, so the request is malformed for it: 400.

--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -245,6 +245,9 @@
 
 def _check_framing(request: h11.Request) -> None:
     """Reject a request whose end or host two HTTP parsers could read differently."""
+    if request.method == b"CONNECT":
+        # A success would end HTTP on the connection, before the body of the answer.
+        raise BadRequestError("the method CONNECT is not served")
     lengths = header_values(request.headers, b"content-length")
     encodings = header_values(request.headers, b"transfer-encoding")
     if encodings and (lengths or len(encodings) > 1):
