Serve a request that arrives as the wait for it ends

Callers saw whole requests on kept connections end with a closed connection, without a line in any log. The idle time-out, or close_idle of a stopping daemon, cancelled the wait for a request; bytes that arrived in that step of the event loop, or lay in the socket while the loop was busy, were dropped with the connection.

After the wait has ended the connection reads what has arrived, and closes only when the socket holds no unread bytes.

--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -21,6 +21,9 @@
 READ_BYTES = 65_536
 # Bytes that are read ahead while a request is served; the rest waits in the socket.
 MAX_READ_AHEAD_BYTES = 65_536
+# Time to read what the event loop or the socket already holds when the wait for a
+# request ends.
+ARRIVED_READ_SECONDS = 0.02
 # Limits on reading the rest of a request after an error answer. Closing a connection
 # with unread bytes resets it, and the caller may lose the answer.
 LINGER_SECONDS = 1.0
@@ -121,16 +124,31 @@
         return event
 
     async def _wait_for_bytes(self) -> bool:
-        with anyio.CancelScope() as self.idle_scope:
-            self.idle_scope.deadline = anyio.current_time() + self.limits.idle_timeout
-            try:
-                self.http.state.receive_data(await self.stream.receive(READ_BYTES))
-            except CONNECTION_ERRORS:
-                return False
-            finally:
-                self.idle_scope = None
-            return True
-        return False
+        data: bytes | None = None
+        try:
+            with anyio.CancelScope() as self.idle_scope:
+                idle_timeout = self.limits.idle_timeout
+                self.idle_scope.deadline = anyio.current_time() + idle_timeout
+                data = await self.stream.receive(READ_BYTES)
+            self.idle_scope = None
+            if data is None:
+                data = await self._read_arrived()
+        except CONNECTION_ERRORS:
+            return False
+        finally:
+            self.idle_scope = None
+        if data is None:
+            return False
+        self.http.state.receive_data(data)
+        return True
+
+    async def _read_arrived(self) -> bytes | None:
+        """Return bytes that arrived while the wait for them ended, or None."""
+        while True:
+            with anyio.move_on_after(ARRIVED_READ_SECONDS, shield=True):
+                return await self.stream.receive(READ_BYTES)
+            if not self.http.unread_bytes():
+                return None
 
     async def read_body(self) -> bytes:
         """Return the body of the request.
--- a/currantdyke/gateway/tests/builders.py
+++ b/currantdyke/gateway/tests/builders.py
@@ -47,6 +47,10 @@
         self.written = b""
         self.closed = False
 
+    def extra(self, attribute: object, default: object = None) -> object:
+        """Return the default, since there is no socket."""
+        return default
+
     def feed(self, data: bytes) -> None:
         """Let bytes of the caller arrive."""
         self.unread.append(data)
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -1,8 +1,11 @@
 """HTTP/1.1 connections that are read and written as h11 events."""
 
 import contextlib
+import fcntl
 import select
 import socket
+import sys
+import termios
 
 import anyio
 import anyio.abc
@@ -125,6 +128,14 @@
         poll.register(raw_socket.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
+    def unread_bytes(self) -> int:
+        """Return the number of bytes in the receive buffer of the socket."""
+        raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+        if raw_socket is None or raw_socket.fileno() < 0:
+            return 0
+        count = fcntl.ioctl(raw_socket.fileno(), termios.FIONREAD, bytes(4))
+        return int.from_bytes(count, sys.byteorder)
+
     async def close(self) -> None:
         """Close the transport immediately."""
         with anyio.CancelScope(shield=True), contextlib.suppress(*CONNECTION_ERRORS):
