Keep a request from failing because of its log line or metrics

RequestHandler wrote the line and the metrics of a request in a finally clause; an error there left the handler after the answer and closed the connection, so that a request behind it on the same connection was read and closed unanswered.

--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -94,8 +94,7 @@
             failure = served.failure(FailureKind.INTERNAL, "an internal error occurred")
             await self._answer_failure(served, caller, failure)
         finally:
-            self._record_unanswered(served, caller)
-            self._log_outcome(served)
+            self._record_end(served, caller)
 
     async def _serve(
         self, served: ServedRequest, body: bytes, caller: CallerConnection
@@ -228,6 +227,17 @@
             served.unanswered_reason = "write_time_out"
             caller.must_close = True
 
+    def _record_end(self, served: ServedRequest, caller: CallerConnection) -> None:
+        """Log and count the end of a request; a failure here does not affect it."""
+        for record in (
+            lambda: self._record_unanswered(served, caller),
+            lambda: self._log_outcome(served),
+        ):
+            try:
+                record()
+            except Exception as error:
+                log_internal_error(self.log, error, where="record of a request")
+
     def _record_unanswered(
         self, served: ServedRequest, caller: CallerConnection
     ) -> None:
--- a/currantdyke/gateway/tests/test_closings.py
+++ b/currantdyke/gateway/tests/test_closings.py
@@ -167,6 +167,18 @@
                 )
         self.assertEqual(answers.count(b"HTTP/1.1 200 "), 2)
 
+    # Guards against a request without an answer because its error can't be logged.
+    @run_on_sockets
+    async def test_error_that_can_not_be_logged_gives_an_answer(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            gateway = await deployment.gateway()
+            with forward_with(fail_before_sending):
+                gateway.log.write = mock.Mock(side_effect=UnexpectedError)
+                answer = await deployment.caller().request(
+                    "GET", "/plain/", headers=KEY
+                )
+        self.assertEqual(answer.status, NOT_RUN)
+
 
 class TestOtherEnds(unittest.TestCase):
     # Guards against bodies beyond the memory for them that end without an answer.
