Let the last answer on a connection arrive before the connection closes

Callers that had sent something behind their last request, or did so before they had read the answer with Connection: close, lost the rest of that answer: closing a socket with unread bytes, or bytes that reach a closed socket, reset the connection and drop what waits to be sent.

--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -24,8 +24,8 @@
 # Time to read what the event loop or the socket already holds when the wait for a
 # request ends.
 ARRIVED_READ_SECONDS = 0.02
-# Limits on reading the rest of a request after an error answer. Closing a connection
-# with unread bytes resets it, and the caller may lose the answer.
+# Limits on reading what the caller sends behind the last answer on a connection.
+# Closing a connection with unread bytes resets it, and the caller may lose the answer.
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 1_048_576
 # A write that is not shielded from cancellation and takes longer counts as a lost
@@ -224,8 +224,18 @@
         self.http.state.start_next_cycle()
         return True
 
+    def may_be_reset(self) -> bool:
+        """Return whether closing now could cost the caller the last answer.
+
+        It can if bytes behind the request have arrived, or may arrive while a part of
+        the answer waits to be sent.
+        """
+        if self.http.state.trailing_data[0] or self.http.unread_bytes():
+            return True
+        return self.http.unsent_bytes() > 0
+
     async def linger(self) -> None:
-        """Discard input for a moment, so that the caller receives an error answer."""
+        """Discard input for a moment, so that the caller receives the last answer."""
         bytes_read = 0
         with (
             anyio.move_on_after(LINGER_SECONDS),
--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -139,7 +139,11 @@
         finally:
             self.requests_in_progress -= 1
             self.buffered_bytes -= len(body)
-        return connection.prepare_next_request()
+        if connection.prepare_next_request():
+            return True
+        if connection.answered and connection.may_be_reset():
+            await connection.linger()
+        return False
 
     def _deny(
         self, connection: CallerConnection, kind: FailureKind, detail: str
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -130,10 +130,17 @@
 
     def unread_bytes(self) -> int:
         """Return the number of bytes in the receive buffer of the socket."""
+        return self._socket_bytes(termios.FIONREAD)
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that the peer has not acknowledged."""
+        return self._socket_bytes(termios.TIOCOUTQ)
+
+    def _socket_bytes(self, request: int) -> int:
         raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
         if raw_socket is None or raw_socket.fileno() < 0:
             return 0
-        count = fcntl.ioctl(raw_socket.fileno(), termios.FIONREAD, bytes(4))
+        count = fcntl.ioctl(raw_socket.fileno(), request, bytes(4))
         return int.from_bytes(count, sys.byteorder)
 
     async def close(self) -> None:
