Keep an error of one connection from ending all of them

An exception outside the try of CallerServer._serve_connection (the limit of connections, the socket options, the log of an error), and an error of accept() other than a lack of descriptors, such as ECONNABORTED, ended the task group of the listener, with it the process, and cut all requests in progress.

--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -9,6 +9,7 @@
 from currantdyke.core import Failure, FailureKind
 from currantdyke.decisionlog import log_internal_error
 from currantdyke.directory import Directory
+from currantdyke.gateway.accept import Acceptor
 from currantdyke.gateway.caller import (
     CallerConnection,
     CallerDisconnectedError,
@@ -26,8 +27,6 @@
 
 __all__ = ["CallerServer"]
 
-# Connections that wait to be accepted; a full queue delays a caller by seconds.
-LISTEN_BACKLOG = 512
 REFUSED_RETRY_SECONDS = 0.5
 
 
@@ -59,15 +58,17 @@
     buffered_bytes: int = 0
     requests_in_progress: int = 0
     draining: bool = False
+    acceptor: Acceptor = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the part that accepts the connections."""
+        self.acceptor = Acceptor(
+            address=self.address, serve=self._serve_connection, log=self.handler.log
+        )
 
     async def run(self) -> None:
         """Serve callers until cancelled."""
-        host, _, port = self.address.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
-        )
-        async with listener:
-            await listener.serve(self._serve_connection)
+        await self.acceptor.run()
 
     def close_idle(self) -> int:
         """Close the connections that wait for a request; return how many."""
@@ -83,21 +84,26 @@
         return all(connection.idle_scope is not None for connection in self.connections)
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
-        if len(self.connections) >= self.max_connections:
-            await anyio.aclose_forcefully(stream)
-            return
-        set_socket_options(stream)
-        connection = CallerConnection(stream=stream, limits=self._limits())
-        self.connections.add(connection)
+        """Serve a connection; an error does not affect the others."""
         try:
-            while await self._serve_request(connection):
-                connection.limits = self._limits()
+            if len(self.connections) >= self.max_connections:
+                await anyio.aclose_forcefully(stream)
+                return
+            set_socket_options(stream)
+            await self._serve_requests(stream)
         except (ConnectionLostError, CallerDisconnectedError):
             # The caller has disconnected; calls to endpoints for it are cancelled.
             return
         except Exception as error:
-            # An error in one request must not end the requests of other callers.
             log_internal_error(self.handler.log, error, where="caller connection")
+            await anyio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: anyio.abc.SocketStream) -> None:
+        connection = CallerConnection(stream=stream, limits=self._limits())
+        self.connections.add(connection)
+        try:
+            while await self._serve_request(connection):
+                connection.limits = self._limits()
         finally:
             self.connections.discard(connection)
             await connection.close()
