--- a/currantdyke/gateway/tests/connection_builders.py
+++ b/currantdyke/gateway/tests/connection_builders.py
@@ -47,6 +47,10 @@
         self.written = b""
         self.closed = False
 
+    def extra(self, attribute: object, default: object = None) -> object:
+        """Return the default, since there is no socket."""
+        return default
+
     def feed(self, data: bytes) -> None:
         """Let bytes of the caller arrive."""
         self.unread.append(data)
@@ -134,7 +138,10 @@
     status, body = None, b""
     with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
         while True:
-            event = state.next_event()
+            try:
+                event = state.next_event()
+            except h11.RemoteProtocolError:
+                return status, False, body
             if event is h11.NEED_DATA:
                 await anyio.sleep(pause)
                 await anyio.wait_readable(connection)
@@ -144,11 +151,8 @@
                     return status, False, body
                 if not data and status is None:
                     return None, False, b""
-                try:
-                    state.receive_data(data)
-                    continue
-                except h11.RemoteProtocolError:
-                    return status, False, body
+                state.receive_data(data)
+                continue
             if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
