--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -110,7 +110,7 @@
 
         It has the limits of the new request.
         """
-        chain = self.chains.get(request.attempt_id)
+        chain = self.chains.get(request.attempt_id) if request.is_retry else None
         if chain is None or not chain.ended.is_set() or chain.refusal is not None:
             return None
         chain.request = request
