--- a/currantdyke/gateway/tests/test_silence.py
+++ b/currantdyke/gateway/tests/test_silence.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from currantdyke.emulator import PlainEmulator
+from currantdyke.emulator import PlainEmulator, StageEmulator
 from currantdyke.gateway.tests.builders import (
     KEY,
     STREAM_HEADERS,
@@ -168,6 +168,51 @@
             placed = [e.placed for e in gateway.scheduler.engines.engines.values()]
             self.assertEqual(placed, [{}, {}])
 
+    # Guards against results of stages that are released before a live engine has them.
+    @run_on_sockets
+    async def test_results_are_kept_until_an_engine_begins(self):
+        released_at_start = []
+
+        async def begin_late(request, reply):
+            await anyio.sleep(START_SECONDS)
+            released_at_start.extend(worker.freed)
+            return False
+
+        async def work_until(state):
+            await wait_until(lambda: not any(map(state, gateways)))
+
+        headers = STREAM_HEADERS | {"x-chunk-count": "2", "x-chunk-key": "k"}
+        stages = [{"service": "rank", "after": [], "size_bytes": 1_000}]
+        for other in (refuse, break_off, begin_late):
+            arrival = FirstArrival(begin_late, other)
+            async with run_deployment(stream_configuration(stages=stages)) as started:
+                worker = await started.endpoint(StageEmulator, "s-1", "rank")
+                engines = await start_engines(started, arrival, arrival)
+                gateways = [await started.gateway() for _ in range(2)]
+                for gateway in gateways:
+                    await wait_until(lambda g=gateway: len(g.directory.daemons) == 2)
+                for number in range(2):
+                    arrival.arrived.clear()
+                    answer = await started.caller(number).request(
+                        "POST", "/stream/", headers=headers
+                    )
+                    with self.subTest(other=other, gateway=number):
+                        self.check_complete(answer)
+                        self.assertEqual(len(arrival.arrived), 2)
+                        self.assertEqual(released_at_start, [])
+                    await wait_until(lambda w=worker: not w.results)
+                    worker.freed.clear()
+                inputs = {
+                    request.headers["x-input-count"]
+                    for engine in engines
+                    for request in engine.arrivals
+                }
+                # One set of results for each of the two requests.
+                self.assertEqual(len(inputs), 2)
+                await work_until(lambda g: g.scheduler.chains)
+                await work_until(lambda g: g.scheduler.engines.requests)
+                await work_until(lambda g: g.scheduler_client.placed_by)
+
     # Guards against a silence that can't be told from a replacement in the log.
     @run_on_sockets
     async def test_log_tells_silence_until_the_deadline(self):
