Make two tests of the stop and one of the log exact

The tests of the last check hooked close_idle, which a stopping daemon need not call, and had no time between the wait for the rotation and the drain deadline: they now act when is_idle has answered. The test of an error that can't be logged let the log fail for all parts of the daemon, and failed when another part wrote a line; the log now fails for the lines of a request.

--- a/currantdyke/gateway/tests/test_closings.py
+++ b/currantdyke/gateway/tests/test_closings.py
@@ -59,6 +59,11 @@
     raise UnexpectedError
 
 
+def fail_for_requests(event, **fields):
+    if event.startswith("request_") or event == "internal_error":
+        raise UnexpectedError
+
+
 async def serve(forward, *, method="GET"):
     """Return the answer to a request that ``forward`` handles, and the log."""
     async with run_deployment(configuration(1, [plain_route()])) as deployment:
@@ -173,7 +178,7 @@
         async with run_deployment(configuration(1, [plain_route()])) as deployment:
             gateway = await deployment.gateway()
             with forward_with(fail_before_sending):
-                gateway.log.write = mock.Mock(side_effect=UnexpectedError)
+                gateway.log.write = fail_for_requests
                 answer = await deployment.caller().request(
                     "GET", "/plain/", headers=KEY
                 )
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -10,7 +10,7 @@
 import attrs
 
 from currantdyke.emulator import PlainEmulator
-from currantdyke.gateway import caller_server
+from currantdyke.gateway import caller_server, daemon
 from currantdyke.gateway.registration import Registration
 from currantdyke.gateway.tests.builders import (
     KEY,
@@ -38,18 +38,23 @@
     gateway.settings = attrs.evolve(gateway.settings, grace=SHORT_GRACE_SECONDS)
 
 
-def call_at_last_check(gateway, function):
-    """Call a function at the last moment at which the stopping gateway is idle."""
-    server = gateway.caller_server
-    close_idle = server.close_idle
+def without_wait_for_rotation():
+    """Let a stopping gateway close idle connections at once."""
+    return mock.patch.object(daemon, "ROTATION_REMOVAL_SECONDS", 0.0)
+
+
+def call_at_last_check(function):
+    """Call a function as soon as the stopping gateway has found itself idle."""
+    is_idle = caller_server.CallerServer.is_idle
     calls = []
 
-    def close_idle_after(*_):
-        if not calls and server.is_idle():
+    def is_idle_before(server):
+        idle = is_idle(server)
+        if idle and not calls:
             calls.append(function())
-        return close_idle()
+        return idle
 
-    return mock.patch.object(caller_server.CallerServer, "close_idle", close_idle_after)
+    return mock.patch.object(caller_server.CallerServer, "is_idle", is_idle_before)
 
 
 async def wait_for_end(lines):
@@ -64,11 +69,11 @@
         async with run_deployment(configuration(1, [plain_route()])) as deployment:
             await deployment.endpoint(PlainEmulator, "i-1", "plain")
             gateway = await deployment.gateway()
-            shorten_grace(gateway)
             with connect_at_once(gateway.settings.caller_address) as connection:
                 await wait_until(lambda: gateway.caller_server.connections)
-                with call_at_last_check(
-                    gateway, lambda: send_request(connection, REQUEST)
+                with (
+                    without_wait_for_rotation(),
+                    call_at_last_check(lambda: send_request(connection, REQUEST)),
                 ):
                     gateway.stop_requested.set()
                     status, whole, _ = await read_answer(connection)
@@ -88,8 +93,7 @@
         async with run_deployment(configuration(1, [plain_route()])) as deployment:
             await deployment.endpoint(PlainEmulator, "i-1", "plain")
             gateway = await deployment.gateway()
-            shorten_grace(gateway)
-            with call_at_last_check(gateway, connect):
+            with without_wait_for_rotation(), call_at_last_check(connect):
                 gateway.stop_requested.set()
                 await wait_until(lambda: connections)
                 with connections[0] as connection:
