Announce the close in each answer that begins after a stop

A request that was in progress when the daemon was told to stop got an answer without Connection: close, since that was decided as the request began; its caller kept the connection, and its next request could cross the close. start_draining marks the open connections whose answer has not begun. test_answer_begun_after_the_stop_says_that_the_connection_closes failed before.

--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -70,6 +70,13 @@
         """Serve callers until cancelled."""
         await self.acceptor.run()
 
+    def start_draining(self) -> None:
+        """Close each connection after the next answer that begins on it."""
+        self.draining = True
+        for connection in self.connections:
+            if not connection.response_started:
+                connection.must_close = True
+
     def close_idle(self) -> int:
         """Close the connections that wait for a request; return how many."""
         closed = 0
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -320,7 +320,7 @@
     async def _stop(self) -> None:
         """Drain: serve on, but close each connection after its answer."""
         started = anyio.current_time()
-        self.caller_server.draining = True
+        self.caller_server.start_draining()
         self.log.write("stopping", serving=self.caller_server.requests_in_progress)
         self.tasks.start_soon(self.registration.withdraw)
         drain_deadline = started + self.settings.grace - SHUTDOWN_MARGIN_SECONDS
