Serve what arrives between the last check of a stopping daemon and its end

A stopping daemon that found itself idle cancelled all its tasks at once. A request that had just arrived on an open connection, and a connection that waited to be accepted, were cut: the listener accepted to the end.

--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -28,6 +28,7 @@
 __all__ = ["CallerServer"]
 
 REFUSED_RETRY_SECONDS = 0.5
+CLOSE_CHECK_SECONDS = 0.05
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -77,6 +78,23 @@
             if not connection.response_started:
                 connection.must_close = True
 
+    async def finish(self, deadline: float) -> None:
+        """Accept no more connections, and serve the open ones to their ends.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time in seconds after which this method returns.
+        """
+        with anyio.CancelScope(deadline=deadline):
+            await self.acceptor.stop()
+            await self._wait_until_closed()
+
+    async def _wait_until_closed(self) -> None:
+        while self.acceptor.open_connections:
+            self.close_idle()
+            await anyio.sleep(CLOSE_CHECK_SECONDS)
+
     def close_idle(self) -> int:
         """Close the connections that wait for a request; return how many."""
         closed = 0
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -329,10 +329,10 @@
         )
         while anyio.current_time() < drain_deadline:
             if self.caller_server.is_idle() and not self.scheduler.chains:
-                self.caller_server.close_idle()
-                return
+                break
             self.caller_server.close_idle()
             await anyio.sleep(DRAIN_CHECK_SECONDS)
+        await self.caller_server.finish(drain_deadline)
 
     def _on_configuration(self, catalog: Catalog) -> None:
         self.scheduler_client.groups = service_groups(catalog)
