Answer the requests in progress at the drain deadline

A stopping daemon cancelled what was in progress at the end of its grace: callers saw the connection close. The cancellation of a request now ends it like any other error, in RequestHandler.handle: 503 if nothing was sent to an endpoint, 502 otherwise, written shielded within half a second; a request that is still being received gets 503.

--- a/currantdyke/gateway/caller.py
+++ b/currantdyke/gateway/caller.py
@@ -72,6 +72,8 @@
         Whether the connection closes after the current answer.
     idle_scope : CancelScope or None
         Cancels the wait for a request; set only during this wait.
+    request_scope : CancelScope or None
+        Cancels the reading or the handling of a request.
     """
 
     def __init__(self, *, stream: anyio.abc.SocketStream, limits: CallerLimits):
@@ -89,6 +91,7 @@
         self.deadline_at: float | None = None
         self.process_ends = False
         self.idle_scope: anyio.CancelScope | None = None
+        self.request_scope: anyio.CancelScope | None = None
         self.write_scope: anyio.CancelScope | None = None
 
     async def read_request(self) -> h11.Request | None:
--- a/currantdyke/gateway/caller_server.py
+++ b/currantdyke/gateway/caller_server.py
@@ -1,5 +1,7 @@
 """Accept callers' connections, and drain them when the daemon stops."""
 
+from collections.abc import Callable
+
 import anyio
 import anyio.abc
 import attrs
@@ -29,6 +31,8 @@
 
 REFUSED_RETRY_SECONDS = 0.5
 CLOSE_CHECK_SECONDS = 0.05
+# Time for the answers of the requests that are ended with the process.
+END_SECONDS = 0.7
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -84,17 +88,32 @@
         Parameters
         ----------
         deadline : float
-            Monotonic time in seconds after which this method returns.
+            Monotonic time in seconds at which requests in progress are answered with a
+            failure.
         """
         with anyio.CancelScope(deadline=deadline):
             await self.acceptor.stop()
             await self._wait_until_closed()
+        with anyio.move_on_after(END_SECONDS):
+            await self.acceptor.stop()
+            await self._wait_until_closed(self._end_requests)
 
-    async def _wait_until_closed(self) -> None:
+    async def _wait_until_closed(
+        self, hurry: Callable[[], None] = lambda: None
+    ) -> None:
         while self.acceptor.open_connections:
             self.close_idle()
+            hurry()
             await anyio.sleep(CLOSE_CHECK_SECONDS)
 
+    def _end_requests(self) -> None:
+        """Answer the requests in progress with a failure."""
+        for connection in self.connections:
+            connection.end_writes()
+            waits = connection.idle_scope is not None
+            if connection.request_scope is not None and not waits:
+                connection.request_scope.cancel()
+
     def close_idle(self) -> int:
         """Close the connections that wait for a request; return how many."""
         closed = 0
@@ -137,14 +156,20 @@
         routes = self.directory.routes
         return CallerLimits() if routes is None else routes.catalog.limits
 
+    async def _read_request(
+        self, connection: CallerConnection
+    ) -> tuple[h11.Request, bytes] | None:
+        request = await connection.read_request()
+        if request is None:
+            return None
+        connection.limits = self._limits()
+        return request, await connection.read_body()
+
     async def _serve_request(self, connection: CallerConnection) -> bool:
         """Serve one request; return whether another may follow."""
         try:
-            request = await connection.read_request()
-            if request is None:
-                return False
-            connection.limits = self._limits()
-            body = await connection.read_body()
+            with anyio.CancelScope() as connection.request_scope:
+                read = await self._read_request(connection)
         except h11.RemoteProtocolError as error:
             too_large = error.error_status_hint == 431
             kind = FailureKind.HEADERS_TOO_LARGE if too_large else FailureKind.MALFORMED
@@ -155,6 +180,13 @@
             return await self._refuse(connection, FailureKind.TOO_LARGE, str(error))
         except SlowCallerError as error:
             return await self._refuse(connection, FailureKind.SLOW_REQUEST, str(error))
+        if connection.request_scope.cancelled_caught:
+            return await self._refuse(
+                connection, FailureKind.SHUTTING_DOWN, "the daemon stops"
+            )
+        if read is None:
+            return False
+        request, body = read
         if self.buffered_bytes + len(body) > self.max_buffered_bytes:
             return await self._refuse(
                 connection, FailureKind.OVERLOADED, "too many bodies are held"
@@ -164,10 +196,12 @@
         self.requests_in_progress += 1
         try:
             async with anyio.create_task_group() as tasks:
+                connection.request_scope = tasks.cancel_scope
                 tasks.start_soon(connection.cancel_on_disconnect, tasks.cancel_scope)
                 await self.handler.handle(request, body, connection)
                 tasks.cancel_scope.cancel()
         finally:
+            connection.request_scope = None
             self.requests_in_progress -= 1
             self.buffered_bytes -= len(body)
         if connection.prepare_next_request():
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -93,6 +93,14 @@
             served.outcome = FailureKind.INTERNAL.code
             failure = served.failure(FailureKind.INTERNAL, "an internal error occurred")
             await self._answer_failure(served, caller, failure)
+        except anyio.get_cancelled_exc_class():
+            served.unanswered_reason = "cancelled"
+            if not caller.has_left:
+                # The process ends. The write of the answer is shielded.
+                served.outcome = FailureKind.SHUTTING_DOWN.code
+                failure = served.failure(FailureKind.SHUTTING_DOWN, "the daemon stops")
+                await self._answer_failure(served, caller, failure)
+            raise
         finally:
             self._record_end(served, caller)
 
