Start a background task again when it fails

An exception in any background task of a daemon (timers, links to peers, the follower of the store, registration, pages) ended the task group of GatewayDaemon.run, with it the process, and cut all requests in progress. keep_running logs the error and starts the task again after half a second; only the callers' address still ends the process, since without it there is nothing to serve. test_failing_background_task_is_started_again failed before.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -16,6 +16,7 @@
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.forward.crashes import CrashDetector, CrashTable
+from currantdyke.gateway.background import keep_running
 from currantdyke.gateway.caller_server import CallerServer
 from currantdyke.gateway.clocks import StallDetector
 from currantdyke.gateway.handler import RequestHandler
@@ -202,8 +203,10 @@
         self.scheduler_client.started_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            # Without this there is nothing to serve: a failure ends the process.
+            tasks.start_soon(self.caller_server.run)
             for background_task in self._background_tasks():
-                tasks.start_soon(background_task)
+                tasks.start_soon(keep_running, background_task, self.log)
             self.timers.every(
                 STALE_CHECK_SECONDS,
                 self.context.connections.close_stale,
@@ -246,7 +249,6 @@
             self.crashes.run,
             self.follower.run,
             self.registration.run,
-            self.caller_server.run,
             self._serve_readiness,
             self._serve_metrics,
         ]
