--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -8,7 +8,7 @@
 
 from currantdyke.catalog import Catalog, Endpoint, RouteTable
 from currantdyke.core import boot_time
-from currantdyke.decisionlog import DecisionLog
+from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.directory.replica import ChangeSet, Replica
 from currantdyke.platform.records import DaemonEntry, decode_record, record_kind
@@ -100,7 +100,12 @@
             self.current_at = max(self.current_at, self.clock() - changes.age)
         new = self.replica.apply(changes)
         for change in new:
-            self._apply(change, source)
+            try:
+                self._apply(change, source)
+            except Exception as error:
+                # The replica has this change, so that it does not come again; those
+                # after it must not be lost.
+                log_internal_error(self.log, error, where=f"change of {change.key}")
         self.listed = self.listed or changes.is_snapshot
         return len(new)
 
@@ -150,7 +155,10 @@
         self.routes = RouteTable.of(catalog=catalog)
         self.configuration_applied_at = anyio.current_time()
         for callback in self.on_configuration:
-            callback(catalog)
+            try:
+                callback(catalog)
+            except Exception as error:
+                log_internal_error(self.log, error, where="configuration callback")
         self.log.write(
             "configuration_in_force",
             version=catalog.version,
--- a/currantdyke/gateway/tests/test_closings_configuration.py
+++ b/currantdyke/gateway/tests/test_closings_configuration.py
@@ -156,6 +156,23 @@
         self.assertEqual(answer.status, 200)
         self.assertIn("internal_error", {line["event"] for line in lines})
 
+    # Guards against changes that are lost behind one on which a part fails.
+    @run_on_sockets
+    async def test_failing_watcher_does_not_keep_later_changes_back(self):
+        def fail(instance, endpoint):
+            if instance == "i-0":
+                raise UnexpectedError
+
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            gateway = await deployment.gateway()
+            gateway.directory.endpoints.watchers.insert(0, fail)
+            for number in range(2):
+                await deployment.endpoint(PlainEmulator, f"i-{number}", "plain")
+            usable = gateway.directory.endpoints.usable
+            await wait_until(lambda: usable("i-1") is not None)
+            answer = await deployment.caller().request("GET", "/plain/", headers=KEY)
+        self.assertEqual(answer.status, 200)
+
 
 class TestSettings(unittest.TestCase):
     # Guards against a reload that fails and ends the process.
