Keep the settings when a reload fails

An exception while the settings file is read or applied left SettingsFile.reload; after SIGHUP it ended the task of the signals, with it the process, and cut all requests in progress. It is now logged, and the settings count as current only once they are applied. test_failing_reload_keeps_the_settings failed before.

--- a/currantdyke/gateway/reload.py
+++ b/currantdyke/gateway/reload.py
@@ -6,7 +6,7 @@
 import attrs
 from expression import Result
 
-from currantdyke.decisionlog import DecisionLog
+from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.gateway.settings import GatewaySettings
 
 __all__ = ["SettingsFile"]
@@ -54,7 +54,13 @@
             self.reload()
 
     def reload(self) -> None:
-        """Read the file again, and keep the current settings if it is invalid."""
+        """Read the file again, and keep the current settings if it can't be applied."""
+        try:
+            self._reload()
+        except Exception as error:
+            log_internal_error(self.log, error, where="reload of the settings")
+
+    def _reload(self) -> None:
         self.last_stamp = self._stamp()
         settings = self.read(self.path)
         if settings.is_error():
@@ -66,15 +72,17 @@
             if getattr(settings.ok, field.name) != getattr(self.current, field.name)
         ]
         reloaded = {name: getattr(settings.ok, name) for name in RELOADABLE_FIELDS}
-        self.current = attrs.evolve(self.current, **reloaded)
-        if not changed:
-            return
-        self.apply(self.current)
-        self.log.write(
-            "settings_reloaded",
-            changed=changed,
-            need_restart=[name for name in changed if name not in RELOADABLE_FIELDS],
-        )
+        new = attrs.evolve(self.current, **reloaded)
+        if changed:
+            self.apply(new)
+            self.log.write(
+                "settings_reloaded",
+                changed=changed,
+                need_restart=[
+                    name for name in changed if name not in RELOADABLE_FIELDS
+                ],
+            )
+        self.current = new
 
     def _stamp(self) -> tuple[int, int] | None:
         try:
