Keep a failing withdrawal from cutting requests

The withdrawal of a stopping daemon's entry, and the closing of connections to an endpoint that is gone, ran in the task group of all tasks of the daemon: an exception there cut all requests in progress. Both are now run by run_logged. test_failing_withdrawal_does_not_affect_requests failed before.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -16,7 +16,7 @@
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.forward.crashes import CrashDetector, CrashTable
-from currantdyke.gateway.background import keep_running
+from currantdyke.gateway.background import keep_running, run_logged
 from currantdyke.gateway.caller_server import CallerServer
 from currantdyke.gateway.clocks import StallDetector
 from currantdyke.gateway.handler import RequestHandler
@@ -324,7 +324,7 @@
         started = anyio.current_time()
         self.caller_server.start_draining()
         self.log.write("stopping", serving=self.caller_server.requests_in_progress)
-        self.tasks.start_soon(self.registration.withdraw)
+        self.tasks.start_soon(run_logged, self.log, self.registration.withdraw)
         drain_deadline = started + self.settings.grace - SHUTDOWN_MARGIN_SECONDS
         await anyio.sleep(
             min(ROTATION_REMOVAL_SECONDS, max(0.0, drain_deadline - started))
@@ -343,7 +343,9 @@
         if endpoint is None:
             self.context.health.forget(instance)
             self.scheduler.remove_endpoint(instance)
-            self.tasks.start_soon(self.context.connections.forget, instance)
+            self.tasks.start_soon(
+                run_logged, self.log, self.context.connections.forget, instance
+            )
         elif not endpoint.leaving:
             self.stages.dispatch(endpoint.service)
 
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -179,6 +179,25 @@
         self.assertEqual(answer.status, 200)
         self.assertIn("internal_error", {line["event"] for line in lines})
 
+    # Guards against a single task, such as the withdrawal of a stopping daemon, whose
+    # failure cuts all requests.
+    @run_on_sockets
+    async def test_failing_withdrawal_does_not_affect_requests(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            endpoint = await deployment.endpoint(
+                PlainEmulator, "i-1", "plain", work_seconds=0.3
+            )
+            gateway = await deployment.gateway()
+            caller = deployment.caller()
+            await caller.send("GET", "/plain/", headers=KEY)
+            await wait_until(lambda: endpoint.runs)
+            with mock.patch.object(
+                Registration, "withdraw", side_effect=UnexpectedError
+            ):
+                gateway.stop_requested.set()
+                answer = await caller.answer()
+        self.assertEqual(answer.status, 200)
+
     # Guards against an error at one connection that ends all connections.
     @run_on_sockets
     async def test_failing_connection_does_not_affect_others(self):
