--- a/currantdyke/gateway/tests/test_closings.py
+++ b/currantdyke/gateway/tests/test_closings.py
@@ -11,7 +11,7 @@
 
 from currantdyke.emulator import EngineEmulator, PlainEmulator
 from currantdyke.gateway.handler import RequestHandler
-from currantdyke.gateway.tests.builders import (
+from currantdyke.gateway.tests.connection_builders import (
     KEY,
     UnexpectedError,
     build_request_bytes,
--- a/currantdyke/gateway/tests/test_closings_configuration.py
+++ b/currantdyke/gateway/tests/test_closings_configuration.py
@@ -14,7 +14,7 @@
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.emulator import PlainEmulator
 from currantdyke.gateway.reload import SettingsFile
-from currantdyke.gateway.tests.builders import (
+from currantdyke.gateway.tests.connection_builders import (
     KEY,
     UnexpectedError,
     build_request_bytes,
--- a/currantdyke/gateway/tests/test_closings_connection.py
+++ b/currantdyke/gateway/tests/test_closings_connection.py
@@ -9,7 +9,7 @@
 
 from currantdyke.emulator import PlainEmulator
 from currantdyke.gateway.caller import CallerDisconnectedError
-from currantdyke.gateway.tests.builders import (
+from currantdyke.gateway.tests.connection_builders import (
     KEY,
     ScriptedStream,
     build_connection,
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -12,7 +12,7 @@
 from currantdyke.emulator import PlainEmulator
 from currantdyke.gateway import caller_server, daemon
 from currantdyke.gateway.registration import Registration
-from currantdyke.gateway.tests.builders import (
+from currantdyke.gateway.tests.connection_builders import (
     KEY,
     UnexpectedError,
     build_request_bytes,
