Keep bytes that follow an emulated endpoint's answer

Cause: a request that came before the handler of the last one had returned lost its first byte, since the check for a disconnect read and dropped it.

Change: the bytes go to the next request, and nothing follows the last byte of a body with a length.

--- a/currantdyke/emulator/answers.py
+++ b/currantdyke/emulator/answers.py
@@ -64,7 +64,8 @@
     silent_before : float
         Seconds of silence before the head.
     silent_after : int
-        Number of parts after which ``silent_seconds`` of silence follow.
+        Number of parts after which ``silent_seconds`` of silence follow; none follows a
+        body that is complete by its length.
     break_after : int or None
         Number of complete parts, after which half of the next one is sent; None to send
         all of them.
@@ -118,6 +119,9 @@
             complete = False
             break
         await _write_part(reply, part, framing)
+        if framing is Framing.LENGTH and number == len(parts):
+            # Nothing follows, so the caller may already use the connection again.
+            break
         await anyio.sleep(part_seconds)
         if number == plan.silent_after:
             await anyio.sleep(plan.silent_seconds)
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -206,6 +206,9 @@
 ) -> None:
     """Cancel the handling of a request whose connection has closed."""
     try:
-        await connection.stream.receive(1)
+        data = await connection.stream.receive()
     except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
         scope.cancel()
+    else:
+        # The start of the next request.
+        connection.state.receive_data(data)
--- a/currantdyke/emulator/tests/test_answers.py
+++ b/currantdyke/emulator/tests/test_answers.py
@@ -20,6 +20,7 @@
 ECHO = b"POST /x body"
 KINDS = ((PlainEmulator, ECHO), (EngineEmulator, STREAM))
 SILENCE_SECONDS = 0.2
+NEXT_REQUEST = b"POST /y HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n"
 MIN_GARBAGE_BYTES = 10 * GARBAGE_BLOCK_BYTES
 
 
@@ -106,6 +107,29 @@
         self.assertEqual(answer.body, ECHO[:9])
 
 
+class TestKeptConnection(unittest.TestCase):
+    @run_on_sockets
+    async def test_bytes_of_the_next_request_are_not_lost(self):
+        plan = AnswerPlan(silent_before=SILENCE_SECONDS)
+        async with running_endpoint(PlainEmulator, plan) as endpoint:
+            caller = Caller(address=endpoint.address)
+            await caller.send("POST", "/x", body=b"body")
+            await wait_until(lambda: endpoint.arrivals)
+            # Another request while the endpoint still writes its answer.
+            await (await caller.connect()).stream.send(NEXT_REQUEST)
+            await caller.answer()
+            await wait_until(lambda: len(endpoint.arrivals) == 2)
+            self.assertEqual(endpoint.arrivals[1].method, "POST")
+            await caller.close()
+
+    @run_on_sockets
+    async def test_answer_with_a_length_ends_with_its_last_byte(self):
+        plan = AnswerPlan(silent_after=2, silent_seconds=10 * SILENCE_SECONDS)
+        answer = await request_once(PlainEmulator, plan)
+        self.assertEqual(answer.body, ECHO)
+        self.assertLess(answer.seconds, SILENCE_SECONDS)
+
+
 class TestDefaultPlan(unittest.TestCase):
     @run_on_sockets
     async def test_connection_is_kept_for_several_answers(self):
