Soak silent endpoints beside planned work

Cause: no run had endpoints that fall silent and go on, and stops, reloads and new configurations came one by one, among unplanned faults that excuse losses.

The checker holds the users' rule: without an unplanned fault in the 3 s before, a request that was passed on, or is older than 0.2 s, gets a whole answer or a refusal before its time limit, and no 502 or 504 from sound endpoints.

--- a/currantdyke/soak/__main__.py
+++ b/currantdyke/soak/__main__.py
@@ -1,11 +1,13 @@
 """Run the soak: ``make soak SEED=1 MINUTES=1``."""
 
 import functools
+import pathlib
 import sys
 
 import anyio
 import click
 
+from currantdyke.soak.patterns import PATTERNS
 from currantdyke.soak.planted import PLANTED
 from currantdyke.soak.world import GATEWAY_COUNT, SLOW_GATEWAY_COUNT, soak
 
@@ -26,6 +28,21 @@
     show_default=True,
     help="Duration of the run of each seed.",
 )
+@click.option(
+    "--pattern",
+    "patterns",
+    type=click.Choice(sorted(PATTERNS)),
+    multiple=True,
+    default=("faults",),
+    show_default=True,
+    help="Pattern of the run; may be given several times.",
+)
+@click.option(
+    "--keep-logs",
+    type=click.Path(path_type=pathlib.Path),
+    default=None,
+    help="Folder for the logs and the record of each run that fails.",
+)
 @click.option(
     "--planted",
     type=click.Choice(sorted(PLANTED)),
@@ -50,6 +67,8 @@
     seed: int,
     seeds: int,
     minutes: float,
+    patterns: tuple[str, ...],
+    keep_logs: pathlib.Path | None,
     planted: str | None,
     gateways: int,
     slow_gateways: int,
@@ -57,19 +76,21 @@
     """Run gateways under faults and print a report; exit 1 on a violated guarantee."""
     failed: list[int] = []
     for number in range(seed, seed + seeds):
-        seconds = minutes * SECONDS_PER_MINUTE
-        run = functools.partial(
-            soak,
-            number,
-            seconds,
-            planted=planted or "",
-            gateways=gateways,
-            slow_gateways=slow_gateways,
-        )
-        report = anyio.run(run)
-        print(report.text(), flush=True)
-        if report.broken:
-            failed.append(number)
+        for pattern in patterns:
+            run = functools.partial(
+                soak,
+                number,
+                minutes * SECONDS_PER_MINUTE,
+                pattern=pattern,
+                planted=planted or "",
+                gateways=gateways,
+                slow_gateways=slow_gateways,
+                kept_logs=keep_logs,
+            )
+            report = anyio.run(run)
+            print(report.text(), flush=True)
+            if report.broken and number not in failed:
+                failed.append(number)
     print(f"{len(failed)} of {seeds} seeds failed: {failed}")
     sys.exit(1 if failed else 0)
 
--- a/currantdyke/soak/configurations.py
+++ b/currantdyke/soak/configurations.py
@@ -62,6 +62,10 @@
         All writes to the store, in order.
     allowed_since : dict of str to float
         Since when every write has contained a path prefix or a key.
+    route_fields, limits : dict
+        Fields of all routes, and limits on callers, of the next versions.
+    plain_service : str
+        Service of the first route in the next versions.
     lock : Lock
         Held during a series of writes.
     """
@@ -73,6 +77,9 @@
     version: int = 0
     writes: list[Write] = attrs.field(factory=list)
     allowed_since: dict[str, float] = attrs.field(factory=dict)
+    route_fields: dict = attrs.field(factory=dict)
+    limits: dict = attrs.field(factory=dict)
+    plain_service: str = "plain"
     lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     def publish(self, *, routes: int = 1) -> None:
@@ -143,13 +150,16 @@
             plain_route(name=f"r-grown-{n}", prefix=prefix)
             for n, prefix in enumerate(self.grown_prefixes)
         ]
-        return configuration(
+        plain = plain_route(service=self.plain_service)
+        all_routes = [plain, once, stream_route(stages=ROUTE_STAGES)]
+        all_routes += temporary + grown
+        document = configuration(
             self.version,
-            [plain_route(), once, stream_route(stages=ROUTE_STAGES)]
-            + temporary
-            + grown,
+            [route | self.route_fields for route in all_routes],
             tenants=[{"name": "cider", "api_keys": list(self.keys), "priority": 1}],
         )
+        document["limits"] |= self.limits
+        return document
 
 
 async def grow_configuration(world, rng: random.Random) -> None:
--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -9,7 +9,7 @@
 from currantdyke.soak.gateways import SupervisedGateway
 from currantdyke.soak.proxy import Mode, Proxy
 
-__all__ = ["FAULTS", "inject_faults"]
+__all__ = ["FAULTS", "inject_faults", "replace_endpoint", "stop_gateway"]
 
 # Longer than the detection of a silent peer or store takes, shorter than deadlines.
 MAX_FAULT_SECONDS = 2.0
@@ -26,11 +26,14 @@
 
 async def inject_faults(world, rng: random.Random) -> None:
     """Inject one random fault after another until the run ends."""
+    faults = world.pattern.faults
     while not world.finished:
         await anyio.sleep(rng.uniform(0.0, MAX_INTERVAL_SECONDS))
-        name = rng.choice(sorted(FAULTS))
+        name = rng.choice(sorted(faults))
         world.checker.counts[f"fault: {name}"] += 1
-        await FAULTS[name](world, rng)
+        world.checker.record_event(name)
+        await faults[name](world, rng)
+        world.checker.record_event(f"end: {name}")
 
 
 def _draw_duration(rng: random.Random) -> float:
@@ -56,7 +59,8 @@
         world.checker.record_disruption(gateway)
 
 
-async def _stop_gateway(world, rng: random.Random) -> None:
+async def stop_gateway(world, rng: random.Random) -> None:
+    """Stop a gateway with SIGTERM, and wait until its next process is ready."""
     gateway: SupervisedGateway = rng.choice(world.gateways)
     async with gateway.signal_lock:
         if not await gateway.wait_ready(READY_TIMEOUT_SECONDS):
@@ -65,9 +69,9 @@
         gateway.send_signal(signal.SIGTERM)
         await incarnation.process.wait()
         # The next incarnation starts from what the store shows at that moment.
-        world.checker.record_disruption(gateway)
+        world.checker.record_disruption(gateway, planned=True)
         await gateway.wait_ready(READY_TIMEOUT_SECONDS)
-        world.checker.record_disruption(gateway)
+        world.checker.record_disruption(gateway, planned=True)
 
 
 async def _disrupt_store(world, rng: random.Random) -> None:
@@ -109,16 +113,20 @@
 
 
 async def _disrupt_endpoint_connections(world, rng: random.Random) -> None:
+    world.checker.record_unplanned()
     await _disrupt_connections([rng.choice(list(world.proxies.values()))], rng)
+    world.checker.record_unplanned()
 
 
 async def _lose_endpoint_answers(world, rng: random.Random) -> None:
     """Make a plain endpoint run requests but reset the connections of their answers."""
     plain = [name for name in world.proxies if name.startswith("plain")]
     proxy = world.proxies[rng.choice(plain)]
+    world.checker.record_unplanned()
     proxy.set_mode(Mode.RESET_ANSWERS)
     await anyio.sleep(_draw_duration(rng))
     proxy.set_mode(Mode.PASS)
+    world.checker.record_unplanned()
 
 
 async def _disrupt_connections(proxies: list[Proxy], rng: random.Random) -> None:
@@ -134,7 +142,7 @@
         proxy.set_mode(Mode.PASS)
 
 
-async def _replace_endpoint(world, rng: random.Random) -> None:
+async def replace_endpoint(world, rng: random.Random) -> None:
     """Start a new endpoint of a service, then drain and remove another one."""
     async with world.replacement_lock:
         instance = rng.choice(sorted(world.endpoints))
@@ -164,14 +172,14 @@
 FAULTS: dict[str, Callable[..., Awaitable[None]]] = {
     "kill a gateway": _kill_gateway,
     "pause a gateway": _pause_gateway,
-    "stop a gateway": _stop_gateway,
+    "stop a gateway": stop_gateway,
     "trouble of the store": _disrupt_store,
     "history of the store": _drop_store_history,
     "connections to the store": _disrupt_store_connections,
     "connections of a gateway to the store": _cut_gateway_off_store,
     "connections to an endpoint": _disrupt_endpoint_connections,
     "answers of an endpoint": _lose_endpoint_answers,
-    "replace an endpoint": _replace_endpoint,
+    "replace an endpoint": replace_endpoint,
     "change the configuration": _change_configuration,
     "write an old configuration": _write_stale_configuration,
 }
--- a/currantdyke/soak/gateways.py
+++ b/currantdyke/soak/gateways.py
@@ -56,12 +56,18 @@
     ----------
     store_proxy : Proxy
         Forwards its connections to the store.
+    store_addresses : list of str
+        Of the store proxy and of the store itself.
+    document : dict
+        The content of its settings file.
     command : list of str
         The command line of the process.
     on_exit : callable
         Called with this gateway, the incarnation that exited, and its exit code.
     bytes_per_second : float or None
         Bandwidth of its connections if it is behind a slow link.
+    events : list of (float, str)
+        Starts, signals and exits of its processes, with their times.
     signal_lock : Lock
         Held by the fault that pauses, kills or stops the gateway.
     """
@@ -74,7 +80,10 @@
     command: list[str]
     on_exit: Callable[["SupervisedGateway", Incarnation, int], None]
     bytes_per_second: float | None = None
+    store_addresses: list[str] = attrs.field(factory=list)
+    document: dict = attrs.field(factory=dict)
     incarnations: list[Incarnation] = attrs.field(factory=list)
+    events: list[tuple[float, str]] = attrs.field(factory=list)
     signal_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     @property
@@ -97,15 +106,15 @@
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Keep a process running until cancelled, then kill it."""
         settings = self.folder / f"{self.name}.yaml"
-        document = node_settings(
+        self.document = node_settings(
             name=self.name,
             ip=self.ip,
             store_address=f"127.0.0.1:{self.store_proxy.port}",
             seed_ips=self.seed_ips,
         )
         if self.bytes_per_second is not None:
-            document["limits"]["cpu_quota"] = SLOW_CORES_SHARE
-        settings.write_text(yaml.safe_dump(document))
+            self.document["limits"]["cpu_quota"] = SLOW_CORES_SHARE
+        self.write_settings()
         environment = os.environ | {SETTINGS_VARIABLE: str(settings)}
         started = False
         while True:
@@ -116,6 +125,7 @@
             self.incarnations.append(
                 Incarnation(number=len(self.incarnations) + 1, process=process)
             )
+            self.record_event("started")
             if not started:
                 task_status.started()
                 started = True
@@ -126,15 +136,27 @@
                     process.kill()
                     with anyio.CancelScope(shield=True):
                         await process.wait()
+            self.record_event(f"exited with {code}")
             self.on_exit(self, self.incarnation, code)
 
+    def write_settings(self) -> None:
+        """Write the settings file, as the platform does when they change."""
+        path = self.folder / f"{self.name}.yaml"
+        path.write_text(yaml.safe_dump(self.document))
+
+    def record_event(self, text: str) -> None:
+        """Add an event of its processes."""
+        self.events.append((anyio.current_time(), text))
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
         incarnation = self.incarnation
         if incarnation.process.returncode is not None:
             return
+        self.record_event(signal_number.name)
         if signal_number is signal.SIGTERM:
-            incarnation.sigterm_at = anyio.current_time()
+            # Bounds run from the first one.
+            incarnation.sigterm_at = incarnation.sigterm_at or anyio.current_time()
         elif signal_number in (signal.SIGSTOP, signal.SIGKILL):
             incarnation.interrupted = True
         incarnation.process.send_signal(signal_number)
--- /dev/null
+++ b/currantdyke/soak/patterns.py
@@ -0,0 +1,104 @@
+"""Patterns of runs: their endpoints, their faults and what their callers send."""
+
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import attrs
+
+from currantdyke.emulator import (
+    AnswerPlan,
+    EngineEmulator,
+    Framing,
+    PlainEmulator,
+    StageEmulator,
+)
+from currantdyke.emulator.answers import plan_sound
+from currantdyke.emulator.http import Request
+from currantdyke.soak.callers import ChooseRequest, choose_request
+from currantdyke.soak.configurations import grow_configuration
+from currantdyke.soak.faults import FAULTS
+from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
+
+__all__ = ["PATTERNS", "Pattern"]
+
+PlanAnswer = Callable[[Request], AnswerPlan]
+Activity = Callable[[Any, random.Random], Coroutine[Any, Any, None]]
+
+# Shares of the requests before whose answer, or within it, an endpoint is silent.
+SILENT_SHARES = (0.0, 0.2, 0.8)
+# Callers abandon a stream after two seconds without an event.
+MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS = 0.5, 1.8
+UNDELIMITED_SHARE = 0.3
+# Longer than any time-out of the routes.
+SILENT_DEADLINE_SECONDS = 10.0
+
+
+def _always_sound(rng: random.Random) -> PlanAnswer:
+    return plan_sound
+
+
+def _silent_at_times(rng: random.Random) -> PlanAnswer:
+    """Return the plans of an endpoint that is silent for a share of its requests."""
+    share = rng.choice(SILENT_SHARES)
+
+    def plan(request: Request) -> AnswerPlan:
+        framing = Framing.CONNECTION if rng.random() < UNDELIMITED_SHARE else None
+        if rng.random() >= share:
+            return AnswerPlan(framing=framing)
+        seconds = rng.uniform(MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS)
+        if rng.random() < 0.5:
+            return AnswerPlan(framing=framing, silent_before=seconds)
+        after = rng.randint(1, 4)
+        return AnswerPlan(framing=framing, silent_after=after, silent_seconds=seconds)
+
+    return plan
+
+
+@attrs.frozen(kw_only=True)
+class Pattern:
+    """What a run injects, and what its callers send.
+
+    Attributes
+    ----------
+    endpoints : tuple of (type, str, int)
+        Class, service and number of the endpoints.
+    faults : dict of str to callable
+        Injected in series that overlap.
+    plan_answers : callable
+        Returns how an endpoint writes its answers.
+    activities : tuple of callable
+        Run beside the callers and the faults.
+    sound_endpoints : bool
+        Whether no endpoint fails or breaks off an answer.
+    deadline_seconds, timeout_seconds : float
+        Deadline of the callers, and the lowest time-out of the routes.
+    """
+
+    endpoints: tuple[tuple[type, str, int], ...]
+    faults: dict[str, Callable[..., Awaitable[None]]]
+    plan_answers: Callable[[random.Random], PlanAnswer] = _always_sound
+    choose_request: ChooseRequest = choose_request
+    activities: tuple[Activity, ...] = (grow_configuration,)
+    sound_endpoints: bool = False
+    deadline_seconds: float = 3.0
+    timeout_seconds: float = 2.0
+
+
+ENDPOINTS = (
+    (PlainEmulator, "plain", 3),
+    (EngineEmulator, "engine", 3),
+    (StageEmulator, "rank", 2),
+)
+
+PATTERNS = {
+    "faults": Pattern(endpoints=ENDPOINTS, faults=FAULTS),
+    "silent": Pattern(
+        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
+        faults=PLANNED_WORK,
+        plan_answers=_silent_at_times,
+        sound_endpoints=True,
+        deadline_seconds=SILENT_DEADLINE_SECONDS,
+        timeout_seconds=LOWEST_TIMEOUT_SECONDS,
+    ),
+}
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -8,11 +8,14 @@
 from collections.abc import Callable
 from typing import Any
 
+import anyio
 import attrs
 
 from currantdyke.directory import Directory
 from currantdyke.directory.endpoints import EndpointTable
-from currantdyke.forward import plain
+from currantdyke.forward import attempt, plain
+from currantdyke.forward.attempt import EndpointResponse
+from currantdyke.forward.stream import StreamBrokenError
 from currantdyke.gateway.__main__ import main
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.daemon import GatewayDaemon
@@ -22,6 +25,8 @@
 
 # Twice the time in which a configuration must be in force.
 LATE_SECONDS = 4.0
+# Less than the silence of sound endpoints.
+SILENCE_SECONDS = 0.3
 
 
 def _repeat_attempts() -> None:
@@ -77,6 +82,19 @@
     EndpointTable.announce = announce_as_ready  # type: ignore[method-assign]
 
 
+def _close_at_silence() -> None:
+    def limit_silence(function: Any) -> Any:
+        async def read_soon(*arguments: Any) -> Any:
+            with anyio.move_on_after(SILENCE_SECONDS):
+                return await function(*arguments)
+            raise StreamBrokenError("silent")
+
+        return read_soon
+
+    attempt._read_head = limit_silence(attempt._read_head)
+    EndpointResponse.read = limit_silence(EndpointResponse.read)  # type: ignore[method-assign]
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -86,6 +104,7 @@
     "final-refusal": _apply_configurations_late,
     "configuration": _accept_older_configuration,
     "leaving": _use_leaving_endpoints,
+    "silence": _close_at_silence,
 }
 
 
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -6,6 +6,7 @@
 import attrs
 
 from currantdyke.soak.callers import Attempt
+from currantdyke.soak.completeness import describe_loss
 from currantdyke.soak.gateways import ROTATION_SECONDS, Incarnation, SupervisedGateway
 
 __all__ = ["GuaranteeChecker"]
@@ -35,12 +36,19 @@
         The same for faults that affect all gateways.
     gateways_disrupted_at : dict of str to float
         The same for faults of one gateway, by its name.
+    unplanned_at : dict of (str or None) to float
+        When a fault that is no planned work last began or ended, by the name of the
+        gateway; None for the store and the endpoints.
+    sound_endpoints : bool
+        Whether no endpoint fails or breaks off an answer during the run.
     leaving_since : dict of str to float
         When each leaving endpoint was announced as draining.
     violations : list of str
         Descriptions of the violations, without duplicates.
     counts : Counter
         Numbers of checked events by kind, and of injected faults.
+    events : list of (float, str)
+        What was injected, with its time.
     refusing : set of (str, int)
         Gateways and the numbers of their incarnations that refused a request finally
         without knowing what all configurations allow.
@@ -50,25 +58,43 @@
     disrupted_at: float = float("-inf")
     store_disrupted_at: float = float("-inf")
     gateways_disrupted_at: dict[str, float] = attrs.field(factory=dict)
+    unplanned_at: dict[str | None, float] = attrs.field(factory=dict)
+    sound_endpoints: bool = False
     leaving_since: dict[str, float] = attrs.field(factory=dict)
     violations: list[str] = attrs.field(factory=list)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    events: list[tuple[float, str]] = attrs.field(factory=list)
     refusing: set[tuple[str, int]] = attrs.field(factory=set)
 
-    def record_disruption(self, gateway: SupervisedGateway | None = None) -> None:
+    def record_event(self, text: str) -> None:
+        """Record what is injected now, for the record of the run."""
+        self.events.append((anyio.current_time(), text))
+
+    def record_disruption(
+        self, gateway: SupervisedGateway | None = None, *, planned: bool = False
+    ) -> None:
         """Record the start or end of a fault that may delay updates to the gateways.
 
         Parameters
         ----------
         gateway : SupervisedGateway or None
             The only gateway that is affected; None for all.
+        planned : bool
+            Whether it is planned work, around which no answer may be lost.
         """
         self.disrupted_at = anyio.current_time()
+        if not planned:
+            self.record_unplanned(gateway)
         if gateway is None:
             self.store_disrupted_at = self.disrupted_at
         else:
             self.gateways_disrupted_at[gateway.name] = self.disrupted_at
 
+    def record_unplanned(self, gateway: SupervisedGateway | None = None) -> None:
+        """Record the start or end of a fault after which answers may be lost."""
+        name = None if gateway is None else gateway.name
+        self.unplanned_at[name] = anyio.current_time()
+
     def check_arrival(
         self, instance: str, attempt_id: str, gateway: str = "a gateway"
     ) -> None:
@@ -91,6 +117,7 @@
         allowed = attempt.sent_at - attempt.allowed_since
         if attempt.kind == "added" and allowed > MAX_CONFIGURATION_DELAY_SECONDS:
             self.counts["added in time"] += 1
+        self._check_loss(attempt)
         if answer is None:
             self.counts["lost"] += 1
             self._check_lost_connection(attempt)
@@ -179,7 +206,7 @@
                 f"{attempt.attempt_id}: 200 without an endpoint's signature"
             )
         expected = b"POST " + attempt.target.encode() + b" " + attempt.body
-        if attempt.kind == "stream":
+        if attempt.streams:
             numbers = range(1, STREAM_EVENTS + 1)
             expected = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in numbers)
         matches = answer.body == expected
@@ -210,6 +237,18 @@
                 f"allowed for {allowed:.1f} s"
             )
 
+    def _check_loss(self, attempt: Attempt) -> None:
+        never = float("-inf")
+        places = (None, attempt.gateway.name)
+        loss = describe_loss(
+            attempt,
+            passed_on=self.executions[attempt.attempt_id] > 0,
+            unplanned_at=max(self.unplanned_at.get(place, never) for place in places),
+            sound_endpoints=self.sound_endpoints,
+        )
+        if loss:
+            self._add_violation(loss)
+
     def _check_lost_connection(self, attempt: Attempt) -> None:
         """Check that a graceful stop did not cause a connection to be lost."""
         incarnation = attempt.incarnation
--- a/currantdyke/soak/tests/test_soak.py
+++ b/currantdyke/soak/tests/test_soak.py
@@ -1,17 +1,24 @@
 import functools
+import json
+import pathlib
+import tempfile
 import unittest
 
 import anyio
-import attrs
 
 from currantdyke.emulator import CallerAnswer, StoreEmulator
-from currantdyke.soak.callers import Attempt
 from currantdyke.soak.configurations import FIRST_KEY, Configurations
 from currantdyke.soak.promises import (
     MAX_CONFIGURATION_DELAY_SECONDS,
     MAX_LEAVING_DELAY_SECONDS,
     GuaranteeChecker,
 )
+from currantdyke.soak.tests.builders import (
+    FakeGateway,
+    FakeIncarnation,
+    build_answer,
+    build_attempt,
+)
 from currantdyke.soak.world import soak
 from currantdyke.testing.virtual import run_virtual
 
@@ -27,6 +34,26 @@
         answered = sum(n for name, n in report.counts.items() if name.endswith(" 200"))
         self.assertGreater(answered, MIN_ANSWERS, report.text())
 
+    def test_logs_of_a_failed_run_are_kept(self):
+        with tempfile.TemporaryDirectory() as folder:
+            kept_logs = pathlib.Path(folder)
+            run = functools.partial(
+                soak, SEED, 2.0, planted="own-answer", kept_logs=kept_logs
+            )
+            report = anyio.run(run)
+            kept = sorted(path.name for path in kept_logs.glob("faults-1/*"))
+            lines = (kept_logs / "faults-1" / "run.jsonl").read_text().splitlines()
+        self.assertNotEqual(report.broken, [])
+        logs = [f"gateway-{number}.log" for number in range(1, 5)]
+        self.assertEqual(kept, [*logs, "report.txt", "run.jsonl"])
+        self.assertIn("attempt", {json.loads(line)["event"] for line in lines})
+
+    # The planted fault closes connections; sound endpoints are silent for longer.
+    def test_requests_lost_at_silent_endpoints_are_detected(self):
+        run = functools.partial(soak, SEED, 3.0, pattern="silent", planted="silence")
+        report = anyio.run(run)
+        self.assertIn("got no whole answer", " ".join(report.broken))
+
     def test_injected_fault_is_detected(self):
         run = functools.partial(soak, SEED, 2.0, planted="own-answer")
         report = anyio.run(run)
@@ -41,46 +68,6 @@
         )
 
 
-@attrs.define(kw_only=True)
-class FakeIncarnation:
-    number: int = 1
-    sigterm_at: float | None = None
-    interrupted: bool = False
-    max_version: int = 0
-
-
-@attrs.define(kw_only=True)
-class FakeGateway:
-    name: str = "gateway-1"
-    reported_version: int = 1
-    incarnation: FakeIncarnation = attrs.field(factory=FakeIncarnation)
-
-    async def configuration_version(self):
-        return self.reported_version
-
-
-def build_attempt(kind="once", answer=None, incarnation=None, **changes):
-    return Attempt(
-        attempt_id="s1",
-        kind=kind,
-        target="/x",
-        body=b"body",
-        gateway=FakeGateway(),
-        incarnation=incarnation or FakeIncarnation(),
-        sent_at=1.0,
-        answer=answer,
-        error="" if answer else "reset",
-        **changes,
-    )
-
-
-def build_answer(status=200, body=b"POST /x body", complete=True, **headers):
-    signed = {"x-server-signature": "signed.i", "x-attempt-id": "s1"}
-    return CallerAnswer(
-        status=status, headers=signed | headers, body=body, complete=complete
-    )
-
-
 def violations_of(attempt, runs=0):
     checker = GuaranteeChecker()
     checker.executions["s1"] = runs
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -10,22 +10,19 @@
 import anyio.abc
 import attrs
 
-from currantdyke.emulator import (
-    EngineEmulator,
-    PlainEmulator,
-    StageEmulator,
-    StoreEmulator,
-)
+from currantdyke.emulator import StoreEmulator
 from currantdyke.emulator.endpoints import EndpointEmulator
 from currantdyke.soak.callers import send_requests
-from currantdyke.soak.configurations import Configurations, grow_configuration
+from currantdyke.soak.configurations import Configurations
 from currantdyke.soak.faults import inject_faults
 from currantdyke.soak.gateways import SupervisedGateway, gateway_command
+from currantdyke.soak.patterns import PATTERNS, Pattern
 from currantdyke.soak.promises import (
     MAX_CONFIGURATION_DELAY_SECONDS,
     GuaranteeChecker,
 )
 from currantdyke.soak.proxy import Proxy
+from currantdyke.soak.record import keep_record
 from currantdyke.testing.gateways import loopback_ip
 
 __all__ = ["GATEWAY_COUNT", "SLOW_GATEWAY_COUNT", "Report", "soak"]
@@ -42,8 +39,6 @@
 GATEWAYS_PER_FAULT_SERIES = 4
 # The platform names at most this many VMs to a process.
 MAX_SEEDS = 3
-ENDPOINTS = ((PlainEmulator, "plain", 3), (EngineEmulator, "engine", 3))
-STAGE_ENDPOINTS = (StageEmulator, "rank", 2)
 READY_TIMEOUT_SECONDS = 30.0
 SETTLE_SECONDS = 2.0
 CHECK_INTERVAL_SECONDS = 0.25
@@ -62,12 +57,13 @@
     """
 
     seed: int
+    pattern: str
     broken: list[str]
     counts: dict[str, int]
 
     def text(self) -> str:
         """Return the report, with a line for each count and each violation."""
-        lines = [f"seed {self.seed}: {len(self.broken)} broken"]
+        lines = [f"seed {self.seed}, {self.pattern}: {len(self.broken)} broken"]
         lines += [f"  {count:>6} {name}" for name, count in sorted(self.counts.items())]
         lines += [f"  BROKEN {text}" for text in self.broken]
         return "\n".join(lines)
@@ -83,15 +79,20 @@
         Endpoints and the proxies in front of them, by instance.
     gateways : list of SupervisedGateway
         Those behind slow links come last.
+    arrivals : list of (float, dict)
+        Times, endpoints and attempt ids of the requests that reached endpoints.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
 
+    seed: int
+    pattern: Pattern
     tasks: anyio.abc.TaskGroup
     store: StoreEmulator = attrs.field(factory=StoreEmulator)
     endpoints: dict[str, EndpointEmulator] = attrs.field(factory=dict)
     proxies: dict[str, Proxy] = attrs.field(factory=dict)
     gateways: list[SupervisedGateway] = attrs.field(factory=list)
+    arrivals: list = attrs.field(factory=list)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
     instance_numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
@@ -108,8 +109,11 @@
     ) -> None:
         """Start the platform, then the gateways, and wait until all are ready."""
         await self.tasks.start(self.store.run)
+        timeout_ms = int(1_000 * self.pattern.timeout_seconds)
+        self.configurations.route_fields = {"timeout_ms": timeout_ms}
         self.configurations.publish()
-        for endpoint_class, service, count in (*ENDPOINTS, STAGE_ENDPOINTS):
+        self.checker.sound_endpoints = self.pattern.sound_endpoints
+        for endpoint_class, service, count in self.pattern.endpoints:
             for _ in range(count):
                 await self.start_endpoint(endpoint_class, service)
         ips = [
@@ -141,6 +145,7 @@
             ip=ip,
             folder=folder,
             store_proxy=store_proxy,
+            store_addresses=[f"127.0.0.1:{store_proxy.port}", self.store.address],
             seed_ips=seed_ips[:MAX_SEEDS],
             command=gateway_command(planted, bytes_per_second),
             on_exit=self.checker.check_exit,
@@ -153,6 +158,8 @@
         """Start an endpoint behind a proxy and announce it."""
         instance = f"{service}-{next(self.instance_numbers)}"
         endpoint = endpoint_class(instance=instance, service=service)
+        endpoint_random = random.Random(f"{self.seed} {instance}")
+        endpoint.plan_answer = self.pattern.plan_answers(endpoint_random)
         endpoint.handle_first = functools.partial(self._record_arrival, instance)
         await self.tasks.start(endpoint.run)
         proxy = Proxy(target_port=endpoint.port)
@@ -174,6 +181,8 @@
         self.proxies.pop(instance)
 
     async def _record_arrival(self, instance: str, request, reply) -> bool:
+        fields = {"endpoint": instance, "attempt_id": request.attempt_id}
+        self.arrivals.append((anyio.current_time(), fields))
         names = (
             attempt.gateway.name
             for attempt in reversed(self.attempts)
@@ -212,9 +221,11 @@
     seed: int,
     seconds: float,
     *,
+    pattern: str = "faults",
     planted: str = "",
     gateways: int = GATEWAY_COUNT,
     slow_gateways: int = SLOW_GATEWAY_COUNT,
+    kept_logs: pathlib.Path | None = None,
 ) -> Report:
     """Run gateways under faults for a time and check their guarantees.
 
@@ -225,39 +236,56 @@
         real time, so a seed does not reproduce a run exactly.
     seconds : float
         Duration of the run.
+    pattern : str
+        Name of a pattern in `PATTERNS`.
     planted : str
         Name of a fault in `PLANTED` to inject into the gateways; empty for none.
     gateways, slow_gateways : int
         Number of gateways, and of additional ones behind slow links.
+    kept_logs : Path, optional
+        Folder for the logs and the record of a run that violates a guarantee.
     """
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory(prefix="currantdyke-soak-") as folder:
         async with anyio.create_task_group() as tasks:
-            world = World(tasks=tasks)
+            world = World(tasks=tasks, seed=seed, pattern=PATTERNS[pattern])
             await world.start(
                 pathlib.Path(folder),
                 planted=planted,
                 gateways=gateways,
                 slow_gateways=slow_gateways,
             )
-            count = len(world.gateways)
-            async with anyio.create_task_group() as activity:
-                activity.start_soon(world.check_configurations)
-                activity.start_soon(grow_configuration, world, _derive_random(rng))
-                for _ in range(min(MAX_CALLERS, CALLERS_PER_GATEWAY * count)):
-                    activity.start_soon(send_requests, world, _derive_random(rng))
-                for _ in range(
-                    max(MIN_FAULT_SERIES, count // GATEWAYS_PER_FAULT_SERIES)
-                ):
-                    activity.start_soon(inject_faults, world, _derive_random(rng))
-                await anyio.sleep(seconds)
-                world.finished = True
-            await anyio.sleep(SETTLE_SECONDS)
-            for attempt in world.attempts:
-                world.checker.check_executions(attempt)
+            await _run_activities(world, rng, seconds)
             tasks.cancel_scope.cancel()
-    checker = world.checker
-    return Report(seed=seed, broken=checker.violations, counts=dict(checker.counts))
+        checker = world.checker
+        report = Report(
+            seed=seed,
+            pattern=pattern,
+            broken=checker.violations,
+            counts=dict(checker.counts),
+        )
+        if report.broken and kept_logs is not None:
+            target = kept_logs / f"{pattern}-{seed}"
+            keep_record(world, pathlib.Path(folder), target, report.text())
+    return report
+
+
+async def _run_activities(world: World, rng: random.Random, seconds: float) -> None:
+    """Run callers, faults and checks for a time, and check the executions."""
+    count = len(world.gateways)
+    async with anyio.create_task_group() as activity:
+        activity.start_soon(world.check_configurations)
+        for function in world.pattern.activities:
+            activity.start_soon(function, world, _derive_random(rng))
+        for _ in range(min(MAX_CALLERS, CALLERS_PER_GATEWAY * count)):
+            activity.start_soon(send_requests, world, _derive_random(rng))
+        for _ in range(max(MIN_FAULT_SERIES, count // GATEWAYS_PER_FAULT_SERIES)):
+            activity.start_soon(inject_faults, world, _derive_random(rng))
+        await anyio.sleep(seconds)
+        world.finished = True
+    await anyio.sleep(SETTLE_SECONDS)
+    for attempt in world.attempts:
+        world.checker.check_executions(attempt)
 
 
 def _derive_random(rng: random.Random) -> random.Random:
