Soak a part of prompts that crashes engines

Cause: no run had requests of which no two are alike and that share what crashes engines.

After 6 s of sound prompts, 15 in 100 have the part, at any gateway, beside sound ones with the same key and first parts, while gateways are killed, paused, stopped or cut off the store. The checker holds the users' bounds: at most three requests with the part reach engines from gateways in touch later than 3 s after the fifth crash, and sound requests begin at least half as often from 6 s after it as before.

--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -57,6 +57,8 @@
         anywhere but last; empty for none. Stages don't use it.
     crashed_on : list of str
         Attempt ids of the requests that crashed it.
+    on_crash : callable
+        Called at each crash.
     incarnation, born : int
         Number and start of the current lifetime, in Unix milliseconds.
     cancel_scope : CancelScope
@@ -79,6 +81,7 @@
     plan_answer: Callable[[Request], AnswerPlan] = plan_sound
     crash_part: str = ""
     crashed_on: list[str] = attrs.field(factory=list)
+    on_crash: Callable[[], None] = lambda: None
     incarnation: int = 1
     born: int = 1
     streams: set[anyio.abc.SocketStream] = attrs.field(factory=set)
@@ -144,6 +147,7 @@
         """Crash if the prompt has the crashing part; called as an answer begins."""
         if self.crash_part and self.crash_part in request.prompt_parts[:-1]:
             self.crashed_on.append(request.attempt_id)
+            self.on_crash()
             self.crash()
             await anyio.sleep_forever()
 
--- a/currantdyke/soak/callers.py
+++ b/currantdyke/soak/callers.py
@@ -25,9 +25,6 @@
 # Share of the requests for added routes that are for the last ones.
 LATEST_SHARE = 0.5
 LATEST_ROUTES = 5
-# Short enough that the caller sends another request on each connection while a
-# stopping gateway still serves; the gateway closes the connection after its answer.
-MAX_THINK_SECONDS = 0.15
 RECONNECT_DELAY_SECONDS = 0.05
 MAX_BODY_BYTES = 3_000
 ATTEMPT_NUMBERS = itertools.count(1)
@@ -74,6 +71,8 @@
     sent_at, sent_whole_at : float
         Before its first byte and after its last byte was written; the latter is
         infinite if it was not.
+    in_touch : bool
+        Whether the users' bounds on time held for the gateway when it was sent.
     time_limit : float
         Lowest number of seconds after which a gateway may end it unanswered.
     allowed_since : float
@@ -95,6 +94,7 @@
     sent_at: float
     time_limit: float = float("inf")
     streams: bool = False
+    in_touch: bool = False
     sent_whole_at: float = float("inf")
     ended_at: float = float("inf")
     allowed_since: float = float("inf")
@@ -140,7 +140,7 @@
         choice = world.pattern.choose_request(world, rng)
         attempt = _start_attempt(world, choice, gateway, incarnation, rng)
         keep_open = await _send_request(world, caller, attempt, choice)
-        await anyio.sleep(rng.uniform(0.0, MAX_THINK_SECONDS))
+        await anyio.sleep(rng.uniform(0.0, world.pattern.think_seconds))
     await caller.close()
 
 
@@ -161,6 +161,7 @@
         sent_at=anyio.current_time(),
         time_limit=min(world.pattern.deadline_seconds, world.pattern.timeout_seconds),
         streams=choice.streams,
+        in_touch=world.is_in_touch(gateway),
     )
 
 
--- a/currantdyke/soak/configurations.py
+++ b/currantdyke/soak/configurations.py
@@ -64,6 +64,8 @@
         Since when every write has contained a path prefix or a key.
     route_fields, limits : dict
         Fields of all routes, and limits on callers, of the next versions.
+    has_stages : bool
+        Whether streams have a stage in the next versions.
     plain_service : str
         Service of the first route in the next versions.
     lock : Lock
@@ -79,6 +81,7 @@
     allowed_since: dict[str, float] = attrs.field(factory=dict)
     route_fields: dict = attrs.field(factory=dict)
     limits: dict = attrs.field(factory=dict)
+    has_stages: bool = True
     plain_service: str = "plain"
     lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
@@ -150,8 +153,9 @@
             plain_route(name=f"r-grown-{n}", prefix=prefix)
             for n, prefix in enumerate(self.grown_prefixes)
         ]
+        stream = stream_route(stages=ROUTE_STAGES if self.has_stages else [])
         plain = plain_route(service=self.plain_service)
-        all_routes = [plain, once, stream_route(stages=ROUTE_STAGES)]
+        all_routes = [plain, once, stream]
         all_routes += temporary + grown
         document = configuration(
             self.version,
--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -9,7 +9,13 @@
 from currantdyke.soak.gateways import SupervisedGateway
 from currantdyke.soak.proxy import Mode, Proxy
 
-__all__ = ["FAULTS", "inject_faults", "replace_endpoint", "stop_gateway"]
+__all__ = [
+    "FAULTS",
+    "GATEWAY_FAULTS",
+    "inject_faults",
+    "replace_endpoint",
+    "stop_gateway",
+]
 
 # Longer than the detection of a silent peer or store takes, shorter than deadlines.
 MAX_FAULT_SECONDS = 2.0
@@ -183,3 +189,14 @@
     "change the configuration": _change_configuration,
     "write an old configuration": _write_stale_configuration,
 }
+
+# Faults of single gateways, after which each must learn again what the others know.
+GATEWAY_FAULTS = {
+    name: FAULTS[name]
+    for name in (
+        "kill a gateway",
+        "pause a gateway",
+        "stop a gateway",
+        "connections of a gateway to the store",
+    )
+}
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -17,8 +17,13 @@
 from currantdyke.emulator.http import Request
 from currantdyke.soak.callers import ChooseRequest, choose_request
 from currantdyke.soak.configurations import grow_configuration
-from currantdyke.soak.faults import FAULTS
+from currantdyke.soak.faults import FAULTS, GATEWAY_FAULTS
 from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
+from currantdyke.soak.prompts import (
+    choose_prompt,
+    crash_violations,
+    start_engines,
+)
 
 __all__ = ["PATTERNS", "Pattern"]
 
@@ -34,6 +39,10 @@
 SILENT_DEADLINE_SECONDS = 10.0
 
 
+async def _start_none(world) -> None:
+    """Start no further endpoints."""
+
+
 def _always_sound(rng: random.Random) -> PlanAnswer:
     return plan_sound
 
@@ -63,23 +72,39 @@
     ----------
     endpoints : tuple of (type, str, int)
         Class, service and number of the endpoints.
+    start_endpoints : callable
+        Starts further endpoints.
     faults : dict of str to callable
         Injected in series that overlap.
     plan_answers : callable
         Returns how an endpoint writes its answers.
     activities : tuple of callable
         Run beside the callers and the faults.
+    think_seconds : float
+        Longest time between an answer and the caller's next request. By default, short
+        enough for another request on each connection of a stopping gateway.
+    fault_series : int
+        Number of series of faults at least.
+    route_stages : bool
+        Whether streams have a stage.
+    find_violations : callable
+        Returns the violations that only the whole run shows.
     sound_endpoints : bool
         Whether no endpoint fails or breaks off an answer.
     deadline_seconds, timeout_seconds : float
         Deadline of the callers, and the lowest time-out of the routes.
     """
 
-    endpoints: tuple[tuple[type, str, int], ...]
+    endpoints: tuple[tuple[type, str, int], ...] = ()
+    start_endpoints: Callable[[Any], Awaitable[None]] = _start_none
     faults: dict[str, Callable[..., Awaitable[None]]]
     plan_answers: Callable[[random.Random], PlanAnswer] = _always_sound
     choose_request: ChooseRequest = choose_request
     activities: tuple[Activity, ...] = (grow_configuration,)
+    think_seconds: float = 0.15
+    fault_series: int = 5
+    route_stages: bool = True
+    find_violations: Callable[[Any], list[str]] = lambda world: []
     sound_endpoints: bool = False
     deadline_seconds: float = 3.0
     timeout_seconds: float = 2.0
@@ -101,4 +126,14 @@
         deadline_seconds=SILENT_DEADLINE_SECONDS,
         timeout_seconds=LOWEST_TIMEOUT_SECONDS,
     ),
+    "crashing-part": Pattern(
+        start_endpoints=start_engines,
+        faults=GATEWAY_FAULTS,
+        choose_request=choose_prompt,
+        activities=(),
+        think_seconds=1.0,
+        fault_series=1,
+        route_stages=False,
+        find_violations=crash_violations,
+    ),
 }
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -15,6 +15,7 @@
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.forward import attempt, plain
 from currantdyke.forward.attempt import EndpointResponse
+from currantdyke.forward.crashes import CrashDetector
 from currantdyke.forward.stream import StreamBrokenError
 from currantdyke.gateway.__main__ import main
 from currantdyke.gateway.caller import CallerConnection
@@ -95,6 +96,13 @@
     EndpointResponse.read = limit_silence(EndpointResponse.read)  # type: ignore[method-assign]
 
 
+def _detect_no_crash() -> None:
+    def start_no_probe(self: CrashDetector, *arguments: Any) -> None:
+        """Take the endpoint for a sound one."""
+
+    CrashDetector.start_probe = start_no_probe  # type: ignore[method-assign, assignment]
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -105,6 +113,7 @@
     "configuration": _accept_older_configuration,
     "leaving": _use_leaving_endpoints,
     "silence": _close_at_silence,
+    "crashes": _detect_no_crash,
 }
 
 
--- a/currantdyke/soak/record.py
+++ b/currantdyke/soak/record.py
@@ -1,4 +1,4 @@
-"""The record of a run, which is kept with the logs of its gateways."""
+"""The report of a run, and its record, which is kept with the gateways' logs."""
 
 import pathlib
 import shutil
@@ -8,12 +8,37 @@
 
 from currantdyke.soak.callers import Attempt
 
-__all__ = ["keep_record"]
+__all__ = ["Report", "keep_record"]
 
 RECORD_FILE = "run.jsonl"
 REPORT_FILE = "report.txt"
 
 
+@attrs.frozen(kw_only=True)
+class Report:
+    """Result of a soak run.
+
+    Attributes
+    ----------
+    broken : list of str
+        Violated guarantees.
+    counts : dict
+        Numbers of requests, checks and injected faults, by name.
+    """
+
+    seed: int
+    pattern: str
+    broken: list[str]
+    counts: dict[str, int]
+
+    def text(self) -> str:
+        """Return the report, with a line for each count and each violation."""
+        lines = [f"seed {self.seed}, {self.pattern}: {len(self.broken)} broken"]
+        lines += [f"  {count:>6} {name}" for name, count in sorted(self.counts.items())]
+        lines += [f"  BROKEN {text}" for text in self.broken]
+        return "\n".join(lines)
+
+
 def keep_record(world, logs: pathlib.Path, folder: pathlib.Path, report: str) -> None:
     """Copy the gateways' logs, and write what happened in a run beside them.
 
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -12,7 +12,8 @@
 
 from currantdyke.emulator import StoreEmulator
 from currantdyke.emulator.endpoints import EndpointEmulator
-from currantdyke.soak.callers import send_requests
+from currantdyke.soak.callers import Attempt, send_requests
+from currantdyke.soak.completeness import CONTACT_SECONDS
 from currantdyke.soak.configurations import Configurations
 from currantdyke.soak.faults import inject_faults
 from currantdyke.soak.gateways import SupervisedGateway, gateway_command
@@ -21,8 +22,9 @@
     MAX_CONFIGURATION_DELAY_SECONDS,
     GuaranteeChecker,
 )
+from currantdyke.soak.prompts import BAD, CrashObservations
 from currantdyke.soak.proxy import Proxy
-from currantdyke.soak.record import keep_record
+from currantdyke.soak.record import Report, keep_record
 from currantdyke.testing.gateways import loopback_ip
 
 __all__ = ["GATEWAY_COUNT", "SLOW_GATEWAY_COUNT", "Report", "soak"]
@@ -35,7 +37,6 @@
 CALLERS_PER_GATEWAY = 4
 # The callers, the endpoints and the store of a run share one process.
 MAX_CALLERS = 32
-MIN_FAULT_SERIES = 5
 GATEWAYS_PER_FAULT_SERIES = 4
 # The platform names at most this many VMs to a process.
 MAX_SEEDS = 3
@@ -44,31 +45,6 @@
 CHECK_INTERVAL_SECONDS = 0.25
 
 
-@attrs.frozen(kw_only=True)
-class Report:
-    """Result of a soak run.
-
-    Attributes
-    ----------
-    broken : list of str
-        Violated guarantees.
-    counts : dict
-        Numbers of requests, checks and injected faults, by name.
-    """
-
-    seed: int
-    pattern: str
-    broken: list[str]
-    counts: dict[str, int]
-
-    def text(self) -> str:
-        """Return the report, with a line for each count and each violation."""
-        lines = [f"seed {self.seed}, {self.pattern}: {len(self.broken)} broken"]
-        lines += [f"  {count:>6} {name}" for name, count in sorted(self.counts.items())]
-        lines += [f"  BROKEN {text}" for text in self.broken]
-        return "\n".join(lines)
-
-
 @attrs.define(kw_only=True, eq=False)
 class World:
     """State of a soak run.
@@ -79,6 +55,8 @@
         Endpoints and the proxies in front of them, by instance.
     gateways : list of SupervisedGateway
         Those behind slow links come last.
+    crashes : CrashObservations
+        Kept by the runs with a crashing part.
     arrivals : list of (float, dict)
         Times, endpoints and attempt ids of the requests that reached endpoints.
     replacement_lock : Lock
@@ -93,6 +71,7 @@
     proxies: dict[str, Proxy] = attrs.field(factory=dict)
     gateways: list[SupervisedGateway] = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
+    crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
     instance_numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
@@ -110,12 +89,14 @@
         """Start the platform, then the gateways, and wait until all are ready."""
         await self.tasks.start(self.store.run)
         timeout_ms = int(1_000 * self.pattern.timeout_seconds)
+        self.configurations.has_stages = self.pattern.route_stages
         self.configurations.route_fields = {"timeout_ms": timeout_ms}
         self.configurations.publish()
         self.checker.sound_endpoints = self.pattern.sound_endpoints
         for endpoint_class, service, count in self.pattern.endpoints:
             for _ in range(count):
                 await self.start_endpoint(endpoint_class, service)
+        await self.pattern.start_endpoints(self)
         ips = [
             loopback_ip(FIRST_HOST_NUMBER + number)
             for number in range(gateways + slow_gateways)
@@ -160,7 +141,7 @@
         endpoint = endpoint_class(instance=instance, service=service)
         endpoint_random = random.Random(f"{self.seed} {instance}")
         endpoint.plan_answer = self.pattern.plan_answers(endpoint_random)
-        endpoint.handle_first = functools.partial(self._record_arrival, instance)
+        self.observe(endpoint)
         await self.tasks.start(endpoint.run)
         proxy = Proxy(target_port=endpoint.port)
         await self.tasks.start(proxy.run)
@@ -168,6 +149,12 @@
         self.proxies[instance] = proxy
         self.announce(instance, state="ready")
 
+    def observe(self, endpoint: EndpointEmulator) -> None:
+        """Check the requests that reach an endpoint."""
+        endpoint.handle_first = functools.partial(
+            self._record_arrival, endpoint.instance
+        )
+
     def announce(self, instance: str, *, state: str) -> None:
         """Write an endpoint's entry, with its proxy's address."""
         entry = self.endpoints[instance].entry(state=state)
@@ -183,15 +170,24 @@
     async def _record_arrival(self, instance: str, request, reply) -> bool:
         fields = {"endpoint": instance, "attempt_id": request.attempt_id}
         self.arrivals.append((anyio.current_time(), fields))
-        names = (
-            attempt.gateway.name
-            for attempt in reversed(self.attempts)
-            if attempt.attempt_id == request.attempt_id
-        )
-        gateway = next(names, "the owner of its stages")
-        self.checker.check_arrival(instance, request.attempt_id, gateway)
+        attempt = self._find_attempt(request.attempt_id)
+        name = "the owner of its stages" if attempt is None else attempt.gateway.name
+        self.checker.check_arrival(instance, request.attempt_id, name)
+        if attempt is None or attempt.kind != BAD:
+            return False
+        if self.is_in_touch(attempt.gateway):
+            self.crashes.bad_arrivals.append(anyio.current_time())
         return False
 
+    def _find_attempt(self, attempt_id: str) -> Attempt | None:
+        recent = (a for a in reversed(self.attempts) if a.attempt_id == attempt_id)
+        return next(recent, None)
+
+    def is_in_touch(self, gateway: SupervisedGateway) -> bool:
+        """Whether the users' bounds on time hold for a gateway now."""
+        undisrupted = self.checker.is_undisrupted(gateway, CONTACT_SECONDS)
+        return undisrupted and not gateway.signal_lock.locked()
+
     async def check_configurations(self) -> None:
         """Check the gateways' configurations until the run ends."""
         while not self.finished:
@@ -273,19 +269,23 @@
 async def _run_activities(world: World, rng: random.Random, seconds: float) -> None:
     """Run callers, faults and checks for a time, and check the executions."""
     count = len(world.gateways)
+    world.crashes.started_at = anyio.current_time()
     async with anyio.create_task_group() as activity:
         activity.start_soon(world.check_configurations)
         for function in world.pattern.activities:
             activity.start_soon(function, world, _derive_random(rng))
         for _ in range(min(MAX_CALLERS, CALLERS_PER_GATEWAY * count)):
             activity.start_soon(send_requests, world, _derive_random(rng))
-        for _ in range(max(MIN_FAULT_SERIES, count // GATEWAYS_PER_FAULT_SERIES)):
+        for _ in range(
+            max(world.pattern.fault_series, count // GATEWAYS_PER_FAULT_SERIES)
+        ):
             activity.start_soon(inject_faults, world, _derive_random(rng))
         await anyio.sleep(seconds)
         world.finished = True
     await anyio.sleep(SETTLE_SECONDS)
     for attempt in world.attempts:
         world.checker.check_executions(attempt)
+    world.checker.violations += world.pattern.find_violations(world)
 
 
 def _derive_random(rng: random.Random) -> random.Random:
