--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -10,22 +10,21 @@
 import anyio.abc
 import attrs
 
-from currantdyke.emulator import (
-    EngineEmulator,
-    PlainEmulator,
-    StageEmulator,
-    StoreEmulator,
-)
+from currantdyke.emulator import StoreEmulator
 from currantdyke.emulator.endpoints import EndpointEmulator
-from currantdyke.soak.callers import send_requests
-from currantdyke.soak.configurations import Configurations, grow_configuration
+from currantdyke.soak.callers import Attempt, send_requests
+from currantdyke.soak.completeness import CONTACT_SECONDS
+from currantdyke.soak.configurations import Configurations
 from currantdyke.soak.faults import inject_faults
 from currantdyke.soak.gateways import SupervisedGateway, gateway_command
+from currantdyke.soak.patterns import PATTERNS, Pattern
 from currantdyke.soak.promises import (
     MAX_CONFIGURATION_DELAY_SECONDS,
     GuaranteeChecker,
 )
+from currantdyke.soak.prompts import BAD, CrashObservations
 from currantdyke.soak.proxy import Proxy
+from currantdyke.soak.record import Report, keep_record
 from currantdyke.testing.gateways import loopback_ip
 
 __all__ = ["GATEWAY_COUNT", "SLOW_GATEWAY_COUNT", "Report", "soak"]
@@ -38,41 +37,14 @@
 CALLERS_PER_GATEWAY = 4
 # The callers, the endpoints and the store of a run share one process.
 MAX_CALLERS = 32
-MIN_FAULT_SERIES = 5
 GATEWAYS_PER_FAULT_SERIES = 4
 # The platform names at most this many VMs to a process.
 MAX_SEEDS = 3
-ENDPOINTS = ((PlainEmulator, "plain", 3), (EngineEmulator, "engine", 3))
-STAGE_ENDPOINTS = (StageEmulator, "rank", 2)
 READY_TIMEOUT_SECONDS = 30.0
 SETTLE_SECONDS = 2.0
 CHECK_INTERVAL_SECONDS = 0.25
 
 
-@attrs.frozen(kw_only=True)
-class Report:
-    """Result of a soak run.
-
-    Attributes
-    ----------
-    broken : list of str
-        Violated guarantees.
-    counts : dict
-        Numbers of requests, checks and injected faults, by name.
-    """
-
-    seed: int
-    broken: list[str]
-    counts: dict[str, int]
-
-    def text(self) -> str:
-        """Return the report, with a line for each count and each violation."""
-        lines = [f"seed {self.seed}: {len(self.broken)} broken"]
-        lines += [f"  {count:>6} {name}" for name, count in sorted(self.counts.items())]
-        lines += [f"  BROKEN {text}" for text in self.broken]
-        return "\n".join(lines)
-
-
 @attrs.define(kw_only=True, eq=False)
 class World:
     """State of a soak run.
@@ -83,15 +55,23 @@
         Endpoints and the proxies in front of them, by instance.
     gateways : list of SupervisedGateway
         Those behind slow links come last.
+    crashes : CrashObservations
+        Kept by the runs with a crashing part.
+    arrivals : list of (float, dict)
+        Times, endpoints and attempt ids of the requests that reached endpoints.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
 
+    seed: int
+    pattern: Pattern
     tasks: anyio.abc.TaskGroup
     store: StoreEmulator = attrs.field(factory=StoreEmulator)
     endpoints: dict[str, EndpointEmulator] = attrs.field(factory=dict)
     proxies: dict[str, Proxy] = attrs.field(factory=dict)
     gateways: list[SupervisedGateway] = attrs.field(factory=list)
+    arrivals: list = attrs.field(factory=list)
+    crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
     instance_numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
@@ -108,10 +88,15 @@
     ) -> None:
         """Start the platform, then the gateways, and wait until all are ready."""
         await self.tasks.start(self.store.run)
+        timeout_ms = int(1_000 * self.pattern.timeout_seconds)
+        self.configurations.has_stages = self.pattern.route_stages
+        self.configurations.route_fields = {"timeout_ms": timeout_ms}
         self.configurations.publish()
-        for endpoint_class, service, count in (*ENDPOINTS, STAGE_ENDPOINTS):
+        self.checker.sound_endpoints = self.pattern.sound_endpoints
+        for endpoint_class, service, count in self.pattern.endpoints:
             for _ in range(count):
                 await self.start_endpoint(endpoint_class, service)
+        await self.pattern.start_endpoints(self)
         ips = [
             loopback_ip(FIRST_HOST_NUMBER + number)
             for number in range(gateways + slow_gateways)
@@ -141,6 +126,7 @@
             ip=ip,
             folder=folder,
             store_proxy=store_proxy,
+            store_addresses=[f"127.0.0.1:{store_proxy.port}", self.store.address],
             seed_ips=seed_ips[:MAX_SEEDS],
             command=gateway_command(planted, bytes_per_second),
             on_exit=self.checker.check_exit,
@@ -153,7 +139,9 @@
         """Start an endpoint behind a proxy and announce it."""
         instance = f"{service}-{next(self.instance_numbers)}"
         endpoint = endpoint_class(instance=instance, service=service)
-        endpoint.handle_first = functools.partial(self._record_arrival, instance)
+        endpoint_random = random.Random(f"{self.seed} {instance}")
+        endpoint.plan_answer = self.pattern.plan_answers(endpoint_random)
+        self.observe(endpoint)
         await self.tasks.start(endpoint.run)
         proxy = Proxy(target_port=endpoint.port)
         await self.tasks.start(proxy.run)
@@ -161,6 +149,12 @@
         self.proxies[instance] = proxy
         self.announce(instance, state="ready")
 
+    def observe(self, endpoint: EndpointEmulator) -> None:
+        """Check the requests that reach an endpoint."""
+        endpoint.handle_first = functools.partial(
+            self._record_arrival, endpoint.instance
+        )
+
     def announce(self, instance: str, *, state: str) -> None:
         """Write an endpoint's entry, with its proxy's address."""
         entry = self.endpoints[instance].entry(state=state)
@@ -174,15 +168,26 @@
         self.proxies.pop(instance)
 
     async def _record_arrival(self, instance: str, request, reply) -> bool:
-        names = (
-            attempt.gateway.name
-            for attempt in reversed(self.attempts)
-            if attempt.attempt_id == request.attempt_id
-        )
-        gateway = next(names, "the owner of its stages")
-        self.checker.check_arrival(instance, request.attempt_id, gateway)
+        fields = {"endpoint": instance, "attempt_id": request.attempt_id}
+        self.arrivals.append((anyio.current_time(), fields))
+        attempt = self._find_attempt(request.attempt_id)
+        name = "the owner of its stages" if attempt is None else attempt.gateway.name
+        self.checker.check_arrival(instance, request.attempt_id, name)
+        if attempt is None or attempt.kind != BAD:
+            return False
+        if self.is_in_touch(attempt.gateway):
+            self.crashes.bad_arrivals.append(anyio.current_time())
         return False
 
+    def _find_attempt(self, attempt_id: str) -> Attempt | None:
+        recent = (a for a in reversed(self.attempts) if a.attempt_id == attempt_id)
+        return next(recent, None)
+
+    def is_in_touch(self, gateway: SupervisedGateway) -> bool:
+        """Whether the users' bounds on time hold for a gateway now."""
+        undisrupted = self.checker.is_undisrupted(gateway, CONTACT_SECONDS)
+        return undisrupted and not gateway.signal_lock.locked()
+
     async def check_configurations(self) -> None:
         """Check the gateways' configurations until the run ends."""
         while not self.finished:
@@ -212,9 +217,11 @@
     seed: int,
     seconds: float,
     *,
+    pattern: str = "faults",
     planted: str = "",
     gateways: int = GATEWAY_COUNT,
     slow_gateways: int = SLOW_GATEWAY_COUNT,
+    kept_logs: pathlib.Path | None = None,
 ) -> Report:
     """Run gateways under faults for a time and check their guarantees.
 
@@ -225,39 +232,60 @@
         real time, so a seed does not reproduce a run exactly.
     seconds : float
         Duration of the run.
+    pattern : str
+        Name of a pattern in `PATTERNS`.
     planted : str
         Name of a fault in `PLANTED` to inject into the gateways; empty for none.
     gateways, slow_gateways : int
         Number of gateways, and of additional ones behind slow links.
+    kept_logs : Path, optional
+        Folder for the logs and the record of a run that violates a guarantee.
     """
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory(prefix="currantdyke-soak-") as folder:
         async with anyio.create_task_group() as tasks:
-            world = World(tasks=tasks)
+            world = World(tasks=tasks, seed=seed, pattern=PATTERNS[pattern])
             await world.start(
                 pathlib.Path(folder),
                 planted=planted,
                 gateways=gateways,
                 slow_gateways=slow_gateways,
             )
-            count = len(world.gateways)
-            async with anyio.create_task_group() as activity:
-                activity.start_soon(world.check_configurations)
-                activity.start_soon(grow_configuration, world, _derive_random(rng))
-                for _ in range(min(MAX_CALLERS, CALLERS_PER_GATEWAY * count)):
-                    activity.start_soon(send_requests, world, _derive_random(rng))
-                for _ in range(
-                    max(MIN_FAULT_SERIES, count // GATEWAYS_PER_FAULT_SERIES)
-                ):
-                    activity.start_soon(inject_faults, world, _derive_random(rng))
-                await anyio.sleep(seconds)
-                world.finished = True
-            await anyio.sleep(SETTLE_SECONDS)
-            for attempt in world.attempts:
-                world.checker.check_executions(attempt)
+            await _run_activities(world, rng, seconds)
             tasks.cancel_scope.cancel()
-    checker = world.checker
-    return Report(seed=seed, broken=checker.violations, counts=dict(checker.counts))
+        checker = world.checker
+        report = Report(
+            seed=seed,
+            pattern=pattern,
+            broken=checker.violations,
+            counts=dict(checker.counts),
+        )
+        if report.broken and kept_logs is not None:
+            target = kept_logs / f"{pattern}-{seed}"
+            keep_record(world, pathlib.Path(folder), target, report.text())
+    return report
+
+
+async def _run_activities(world: World, rng: random.Random, seconds: float) -> None:
+    """Run callers, faults and checks for a time, and check the executions."""
+    count = len(world.gateways)
+    world.crashes.started_at = anyio.current_time()
+    async with anyio.create_task_group() as activity:
+        activity.start_soon(world.check_configurations)
+        for function in world.pattern.activities:
+            activity.start_soon(function, world, _derive_random(rng))
+        for _ in range(min(MAX_CALLERS, CALLERS_PER_GATEWAY * count)):
+            activity.start_soon(send_requests, world, _derive_random(rng))
+        for _ in range(
+            max(world.pattern.fault_series, count // GATEWAYS_PER_FAULT_SERIES)
+        ):
+            activity.start_soon(inject_faults, world, _derive_random(rng))
+        await anyio.sleep(seconds)
+        world.finished = True
+    await anyio.sleep(SETTLE_SECONDS)
+    for attempt in world.attempts:
+        world.checker.check_executions(attempt)
+    world.checker.violations += world.pattern.find_violations(world)
 
 
 def _derive_random(rng: random.Random) -> random.Random:
