--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -16,6 +16,7 @@
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.forward.crashes import CrashDetector, CrashTable
+from currantdyke.gateway.background import keep_running, run_logged
 from currantdyke.gateway.caller_server import CallerServer
 from currantdyke.gateway.clocks import StallDetector
 from currantdyke.gateway.handler import RequestHandler
@@ -202,8 +203,10 @@
         self.scheduler_client.started_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            # Without this there is nothing to serve: a failure ends the process.
+            tasks.start_soon(self.caller_server.run)
             for background_task in self._background_tasks():
-                tasks.start_soon(background_task)
+                tasks.start_soon(keep_running, background_task, self.log)
             self.timers.every(
                 STALE_CHECK_SECONDS,
                 self.context.connections.close_stale,
@@ -246,7 +249,6 @@
             self.crashes.run,
             self.follower.run,
             self.registration.run,
-            self.caller_server.run,
             self._serve_readiness,
             self._serve_metrics,
         ]
@@ -320,19 +322,19 @@
     async def _stop(self) -> None:
         """Drain: serve on, but close each connection after its answer."""
         started = anyio.current_time()
-        self.caller_server.draining = True
+        self.caller_server.start_draining()
         self.log.write("stopping", serving=self.caller_server.requests_in_progress)
-        self.tasks.start_soon(self.registration.withdraw)
+        self.tasks.start_soon(run_logged, self.log, self.registration.withdraw)
         drain_deadline = started + self.settings.grace - SHUTDOWN_MARGIN_SECONDS
         await anyio.sleep(
             min(ROTATION_REMOVAL_SECONDS, max(0.0, drain_deadline - started))
         )
         while anyio.current_time() < drain_deadline:
             if self.caller_server.is_idle() and not self.scheduler.chains:
-                self.caller_server.close_idle()
-                return
+                break
             self.caller_server.close_idle()
             await anyio.sleep(DRAIN_CHECK_SECONDS)
+        await self.caller_server.finish(drain_deadline)
 
     def _on_configuration(self, catalog: Catalog) -> None:
         self.scheduler_client.groups = service_groups(catalog)
@@ -341,7 +343,9 @@
         if endpoint is None:
             self.context.health.forget(instance)
             self.scheduler.remove_endpoint(instance)
-            self.tasks.start_soon(self.context.connections.forget, instance)
+            self.tasks.start_soon(
+                run_logged, self.log, self.context.connections.forget, instance
+            )
         elif not endpoint.leaving:
             self.stages.dispatch(endpoint.service)
 
