Report ready only once the callers' address is open

A daemon answered its readiness probe with 200 as soon as it knew the store, while its listening socket could still be in the making: callers that were sent to it had their connections refused. The readiness now includes the listening socket, and the deployment of the tests waits for it. test_daemon_is_not_ready_before_it_listens, which holds the socket back, got 200 and a refused connection before.

--- a/currantdyke/gateway/accept.py
+++ b/currantdyke/gateway/accept.py
@@ -27,6 +27,8 @@
     ----------
     serve : callable
         Serves a connection and closes it; must not raise.
+    listening : bool
+        Whether connections are accepted.
     open_connections : int
         Number of accepted connections that are being served.
     accepting : int
@@ -38,6 +40,7 @@
     address: str
     serve: Callable[[anyio.abc.SocketStream], Awaitable[None]]
     log: DecisionLog
+    listening: bool = False
     open_connections: int = 0
     accepting: int = 0
     waits: dict[int, anyio.CancelScope] = attrs.field(factory=dict)
@@ -49,6 +52,7 @@
         listeners: Any = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
         )
+        self.listening = True
         async with anyio.create_task_group() as self.tasks:
             # The listening sockets close when accepting ends, before the connections.
             await self._accept_until_stopped(listeners)
@@ -60,6 +64,7 @@
         for scope in self.waits.values():
             scope.cancel()
         self.waits.clear()
+        self.listening = False
 
     async def _accept_until_stopped(self, listeners: Any) -> None:
         async with listeners, anyio.create_task_group() as tasks:
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -263,8 +263,9 @@
 
     def readiness(self) -> Page:
         """Return status 200 if callers may be routed here, and 503 otherwise."""
-        ready = self.directory.complete and not self.caller_server.draining
-        return Page(status=200) if ready else Page(status=503)
+        serving = self.caller_server.acceptor.listening
+        ready = serving and not self.caller_server.draining
+        return Page(status=200 if ready and self.directory.complete else 503)
 
     def _metrics_page(self) -> Page:
         metrics = self.metrics
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -156,6 +156,34 @@
         self.assertEqual(answer.headers.get("connection"), "close")
 
 
+class TestStart(unittest.TestCase):
+    # Guards against callers that are sent to a daemon that refuses their connections.
+    @run_on_sockets
+    async def test_daemon_is_not_ready_before_it_listens(self):
+        create_listener = anyio.create_tcp_listener
+
+        async def create_late(*, local_host, local_port, **options):
+            gateways = deployment.gateways
+            address = gateways[0].settings.caller_address if gateways else ""
+            if f"{local_host}:{local_port}" == address:
+                await may_listen.wait()
+            return await create_listener(
+                local_host=local_host, local_port=local_port, **options
+            )
+
+        may_listen = anyio.Event()
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            with mock.patch.object(anyio, "create_tcp_listener", create_late):
+                gateway = deployment.start_gateway()
+                await wait_until(lambda: gateway.directory.complete)
+                before = gateway.readiness().status
+                may_listen.set()
+                await wait_until(lambda: gateway.readiness().status == 200)
+            answer = await deployment.caller().request("GET", "/none/", headers=KEY)
+        self.assertEqual(before, 503)
+        self.assertEqual(answer.status, 404)
+
+
 class TestFailingParts(unittest.TestCase):
     # Guards against a background task whose failure ends the process and cuts all
     # requests.
--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -218,7 +218,7 @@
         daemon = self.start_gateway(
             seeds=seeds, bytes_per_second=bytes_per_second, cores=cores
         )
-        await wait_until(lambda: daemon.directory.complete)
+        await wait_until(lambda: daemon.readiness().status == 200)
         return daemon
 
     def start_gateway(
