Refuse the requests whose common keys crash endpoints

Cause: crashes were counted for the hash of the whole request, so that no two requests with the same bad part added up. The class of fault: evidence is counted for each exact item instead of for the cause that items may share. Crashes in which requests merely took part counted against them in the same way.

The package crashes replaces forward/crashes.py. Each part of a prompt but the last, and the hash of the request, are keys of one table. A crash is the end of one lifetime of an endpoint, whoever reports it; answers that begin afterwards and go on clear their keys. The keys that three crashes (of one request) or four (of several) have in common are refused together, so that requests which share only the first part are served. A group is broadcast, kept in the store, and tried again by one request of the fleet. Before a key that several requests share is refused, coincidence and narrower causes must be unlikely, and repeats of one request count as one.

The hash has separators between its fields now.

The call in forward/tests/test_silence.py got the new argument; what it checks is unchanged.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -11,7 +11,12 @@
 from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.directory.replica import ChangeSet, Replica
-from currantdyke.platform.records import DaemonEntry, decode_record, record_kind
+from currantdyke.platform.records import (
+    CrashGroupRecord,
+    DaemonEntry,
+    decode_record,
+    record_kind,
+)
 from currantdyke.platform.store import Change
 
 __all__ = ["Directory"]
@@ -19,6 +24,10 @@
 # Longer than the outages of the store, and of the links to it, that must be tolerated.
 DAEMON_RETENTION_SECONDS = 30.0
 
+# Called with the name of a group, its record, or None if it was removed, and the
+# revision of the change.
+CrashGroupCallback = Callable[[str, CrashGroupRecord | None, int], None]
+
 
 @attrs.define(kw_only=True, eq=False)
 class Directory:
@@ -62,6 +71,7 @@
     newest_readable: bool = True
     unreadable_count: int = 0
     on_configuration: list[Callable[[Catalog], None]] = attrs.field(factory=list)
+    on_crash_group: list[CrashGroupCallback] = attrs.field(factory=list)
 
     @property
     def complete(self) -> bool:
@@ -130,6 +140,8 @@
         if kind is None:
             return
         if change.value is None:
+            if kind.crash_group is not None:
+                self._apply_crash_group(kind.crash_group, None, change.revision)
             self._apply_removal(kind.endpoint, kind.daemon, source)
             return
         started = time.monotonic()
@@ -142,6 +154,8 @@
             self._configured(record, source, started)
         elif isinstance(record, Endpoint):
             self._apply_endpoint(record, source)
+        elif isinstance(record, CrashGroupRecord):
+            self._apply_crash_group(record.group, record, change.revision)
         else:
             self.daemons[record.name] = record
             self.departed.pop(record.name, None)
@@ -184,6 +198,12 @@
             )
         self.endpoints.announce(endpoint)
 
+    def _apply_crash_group(
+        self, group: str, record: CrashGroupRecord | None, revision: int
+    ) -> None:
+        for callback in self.on_crash_group:
+            callback(group, record, revision)
+
     def _apply_removal(
         self, endpoint: str | None, daemon: str | None, source: str
     ) -> None:
--- a/currantdyke/emulator/store.py
+++ b/currantdyke/emulator/store.py
@@ -197,6 +197,13 @@
         return 200, {"events": events, "at": self.revision}
 
     def _transaction(self, body: dict) -> tuple[int, dict]:
+        expected = body["expected_revision"]
+        current = [self.items.get(row["key"], {"revision": 0}) for row in expected]
+        if any(
+            item["revision"] != row["revision"]
+            for item, row in zip(current, expected, strict=True)
+        ):
+            return 412, {"entries": current}
         for write in body["write"]:
             lease = write.get("lease", 0)
             if lease:
--- a/currantdyke/forward/context.py
+++ b/currantdyke/forward/context.py
@@ -7,12 +7,12 @@
 import attrs
 
 from currantdyke.catalog import Endpoint
+from currantdyke.crashes import CrashDetector
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import Directory
 from currantdyke.forward.attempt import OutgoingRequest
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.connections import EndpointConnections
-from currantdyke.forward.crashes import CrashDetector
 from currantdyke.forward.exchange import Exchange
 from currantdyke.forward.health import HealthTable
 from currantdyke.platform.requests import EndpointHeaderValues, endpoint_headers
--- a/currantdyke/forward/exchange.py
+++ b/currantdyke/forward/exchange.py
@@ -7,6 +7,7 @@
 
 from currantdyke.catalog import Route
 from currantdyke.core import Failure, FailureKind, Outcome
+from currantdyke.crashes import EndpointRun
 from currantdyke.platform.requests import RequestMetadata
 
 __all__ = [
@@ -92,6 +93,12 @@
         Endpoints that may have run the request.
     sends : int
         Attempts whose sending has started.
+    crash_keys : frozenset of str
+        Keys under which crashes of endpoints are counted.
+    trial_of : frozenset of str
+        Refused groups of requests for which this one is the fleet's trial.
+    crash_runs : list of EndpointRun
+        The attempts, for the detection of crashes.
     not_run_attempts : int
         Attempts that no endpoint ran: refusals, failed connections, and endpoints that
         may no longer be used.
@@ -104,7 +111,7 @@
     service: str
     workspace: str | None
     rank: int
-    fingerprint: str
+    crash_keys: frozenset[str]
     configuration: int
     caller: ResponseWriter
     arrived_at: float
@@ -118,6 +125,8 @@
     attempts: list[AttemptRecord] = attrs.field(factory=list)
     first_event_at: float | None = None
     excluded: set[str] = attrs.field(factory=set)
+    trial_of: frozenset[str] = frozenset()
+    crash_runs: list[EndpointRun] = attrs.field(factory=list)
 
     def record_send(self) -> None:
         """Record that the request is being sent, so that an endpoint may run it."""
--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -9,6 +9,7 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.core import FailureKind
+from currantdyke.crashes import EndpointRun
 from currantdyke.forward.attempt import (
     EndpointResponse,
     MaybeRanError,
@@ -22,6 +23,12 @@
     RequestFailedError,
     StreamBrokenError,
 )
+from currantdyke.forward.quarantine import (
+    check_not_quarantined,
+    quarantine_failure,
+    settle,
+    start_run,
+)
 from currantdyke.forward.race import CANCELLED, Race, Run
 from currantdyke.platform.answers import ResponseMetadata, end_to_end_headers
 
@@ -104,12 +111,18 @@
                 raise StreamBrokenError(self.broken)
             elif caller.response_started:
                 return
-            elif not _may_retry(self.exchange, self.context):
+            elif not await self._may_retry_after_loss():
                 await self._relay_last_or_fail("no further attempt is allowed")
                 return
 
+    async def _may_retry_after_loss(self) -> bool:
+        await settle(self.exchange)
+        check_not_quarantined(self.exchange, self.context)
+        return _may_retry(self.exchange, self.context)
+
     def _start_run(self) -> bool:
         """Send the request to another endpoint; return False if none is left."""
+        check_not_quarantined(self.exchange, self.context)
         endpoint = choose_endpoint(
             self.context.directory.endpoints.of_service(self.exchange.service).values(),
             health=self.context.health,
@@ -133,7 +146,11 @@
         for run in self.race.live:
             self.context.health.of(run.instance).record_failure(anyio.current_time())
         self.race.extend(self.silence_seconds)
-        if self._has_other_endpoint() and _may_retry(self.exchange, self.context):
+        if (
+            self._has_other_endpoint()
+            and quarantine_failure(self.exchange, self.context) is None
+            and _may_retry(self.exchange, self.context)
+        ):
             self._start_run()
 
     def _has_other_endpoint(self) -> bool:
@@ -146,13 +163,16 @@
         health = self.context.health.of(endpoint.instance)
         started = anyio.current_time()
         outcome = CANCELLED
+        evidence = start_run(self.exchange, self.context, endpoint)
         health.in_flight += 1
         try:
-            response = await self._send(endpoint, run)
+            response = await self._send(endpoint, run, evidence)
             outcome = "passed on"
             if response is not None:
                 outcome = str(response.facts.status)
                 self._record_response(response, endpoint, started)
+                if response.facts.success:
+                    evidence.finish()
                 self._handle_response(response, run)
         except NotSentError as error:
             outcome = f"not sent: {error}"
@@ -161,7 +181,7 @@
         except MaybeRanError as error:
             outcome = str(error)
             health.record_unreachable(anyio.current_time())
-            self.context.crashes.start_probe(self.exchange.fingerprint, endpoint)
+            evidence.lose()
             if self.exchange.caller.response_started and not run.given_up:
                 self.broken = outcome
         except anyio.get_cancelled_exc_class():
@@ -188,7 +208,6 @@
             health.record_failure(now)
         else:
             health.record_success(now - started, now)
-            self.context.crashes.table.clear(self.exchange.fingerprint)
 
     def _handle_response(self, response: BufferedResponse, run: Run) -> None:
         if _is_final(response):
@@ -197,7 +216,9 @@
         elif not response.facts.not_run:
             self.last_failure = response
 
-    async def _send(self, endpoint: Endpoint, run: Run) -> BufferedResponse | None:
+    async def _send(
+        self, endpoint: Endpoint, run: Run, evidence: EndpointRun
+    ) -> BufferedResponse | None:
         """Return an endpoint's response, or None if it was relayed as it arrived."""
         request = build_outgoing_request(self.exchange, endpoint)
 
@@ -214,6 +235,7 @@
             size = 0
             while (data := await response.read()) is not None:
                 run.heard_at = anyio.current_time()
+                evidence.record_data()
                 parts.append(data)
                 size += len(data)
                 self.race.extend(self.silence_seconds)
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -6,6 +6,7 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.core import FailureKind
+from currantdyke.crashes import EndpointRun
 from currantdyke.forward.attempt import (
     EndpointResponse,
     MaybeRanError,
@@ -15,6 +16,7 @@
 from currantdyke.forward.context import ForwardContext, build_outgoing_request
 from currantdyke.forward.events import EventSplitter, EventTooLongError
 from currantdyke.forward.exchange import Exchange, StreamBrokenError
+from currantdyke.forward.quarantine import quarantine_failure, settle, start_run
 from currantdyke.forward.race import CANCELLED, Race, Run
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
@@ -190,24 +192,31 @@
         started = anyio.current_time()
         outcome = CANCELLED
         progress = ProgressKind.CANCELLED
+        evidence: EndpointRun | None = None
         endpoint = self.context.directory.endpoints.usable(placement.instance)
         try:
             if endpoint is None:
                 outcome, progress = "leaving", ProgressKind.ENGINE_FULL
                 exchange.not_run_attempts += 1
                 return
-            outcome, progress = await self._send(run, endpoint, placement)
+            refusal = quarantine_failure(exchange, self.context)
+            if refusal is not None:
+                outcome = FailureKind.QUARANTINED.code
+                self._end_with(refusal)
+                return
+            evidence = start_run(exchange, self.context, endpoint)
+            outcome, progress = await self._send(run, endpoint, placement, evidence)
         except NotSentError as error:
             outcome, progress = f"not sent: {error}", ProgressKind.ENGINE_LOST
             exchange.not_run_attempts += 1
         except (MaybeRanError, EventTooLongError) as error:
             outcome, progress = str(error), ProgressKind.ENGINE_LOST
-            if endpoint is not None:
-                self.context.crashes.start_probe(exchange.fingerprint, endpoint)
+            if evidence is not None:
+                evidence.lose()
         except anyio.get_cancelled_exc_class():
             outcome = run.cancelled_outcome()
-            if run.given_up and endpoint is not None:
-                self.context.crashes.start_probe(exchange.fingerprint, endpoint)
+            if run.given_up and evidence is not None:
+                evidence.lose(abandoned=True)
             raise
         finally:
             if not self.ended:
@@ -217,7 +226,7 @@
             exchange.record_attempt(placement.instance, outcome, seconds)
 
     async def _send(
-        self, run: Run, endpoint: Endpoint, placement: Placement
+        self, run: Run, endpoint: Endpoint, placement: Placement, evidence: EndpointRun
     ) -> tuple[str, ProgressKind]:
         """Send to an engine; return the outcome for the log and the scheduler."""
         exchange = self.exchange
@@ -238,7 +247,7 @@
             self.context.connections, endpoint, request, on_send=on_send
         ) as response:
             if response.facts.success:
-                await self._relay_events(run, response)
+                await self._relay_events(run, response, evidence)
                 return "finished", ProgressKind.FINISHED
             return await self._handle_failure(run, response)
 
@@ -249,7 +258,9 @@
         runs = max(exchange.runs, 1)
         return exchange.route.may_repeat and runs < exchange.route.max_attempts
 
-    async def _relay_events(self, run: Run, response: EndpointResponse) -> None:
+    async def _relay_events(
+        self, run: Run, response: EndpointResponse, evidence: EndpointRun
+    ) -> None:
         """Relay complete events; return at the end of the stream."""
         caller = self.exchange.caller
         splitter = EventSplitter()
@@ -259,6 +270,7 @@
             if not events:
                 continue
             run.heard_at = anyio.current_time()
+            evidence.record_data()
             if not self.race.claim(run):
                 return
             # A slow caller is not taken for a silent engine.
@@ -282,7 +294,7 @@
         self.ended = True
         if not caller.response_started:
             await caller.begin(response.facts.status, end_to_end_headers(response.head))
-        self.context.crashes.table.clear(self.exchange.fingerprint)
+        evidence.finish()
         await caller.finish()
 
     async def _handle_failure(
@@ -312,6 +324,10 @@
         exchange = self.exchange
         if self.final_error is not None:
             raise self.final_error
+        await settle(exchange)
+        refusal = quarantine_failure(exchange, self.context)
+        if refusal is not None:
+            raise refusal
         may_run = exchange.runs == 0 or self._may_run_again()
         allowed = may_run and exchange.not_run_attempts < MAX_NOT_RUN_ATTEMPTS
         if allowed and exchange.sends:
--- a/currantdyke/forward/tests/builders.py
+++ b/currantdyke/forward/tests/builders.py
@@ -31,7 +31,7 @@
         "service": "plain",
         "workspace": None,
         "rank": 0,
-        "fingerprint": "f",
+        "crash_keys": frozenset({"request:f"}),
         "configuration": 1,
         "caller": None,
         "arrived_at": 0.0,
--- a/currantdyke/forward/tests/test_silence.py
+++ b/currantdyke/forward/tests/test_silence.py
@@ -48,8 +48,9 @@
     stream = ForwardedStream(exchange, types.SimpleNamespace(), scheduler)
     race = stream.race
     race.live += [Run(instance="silent"), Run(instance="other")]
+    evidence = types.SimpleNamespace(record_data=lambda: None)
     with race.live[0].scope:
-        await stream._relay_events(race.live[0], FakeResponse(race))
+        await stream._relay_events(race.live[0], FakeResponse(race), evidence)
     return stream
 
 
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -11,11 +11,11 @@
 import anyio.abc
 
 from currantdyke.catalog import Catalog, Endpoint
+from currantdyke.crashes import CrashDetector, CrashTable, GroupRecorder
 from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.directory import Directory, Follower
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
-from currantdyke.forward.crashes import CrashDetector, CrashTable
 from currantdyke.gateway.background import keep_running, run_logged
 from currantdyke.gateway.caller_server import CallerServer
 from currantdyke.gateway.clocks import StallDetector
@@ -29,6 +29,8 @@
     ChangesRequest,
     Content,
     CrashReport,
+    GroupCondemned,
+    KeysCleared,
     Link,
     Peers,
     Unknown,
@@ -65,6 +67,7 @@
 # Small compared with the grace period of lapsed endpoints.
 EXPIRY_CHECK_SECONDS = 0.25
 SETTINGS_CHECK_SECONDS = 1.0
+CRASH_CHECK_SECONDS = 0.25
 # The daemon that owns a stage queue logs it this often while there is work.
 QUEUE_LOG_SECONDS = 1.0
 
@@ -129,10 +132,17 @@
             store=StoreClient(address=settings.store.address),
             log=log,
         )
+        crash_table = CrashTable(now=anyio.current_time, log=log)
         self.crashes = CrashDetector(
-            table=CrashTable(now=anyio.current_time),
+            table=crash_table,
+            recorder=GroupRecorder(
+                table=crash_table,
+                store=StoreClient(address=settings.store.address),
+                log=log,
+            ),
             log=log,
-            broadcast_crash=self._broadcast_crash,
+            broadcast=self.peers.broadcast,
+            find_endpoint=lambda instance: self.directory.endpoints.known.get(instance),
         )
         self.context = ForwardContext(
             crashes=self.crashes,
@@ -185,6 +195,7 @@
         self.attempts_by_link: dict[Link, set[str]] = {}
         self.stage_retry_budgets: dict[str, FleetRetryBudget] = {}
         self.directory.on_configuration.append(self._on_configuration)
+        self.directory.on_crash_group.append(self.crashes.on_record)
         self.directory.endpoints.watchers.append(self._on_endpoint_change)
 
     def count_daemons(self) -> int:
@@ -217,6 +228,9 @@
                 self.follower.expire_entries,
                 name="expire entries of the directory",
             )
+            self.timers.every(
+                CRASH_CHECK_SECONDS, self.crashes.check, name="check crashes"
+            )
             self.timers.every(
                 QUEUE_LOG_SECONDS, self.stages.log_queues, name="log stage queues"
             )
@@ -271,7 +285,11 @@
         metrics = self.metrics
         routes = self.directory.routes
         metrics.configuration.set(routes.catalog.version if routes else 0)
-        metrics.store_calls.set(self.store.calls + self.registration.store.calls)
+        stores = (self.store, self.registration.store, self.crashes.recorder.store)
+        metrics.store_calls.set(sum(client.calls for client in stores))
+        metrics.crash_events.set(self.crashes.table.total_events)
+        metrics.crash_groups.set(len(self.crashes.table.groups))
+        metrics.crash_refusals.set(self.crashes.table.total_refused)
         metrics.store_age.set(self.follower.store_age)
         metrics.directory_age.set(self.directory.age)
         metrics.endpoints.set(
@@ -299,7 +317,8 @@
         self.peers.seed_ips = settings.seed_ips
         self.directory.configuration_delay = settings.configuration_delay
         self.follower.reads_per_second = settings.store.reads_per_second
-        for client in (self.store, self.registration.store):
+        stores = (self.store, self.registration.store, self.crashes.recorder.store)
+        for client in stores:
             client.use(settings.store.address)
         self.context.set_retry_bounds(
             ratio=settings.retry_ratio,
@@ -341,6 +360,7 @@
         self.scheduler_client.groups = service_groups(catalog)
 
     def _on_endpoint_change(self, instance: str, endpoint: Endpoint | None) -> None:
+        self.crashes.on_endpoint_change(instance, endpoint)
         if endpoint is None:
             self.context.health.forget(instance)
             self.scheduler.remove_endpoint(instance)
@@ -390,11 +410,8 @@
             self.scheduler.record_progress(content)
             if content.kind is not ProgressKind.STARTED:
                 self.attempts_by_link.get(link, set()).discard(content.attempt_id)
-        elif isinstance(content, CrashReport):
-            self.crashes.table.record(content.fingerprint, content.endpoint)
-
-    def _broadcast_crash(self, fingerprint: str, endpoint: str) -> None:
-        self.peers.broadcast(CrashReport(fingerprint=fingerprint, endpoint=endpoint))
+        elif isinstance(content, CrashReport | KeysCleared | GroupCondemned):
+            self.crashes.handle(content)
 
     def _on_link_lost(self, link: Link) -> None:
         self.scheduler.cancel_all(sorted(self.attempts_by_link.pop(link, ())))
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -5,15 +5,16 @@
 import anyio
 import attrs
 import h11
-import xxhash
 
 from currantdyke.catalog import Repeatability, Route, RouteTable, max_event_gap
 from currantdyke.core import Failure, FailureKind, Outcome
+from currantdyke.crashes import request_keys
 from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.directory import Directory
 from currantdyke.forward.context import ForwardContext
 from currantdyke.forward.exchange import Exchange, RequestFailedError
 from currantdyke.forward.plain import forward_plain
+from currantdyke.forward.quarantine import admit
 from currantdyke.forward.stream import StreamBrokenError, forward_stream
 from currantdyke.gateway.caller import CallerConnection, CallerDisconnectedError
 from currantdyke.gateway.denials import deny, refuse_for_now
@@ -30,8 +31,6 @@
 ANSWER_MARGIN_SECONDS = 0.03
 # Applies to a request that has no deadline of its own, on a route without a time-out.
 DEFAULT_DEADLINE_SECONDS = 30.0
-# Crashes are forgotten after this time, so a quarantined request may be sent again.
-QUARANTINE_RETRY_SECONDS = 120.0
 # Decimal places of durations in log lines.
 LOG_DECIMALS = 3
 
@@ -145,15 +144,6 @@
             )
         if not facts.attempt_id:
             raise BadRequestError("the request names no attempt")
-        fingerprint = _fingerprint(request, facts, body)
-        if self.context.crashes.table.is_quarantined(fingerprint):
-            raise RequestFailedError(
-                Failure(
-                    kind=FailureKind.QUARANTINED,
-                    detail=f"copies of it crashed endpoints ({fingerprint})",
-                    retry_after=QUARANTINE_RETRY_SECONDS,
-                )
-            )
         route = self._find_route(request, routes)
         workspace = routes.workspace_by_key.get(facts.key) if facts.key else None
         needs_key = routes.catalog.workspaces is not None and not route.public
@@ -176,7 +166,12 @@
             service=service,
             workspace=None if workspace is None else workspace.name,
             rank=rank,
-            fingerprint=fingerprint,
+            crash_keys=request_keys(
+                target=request.target,
+                key=facts.key,
+                body=body,
+                parts=(part.part_id for part in facts.prompt_parts),
+            ),
             configuration=routes.catalog.version,
             caller=caller,
             arrived_at=now,
@@ -207,6 +202,7 @@
     async def _forward(self, exchange: Exchange) -> None:
         with anyio.CancelScope() as scope:
             scope.deadline = exchange.deadline_at
+            await admit(exchange, self.context)
             if exchange.route.repeatability is Repeatability.STREAM:
                 await forward_stream(exchange, self.context, self.scheduler)
             else:
@@ -302,12 +298,3 @@
 
 def _malformed_failure(detail: str) -> Failure:
     return Failure(kind=FailureKind.MALFORMED, detail=detail, outcome=Outcome.NOT_RUN)
-
-
-def _fingerprint(request: h11.Request, facts: RequestMetadata, body: bytes) -> str:
-    """Return a hash that is the same for later copies of a request by its caller."""
-    hasher = xxhash.xxh64()
-    hasher.update(request.target)
-    hasher.update((facts.key or "").encode())
-    hasher.update(body)
-    return hasher.hexdigest()
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -80,6 +80,15 @@
         self.prompt_tokens = self.gauge(
             "prompt_tokens", "Prompt tokens of the requests placed"
         )
+        self.crash_events = self.gauge(
+            "crash_events", "Crashes of endpoints known since the start"
+        )
+        self.crash_groups = self.gauge(
+            "crash_groups", "Groups of requests refused because they crash endpoints"
+        )
+        self.crash_refusals = self.gauge(
+            "crash_refusals", "Refusals of requests that crash endpoints"
+        )
         self.log_lines_dropped = self.gauge(
             "log_lines_dropped", "Lines dropped since the last were told of"
         )
--- a/currantdyke/links/__init__.py
+++ b/currantdyke/links/__init__.py
@@ -5,6 +5,8 @@
     Content,
     CrashReport,
     Frame,
+    GroupCondemned,
+    KeysCleared,
     Unknown,
 )
 from currantdyke.links.link import Link, LinkLostError
@@ -15,6 +17,8 @@
     "Content",
     "CrashReport",
     "Frame",
+    "GroupCondemned",
+    "KeysCleared",
     "Link",
     "LinkLostError",
     "Peers",
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -27,6 +27,8 @@
     "ChangesRequest",
     "CrashReport",
     "Frame",
+    "GroupCondemned",
+    "KeysCleared",
     "Ping",
     "Pong",
     "Unknown",
@@ -80,10 +82,43 @@
 
 @attrs.frozen(kw_only=True)
 class CrashReport:
-    """Reports that an endpoint crashed while running a request with a fingerprint."""
+    """Reports a run that was lost as an endpoint crashed.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Hash of the request, the only key that daemons of an earlier build know.
+    born : int
+        Start of the lifetime of the endpoint that ended.
+    keys : tuple of str
+        All keys of the request; empty in reports of an earlier build.
+    age, sent_age : float
+        Seconds since the crash, and since the request was sent.
+    """
 
     fingerprint: str
     endpoint: str
+    born: int = 0
+    keys: tuple[str, ...] = ()
+    age: float = 0.0
+    sent_age: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class KeysCleared:
+    """Reports keys with which an answer began ``age`` seconds ago and went on."""
+
+    keys: tuple[str, ...]
+    age: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class GroupCondemned:
+    """Reports that requests with all of some keys are refused for ``seconds``."""
+
+    keys: tuple[str, ...]
+    seconds: float
+    crashes: int = 0
 
 
 Content = (
@@ -97,6 +132,8 @@
     | Refusal
     | Progress
     | CrashReport
+    | KeysCleared
+    | GroupCondemned
 )
 
 # Types of content that are responses; a response that arrives too late is dropped.
@@ -158,10 +195,8 @@
         case ChangesRequest():
             builder.changesAfter = content.revision
             builder.acceptsCompressed = content.accepts_compressed
-        case CrashReport():
-            crashed = builder.init("crashed")
-            crashed.fingerprint = content.fingerprint
-            crashed.endpoint = content.endpoint
+        case CrashReport() | KeysCleared() | GroupCondemned():
+            _encode_crashed(builder.init("crashed"), content)
         case PlacementRequest():
             _encode_placement_request(builder.init("place"), content)
         case Placement():
@@ -180,6 +215,27 @@
             progress.kind = content.kind.value
 
 
+def _encode_crashed(
+    builder: Any, content: CrashReport | KeysCleared | GroupCondemned
+) -> None:
+    builder.keys = list(content.keys)
+    match content:
+        case CrashReport():
+            builder.kind = "lostRun"
+            builder.fingerprint = content.fingerprint
+            builder.endpoint = content.endpoint
+            builder.born = content.born
+            builder.ageMilliseconds = _milliseconds(content.age)
+            builder.sentAgeMilliseconds = _milliseconds(content.sent_age)
+        case KeysCleared():
+            builder.kind = "cleared"
+            builder.ageMilliseconds = _milliseconds(content.age)
+        case GroupCondemned():
+            builder.kind = "condemned"
+            builder.leftMilliseconds = _milliseconds(content.seconds)
+            builder.crashes = min(MAX_UINT32, content.crashes)
+
+
 def _encode_changes(builder: Any, changes: ChangeSet, compressed: bool) -> None:
     builder.revision = changes.revision
     builder.whole = changes.is_snapshot
@@ -242,10 +298,7 @@
                 accepts_compressed=reader.acceptsCompressed,
             )
         case "crashed":
-            crashed = reader.crashed
-            return CrashReport(
-                fingerprint=crashed.fingerprint, endpoint=crashed.endpoint
-            )
+            return _decode_crashed(reader.crashed)
         case "changes":
             return _decode_changes(reader.changes)
         case "place":
@@ -266,6 +319,30 @@
             return Unknown()
 
 
+def _decode_crashed(reader: Any) -> Content:
+    keys = tuple(reader.keys)
+    match str(reader.kind):
+        case "lostRun":
+            return CrashReport(
+                fingerprint=reader.fingerprint,
+                endpoint=reader.endpoint,
+                born=reader.born,
+                keys=keys,
+                age=reader.ageMilliseconds / 1_000,
+                sent_age=reader.sentAgeMilliseconds / 1_000,
+            )
+        case "cleared":
+            return KeysCleared(keys=keys, age=reader.ageMilliseconds / 1_000)
+        case "condemned":
+            return GroupCondemned(
+                keys=keys,
+                seconds=reader.leftMilliseconds / 1_000,
+                crashes=reader.crashes,
+            )
+        case _:
+            return Unknown()
+
+
 def _decode_changes(reader: Any) -> ChangeSet:
     size = sum(item.uncompressedBytes for item in reader.items)
     if size > MAX_FRAME_BYTES:
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -81,9 +81,27 @@
   retryAfterMilliseconds @2 :UInt32;
 }
 
+# Daemons of an earlier build read only the first two fields. They close a link on a
+# member of the union in Frame that they do not know, so that what is new about crashes
+# is told apart by `kind`; the first two fields are empty then.
 struct Crashed {
   fingerprint @0 :Text;
   endpoint @1 :Text;
+  kind @2 :Kind;
+  keys @3 :List(Text);
+  born @4 :Int64;
+  # Of the crash, or of the first event of the answer that clears the keys.
+  ageMilliseconds @5 :UInt32;
+  sentAgeMilliseconds @6 :UInt32;
+  # What is left of the condemnation of a group.
+  leftMilliseconds @7 :UInt32;
+  crashes @8 :UInt32;
+
+  enum Kind {
+    lostRun @0;
+    cleared @1;
+    condemned @2;
+  }
 }
 
 struct Progress {
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -6,7 +6,15 @@
 
 from currantdyke.catalog import StageStep
 from currantdyke.directory import ChangeSet
-from currantdyke.links import ChangesRequest, CrashReport, Frame, LinkLostError, Unknown
+from currantdyke.links import (
+    ChangesRequest,
+    CrashReport,
+    Frame,
+    GroupCondemned,
+    KeysCleared,
+    LinkLostError,
+    Unknown,
+)
 from currantdyke.links.codec import decode_frame, encode_frame
 from currantdyke.links.link import MAX_QUEUED_FRAMES, LossReason
 from currantdyke.links.tests.builders import build_changes, run_linked
@@ -61,6 +69,16 @@
         ),
     ),
     CrashReport(fingerprint="f", endpoint="i"),
+    CrashReport(
+        fingerprint="request:f",
+        endpoint="i",
+        born=1_764_000_000_000,
+        keys=("part:ab", "request:f"),
+        age=0.125,
+        sent_age=1.5,
+    ),
+    KeysCleared(keys=("part:ab",), age=0.5),
+    GroupCondemned(keys=("part:ab",), seconds=59.5, crashes=3),
     Unknown(),
 )
 
--- a/currantdyke/platform/records.py
+++ b/currantdyke/platform/records.py
@@ -8,8 +8,10 @@
 from currantdyke.platform.configuration import DECODE_ERRORS, decode_catalog
 
 __all__ = [
+    "CrashGroupRecord",
     "DaemonEntry",
     "RecordKind",
+    "encode_crash_group",
     "encode_daemon_entry",
     "decode_record",
     "record_kind",
@@ -18,6 +20,7 @@
 CONFIGURATION_KEY = "op/config"
 ENDPOINTS_PREFIX = "servers/"
 DAEMONS_PREFIX = "daemons/"
+CRASH_GROUPS_PREFIX = "crash-groups/"
 # The empty prefix, under which all keys are listed and watched at once.
 ALL_KEYS_PREFIX = ""
 
@@ -44,6 +47,27 @@
     leaving: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class CrashGroupRecord:
+    """Requests that are refused because they crash endpoints.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        A request belongs to the group if it has all of them.
+    seconds : float
+        Duration of the condemnation from the time at which a daemon reads this
+        revision; 0 if the group has been cleared.
+    crashes : int
+        Number of crashes that led to it.
+    """
+
+    group: str
+    keys: tuple[str, ...]
+    seconds: float
+    crashes: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class RecordKind:
     """What a key refers to; exactly one of the fields is set."""
@@ -51,6 +75,7 @@
     configuration: bool = False
     endpoint: str | None = None
     daemon: str | None = None
+    crash_group: str | None = None
 
 
 def record_kind(key: str) -> RecordKind | None:
@@ -64,12 +89,14 @@
         return RecordKind(endpoint=key.removeprefix(ENDPOINTS_PREFIX))
     if key.startswith(DAEMONS_PREFIX):
         return RecordKind(daemon=key.removeprefix(DAEMONS_PREFIX))
+    if key.startswith(CRASH_GROUPS_PREFIX):
+        return RecordKind(crash_group=key.removeprefix(CRASH_GROUPS_PREFIX))
     return None
 
 
 def decode_record(
     key: str, value: bytes
-) -> Result[Catalog | Endpoint | DaemonEntry, str]:
+) -> Result[Catalog | Endpoint | DaemonEntry | CrashGroupRecord, str]:
     """Decode an item of the store.
 
     Returns
@@ -86,6 +113,8 @@
         document = msgspec.json.decode(value)
         if kind.endpoint is not None:
             return Ok(_decode_endpoint(kind.endpoint, document))
+        if kind.crash_group is not None:
+            return Ok(_decode_crash_group(kind.crash_group, document))
         return Ok(_decode_daemon(str(kind.daemon), document))
     except DECODE_ERRORS as error:
         return Error(f"{type(error).__name__}: {error}")
@@ -127,6 +156,28 @@
     )
 
 
+def _decode_crash_group(group: str, document: dict) -> CrashGroupRecord:
+    keys = document["keys"]
+    if not keys or not all(isinstance(key, str) for key in keys):
+        raise TypeError("the keys of a crash group are not a list of texts")
+    return CrashGroupRecord(
+        group=group,
+        keys=tuple(keys),
+        seconds=float(document["seconds"]),
+        crashes=int(document.get("crashes", 0)),
+    )
+
+
+def encode_crash_group(record: CrashGroupRecord) -> tuple[str, bytes]:
+    """Return the key and the value under which a group is stored."""
+    document = {
+        "keys": record.keys,
+        "seconds": record.seconds,
+        "crashes": record.crashes,
+    }
+    return CRASH_GROUPS_PREFIX + record.group, msgspec.json.encode(document)
+
+
 def encode_daemon_entry(entry: DaemonEntry) -> tuple[str, bytes]:
     """Return the key and the value with which a daemon registers itself."""
     document = {
--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "Change",
+    "ConditionFailedError",
     "HistoryGoneError",
     "LeaseEndedError",
     "StoreClient",
@@ -52,6 +53,10 @@
     """The changes can't be had from the store; list all items again."""
 
 
+class ConditionFailedError(Exception):
+    """The item has another revision than the write expected."""
+
+
 class LeaseEndedError(Exception):
     """The store no longer knows the lease."""
 
@@ -220,6 +225,30 @@
         }
         return (await self._call("POST", "/api/kv-txn", body))["revision"]
 
+    async def write_if(
+        self, key: str, value: bytes, *, expected_revision: int, lease: int = 0
+    ) -> int:
+        """Write an item if it has a revision; return its new one.
+
+        Parameters
+        ----------
+        expected_revision : int
+            Revision that the item must have; 0 if it must not exist.
+
+        Raises
+        ------
+        ConditionFailedError
+            If it has another revision. A repeated call also raises it if an earlier
+            one took effect without an answer.
+        """
+        text = base64.b64encode(value).decode()
+        body = {
+            "expected_revision": [{"key": key, "revision": expected_revision}],
+            "write": [{"key": key, "value": text, "lease": lease}],
+            "remove": [],
+        }
+        return (await self._call("POST", "/api/kv-txn", body))["revision"]
+
     async def close(self) -> None:
         """Close the connection."""
         if self.connection is not None:
@@ -244,6 +273,8 @@
             raise HistoryGoneError(f"status {status}")
         if status == 404:
             raise LeaseEndedError
+        if status == 412:
+            raise ConditionFailedError
         if status != 200:
             raise StoreUnavailableError(f"status {status}")
         try:
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -11,11 +11,11 @@
 import anyio
 import attrs
 
+from currantdyke.crashes import CrashDetector
 from currantdyke.directory import Directory
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.forward import attempt, plain
 from currantdyke.forward.attempt import EndpointResponse
-from currantdyke.forward.crashes import CrashDetector
 from currantdyke.forward.stream import StreamBrokenError
 from currantdyke.gateway.__main__ import main
 from currantdyke.gateway.caller import CallerConnection
