--- /dev/null
+++ b/currantdyke/soak/tests/test_patterns.py
@@ -0,0 +1,32 @@
+import functools
+import unittest
+
+import anyio
+
+from currantdyke.soak.world import soak
+
+SEED = 1
+MIN_ANSWERS = 50
+
+
+def count_answers(report):
+    return sum(n for name, n in report.counts.items() if name.endswith(" 200"))
+
+
+class TestPatterns(unittest.TestCase):
+    def test_short_run_with_silent_endpoints_has_no_violations(self):
+        report = anyio.run(functools.partial(soak, SEED, 10.0, pattern="silent"))
+        self.assertEqual(report.broken, [], report.text())
+        self.assertGreater(count_answers(report), MIN_ANSWERS, report.text())
+
+    # Sound requests are compared from six seconds after the fifth crash, which comes
+    # about two seconds after the warm-up.
+    def test_short_run_with_a_crashing_part_has_no_violations(self):
+        report = anyio.run(functools.partial(soak, SEED, 22.0, pattern="crashing-part"))
+        self.assertEqual(report.broken, [], report.text())
+        compared = report.counts["sound requests beside the part"]
+        self.assertGreater(compared, MIN_ANSWERS, report.text())
+
+
+if __name__ == "__main__":
+    unittest.main()
