Test that an answer is given up for a caller that takes nothing

The kernel's time-out for unacknowledged data (4 s) is what bounds the write of a complete answer until its deadline.

--- a/currantdyke/gateway/tests/test_closings_connection.py
+++ b/currantdyke/gateway/tests/test_closings_connection.py
@@ -208,6 +208,27 @@
         self.assertEqual((status, whole), (200, True))
         self.assertEqual(len(read), len(body))
 
+    # Guards against an answer that is held until its deadline for a caller that takes
+    # nothing; the kernel's time-out for unacknowledged data is 4 s.
+    @run_on_sockets
+    async def test_answer_to_a_caller_that_takes_nothing_is_given_up(self):
+        async def answer_at_once(exchange, context):
+            await exchange.caller.answer(200, [], b"x" * 16_000_000)
+
+        document = configuration(1, [plain_route(timeout_ms=30_000)])
+        request = REQUEST.replace(b"deadline-ms: 3000", b"deadline-ms: 30000")
+        async with run_deployment(document) as deployment:
+            gateway = await deployment.gateway()
+            server = gateway.caller_server
+            address = gateway.settings.caller_address
+            with (
+                forward_with(answer_at_once),
+                connect_at_once(address, receive_bytes=8_192) as connection,
+            ):
+                send_request(connection, request)
+                await wait_until(lambda: server.requests_in_progress)
+                await wait_until(lambda: not server.connections, seconds=6.0)
+
     # Guards against a stream that is given up because its caller pauses.
     @run_on_sockets
     async def test_caller_that_pauses_within_a_long_answer_gets_it_whole(self):
