Refuse streams that a stopping daemon would have to cut

Callers saw streams that began on a daemon after its SIGTERM and were cut when its process ended, 7 s after the signal: the platform still sends callers to a stopping daemon while few others are ready, and the daemon began every request until its drain deadline.

A stream that arrives later than 2.5 s after the signal is refused at once (503, not run) unless its own deadline is before the drain deadline, so that none is begun that the process can't finish. Requests that are not streams are served as before, since at the drain deadline they get a whole answer. The test failed before: the late stream was begun.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -59,6 +59,9 @@
 BODY_MEMORY_SHARE = 0.25
 # The platform takes a daemon out of rotation after two failed probes, 1 s apart.
 ROTATION_REMOVAL_SECONDS = 3.0
+# A stopping daemon accepts streams of any length for this long. The users allow that
+# the end of the process cuts those that were sent in the first three seconds.
+STREAM_ACCEPT_SECONDS = 2.5
 # The process exits this long before the platform would kill it.
 SHUTDOWN_MARGIN_SECONDS = 1.0
 DRAIN_CHECK_SECONDS = 0.1
@@ -346,6 +349,8 @@
         self.log.write("stopping", serving=self.caller_server.requests_in_progress)
         self.tasks.start_soon(run_logged, self.log, self.registration.withdraw)
         drain_deadline = started + self.settings.grace - SHUTDOWN_MARGIN_SECONDS
+        self.handler.streams_until = started + STREAM_ACCEPT_SECONDS
+        self.handler.serves_until = drain_deadline
         await anyio.sleep(
             min(ROTATION_REMOVAL_SECONDS, max(0.0, drain_deadline - started))
         )
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -1,5 +1,6 @@
 """Serve one request of a caller: validate it, forward it, log the outcome."""
 
+import math
 import random
 
 import anyio
@@ -67,7 +68,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RequestHandler:
-    """Validates requests, forwards them and answers the callers."""
+    """Validates requests, forwards them and answers the callers.
+
+    Attributes
+    ----------
+    streams_until : float
+        Monotonic time in seconds after which a stream is refused unless its deadline
+        is before ``serves_until``.
+    serves_until : float
+        Monotonic time in seconds at which requests in progress are ended.
+    """
 
     directory: Directory
     context: ForwardContext
@@ -75,6 +85,8 @@
     log: DecisionLog
     metrics: GatewayMetrics
     random_source: random.Random = attrs.field(factory=random.Random)
+    streams_until: float = math.inf
+    serves_until: float = math.inf
 
     async def handle(
         self, request: h11.Request, body: bytes, caller: CallerConnection
@@ -111,6 +123,7 @@
             try:
                 served.facts = decode_request_metadata(served.request)
                 served.exchange = self._open_exchange(served, body, caller)
+                self._check_ends_in_time(served.exchange)
                 caller.deadline_at = served.exchange.deadline_at
                 await self._forward(served.exchange)
                 served.outcome = "answered"
@@ -181,6 +194,19 @@
             sheddable=rank > routes.lowest_rank_by_service.get(service, rank),
         )
 
+    def _check_ends_in_time(self, exchange: Exchange) -> None:
+        """Refuse a stream that a stopping daemon may have to cut."""
+        if (
+            exchange.route.repeatability is Repeatability.STREAM
+            and exchange.arrived_at > self.streams_until
+            and exchange.deadline_at > self.serves_until
+        ):
+            raise RequestFailedError(
+                refuse_for_now(
+                    FailureKind.SHUTTING_DOWN, "the daemon stops before its deadline"
+                )
+            )
+
     def _find_route(self, request: h11.Request, routes: RouteTable) -> Route:
         host = next(value for key, value in request.headers if key == b"host")
         path = request.target.partition(b"?")[0]
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -9,7 +9,7 @@
 import anyio
 import attrs
 
-from currantdyke.emulator import PlainEmulator
+from currantdyke.emulator import EngineEmulator, PlainEmulator
 from currantdyke.gateway import caller_server, daemon
 from currantdyke.gateway.registration import Registration
 from currantdyke.gateway.tests.connection_builders import (
@@ -26,6 +26,7 @@
     plain_route,
     run_deployment,
     run_on_sockets,
+    stream_route,
     wait_until,
 )
 
@@ -139,6 +140,29 @@
         self.assertEqual(answer.status, 503)
         self.assertTrue(answer.has_retry_after)
 
+    # Guards against streams that a stopping daemon begins and then has to cut.
+    @run_on_sockets
+    async def test_late_stream_is_accepted_only_if_it_ends_before_the_process(self):
+        routes = [stream_route(timeout_ms=9_000, target_latency_ms=1_000)]
+        async with run_deployment(configuration(1, routes)) as deployment:
+            await deployment.endpoint(EngineEmulator, "e-1", "engine", events=3)
+            gateway = await deployment.gateway()
+            callers = [deployment.caller() for _ in range(3)]
+            for caller in callers:
+                await caller.connect()
+            await wait_until(lambda: len(gateway.caller_server.connections) == 3)
+            statuses = []
+            gateway.stop_requested.set()
+            with mock.patch.object(daemon, "STREAM_ACCEPT_SECONDS", 0.5):
+                for pause, deadline in ((0.1, "9000"), (0.6, "9000"), (0.0, "2000")):
+                    await anyio.sleep(pause)
+                    headers = KEY | {"x-deadline-ms": deadline}
+                    answer = await callers[len(statuses)].request(
+                        "POST", "/stream/", headers=headers
+                    )
+                    statuses.append((answer.status, answer.complete))
+        self.assertEqual(statuses, [(200, True), (503, True), (200, True)])
+
     # Guards against a kept connection that closes though no answer said so.
     @run_on_sockets
     async def test_answer_begun_after_the_stop_says_that_the_connection_closes(self):
