Ignore signals while the process ends

Operators saw a gateway exit with -1 or -15 after it had drained, which counts as a process that ended by itself. Once the signal receiver is closed, the default of SIGTERM and SIGHUP ends the process.

Both signals are ignored from the end of the drain on. The test ended the test process with status 143 before.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -254,6 +254,8 @@
             await self.stop_requested.wait()
             await self._stop()
             tasks.cancel_scope.cancel()
+        if self.settings_file is not None:
+            self._ignore_signals()
         self.log.write("stopped", serving=self.caller_server.requests_in_progress)
         self.log.flush()
 
@@ -314,6 +316,11 @@
                 else:
                     settings_file.reload()
 
+    def _ignore_signals(self) -> None:
+        """Ignore further signals, whose default would change the exit status."""
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs."""
         self.settings = settings
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -3,15 +3,19 @@
 docs/design/closings.md lists the ways from a request to the end of its connection.
 """
 
+import pathlib
+import signal
 import unittest
 from unittest import mock
 
 import anyio
 import attrs
+from expression import Ok
 
 from currantdyke.emulator import EngineEmulator, PlainEmulator
 from currantdyke.gateway import caller_server, daemon
 from currantdyke.gateway.registration import Registration
+from currantdyke.gateway.reload import SettingsFile
 from currantdyke.gateway.tests.connection_builders import (
     KEY,
     UnexpectedError,
@@ -180,6 +184,31 @@
         self.assertEqual(answer.headers.get("connection"), "close")
 
 
+class TestSignals(unittest.TestCase):
+    def setUp(self):
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+
+    # Guards against an exit status that tells of a crash because a second signal came
+    # as the process ended.
+    @run_on_sockets
+    async def test_signal_after_the_stop_does_not_end_the_process(self):
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            gateway = deployment.start_gateway()
+            gateway.settings_file = SettingsFile(
+                path=pathlib.Path("none.yaml"),
+                read=lambda path: Ok(gateway.settings),
+                current=gateway.settings,
+                log=gateway.log,
+            )
+            await wait_until(lambda: gateway.readiness().status == 200)
+            with without_wait_for_rotation():
+                signal.raise_signal(signal.SIGTERM)
+                await wait_for_end(deployment.lines[gateway.settings.name])
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                signal.raise_signal(number)
+
+
 class TestStart(unittest.TestCase):
     # Guards against callers that are sent to a daemon that refuses their connections.
     @run_on_sockets
