Add failing tests of runs of one request beside each other

Callers would see: 504 at the deadline, or a stream broken off there, while a sound endpoint was never asked, because the endpoint or placement tried beside a frozen one was unreachable or refused and silence was not measured again; 409, 422 or 500, or a cut stream, because the second run failed, while the first was about to go on; streams that are refused three times with 409, because handles of results that no longer exist are given out again.

Operators would see an engine that still works on a stream 0.4 s after the stream went on elsewhere, engines with more streams than are counted, and streams counted after their entry daemon has died.

--- /dev/null
+++ b/currantdyke/gateway/tests/test_review_accounts.py
@@ -0,0 +1,79 @@
+"""What the scheduler knows of a request that was placed twice."""
+
+import unittest
+
+import anyio
+import attrs
+
+from currantdyke.gateway.tests.builders import (
+    STREAM_HEADERS,
+    FirstArrival,
+    event,
+    start_engines,
+    stream_configuration,
+)
+from currantdyke.gateway.tests.race_builders import pause_twice
+from currantdyke.scheduler.messages import Placement, PlacementRequest, Refusal
+from currantdyke.testing.gateways import run_deployment, run_on_sockets, wait_until
+
+REQUEST = PlacementRequest(
+    attempt_id="r", service="engine", pieces=(), steps=(), target=1.0, deadline=8.0
+)
+PAUSE_SECONDS = 1.8
+SLOW_START_SECONDS = 6.0
+
+
+async def begin_late(request, reply):
+    await anyio.sleep(SLOW_START_SECONDS)
+    return False
+
+
+class TestAccounts(unittest.TestCase):
+    # Guards against load that is counted after the entry daemon has died, because a
+    # second placement was refused.
+    @run_on_sockets
+    async def test_lost_entry_daemon_ends_a_placement_that_a_refusal_left(self):
+        async with run_deployment(stream_configuration()) as deployment:
+            await start_engines(deployment, None, None)
+            gateway = await deployment.gateway()
+            engines = gateway.scheduler.engines
+            link = object()
+            await wait_until(
+                lambda: len(gateway.directory.endpoints.of_service("engine")) == 2
+            )
+            first = await gateway._answer_peer(link, REQUEST)
+            self.assertIsInstance(first, Placement)
+            again = attrs.evolve(
+                REQUEST, is_retry=True, excluded=("engine-0", "engine-1")
+            )
+            self.assertIsInstance(await gateway._answer_peer(link, again), Refusal)
+            self.assertEqual(list(engines.requests), ["r"])
+            gateway._on_link_lost(link)
+            self.assertEqual(list(engines.requests), [])
+            self.assertEqual(list(gateway.scheduler.chains), [])
+
+    # Guards against an engine that gets too much work, since a stream that went on
+    # there beside a second run is no longer counted.
+    @run_on_sockets
+    async def test_stream_that_goes_on_is_still_counted_at_its_engine(self):
+        arrival = FirstArrival(pause_twice(event, PAUSE_SECONDS), begin_late)
+        async with run_deployment(stream_configuration()) as deployment:
+            await start_engines(deployment, arrival, arrival)
+            gateway = await deployment.gateway()
+            await wait_until(
+                lambda: len(gateway.directory.endpoints.of_service("engine")) == 2
+            )
+            async with anyio.create_task_group() as tasks:
+
+                async def stream():
+                    await deployment.caller().request(
+                        "POST", "/stream/", headers=STREAM_HEADERS
+                    )
+
+                tasks.start_soon(stream)
+                await wait_until(lambda: arrival.stopped)
+                await anyio.sleep(0.1)
+                placed = gateway.scheduler.engines.requests.values()
+                counted = [one.instance for one in placed]
+                tasks.cancel_scope.cancel()
+        self.assertEqual(counted, arrival.arrived[:1])
