Add a failing test of an engine that is given up unheard

Callers would see a stream broken off beside a sound engine: the engine was tried while another one paused, was given up because that one went on, and counts as tried for good, so that no engine is left when the first one breaks off later.

--- a/currantdyke/gateway/tests/race_builders.py
+++ b/currantdyke/gateway/tests/race_builders.py
@@ -8,6 +8,7 @@
 __all__ = [
     "choose_in_order",
     "fail_with",
+    "pause_and_break",
     "pause_twice",
     "refuse_after",
     "replace_second_placement",
@@ -84,3 +85,23 @@
         return True
 
     return handle
+
+
+def pause_and_break(event, seconds: float):
+    """Return a handler of a stream that pauses, goes on and is reset then."""
+
+    async def handle(request, reply):
+        headers = {
+            "x-attempt-id": request.attempt_id,
+            "x-server-signature": "signed." + request.headers["x-expect-instance"],
+            "content-type": "text/event-stream",
+        }
+        await reply.send_head(200, headers)
+        await reply.send_chunk(event(1))
+        await anyio.sleep(seconds)
+        await reply.send_chunk(event(2))
+        await anyio.sleep(0.1)
+        await reply.reset()
+        return True
+
+    return handle
--- a/currantdyke/gateway/tests/test_review_races.py
+++ b/currantdyke/gateway/tests/test_review_races.py
@@ -12,6 +12,7 @@
     STREAM_HEADERS,
     FirstArrival,
     announce_unreachable,
+    event,
     events,
     pause_after,
     plain_configuration,
@@ -23,6 +24,7 @@
 from currantdyke.gateway.tests.race_builders import (
     choose_in_order,
     fail_with,
+    pause_and_break,
     refuse_after,
     replace_second_placement,
 )
@@ -141,6 +143,29 @@
         self.assertEqual((answer.status, len(arrival.arrived)), (200, 2))
 
 
+class TestGivenUpEngine(unittest.TestCase):
+    # Guards against a stream that breaks off beside a sound engine, which was given up
+    # for the run that breaks off later.
+    @run_on_sockets
+    async def test_engine_given_up_unheard_may_serve_the_rest(self):
+        arrived = []
+
+        async def handle(request, reply):
+            arrived.append(request.headers["x-expect-instance"])
+            if len(arrived) == 1:
+                return await pause_and_break(event, PAUSE_SECONDS)(request, reply)
+            # The second run is still queued when the first one goes on.
+            await anyio.sleep(FROZEN_SECONDS if len(arrived) == 2 else 0.0)
+            return await pause_after(0, 0.0)(request, reply)
+
+        configuration = stream_configuration(max_attempts=4)
+        async with run_deployment(configuration) as deployment:
+            await start_engines(deployment, handle, handle)
+            await deployment.gateway()
+            answer = await stream(deployment)
+        self.assertEqual((answer.complete, answer.body), (True, events(1, 5)))
+
+
 class TestResumedStream(unittest.TestCase):
     # Guards against TWICE: an engine that still works on a stream 0.4 s after the
     # stream went on at another engine.
