Measure silence again whenever a run ends beside another one

Callers got 504 at the deadline, or a stream that broke off then, although a sound endpoint was there: an attempt beside a frozen endpoint had been unreachable, refused a placement or refused late. The start of a run stopped the measurement of silence, and so did the last allowed attempt; only a sent run or an event resumed it, so a run that ended in another way left the request waiting for the frozen endpoint alone. The end of a run now resumes the measurement, over the same time as before.

--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -1,7 +1,6 @@
 """Forward a request whose response is not streamed."""
 
 import functools
-import math
 
 import anyio
 import attrs
@@ -128,7 +127,7 @@
         """Send the request elsewhere too, if that is allowed; the live runs go on."""
         route = self.exchange.route
         if not route.may_repeat or self.exchange.runs >= route.max_attempts:
-            self.race.extend(math.inf)
+            self.race.stop_measuring()
             return
         for run in self.race.live:
             self.context.health.of(run.instance).record_failure(anyio.current_time())
--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -60,13 +60,17 @@
     live : list of Run
         Runs that have not ended, in the order of their start.
     silent_at : float
-        Monotonic time in seconds at which the runs count as silent.
+        Monotonic time in seconds at which the runs count as silent; infinite while
+        silence is not measured.
+    silence_seconds : float
+        The time for which silence was measured last.
     paused : bool
         Whether silence is not measured, because a response is being relayed.
     """
 
     live: list[Run] = attrs.field(factory=list)
     silent_at: float = math.inf
+    silence_seconds: float = MIN_SILENCE_SECONDS
     paused: bool = False
     error: Exception | None = None
     changed: anyio.Event = attrs.field(factory=anyio.Event)
@@ -87,11 +91,11 @@
             raise error
 
     def start(self, function: Callable[[Run], Awaitable[None]]) -> None:
-        """Start a run; silence is measured again once it is sent."""
+        """Start a run; silence is measured again once it is sent or has ended."""
         assert self.tasks is not None
         run = Run()
         self.live.append(run)
-        self.silent_at = math.inf
+        self.stop_measuring()
         self.tasks.start_soon(self._run, run, function)
 
     def record_sent(self, run: Run, silence_seconds: float) -> None:
@@ -103,8 +107,12 @@
 
     def extend(self, silence_seconds: float) -> None:
         """Count the runs as silent only after this time, in seconds from now."""
-        seconds = max(MIN_SILENCE_SECONDS, silence_seconds)
-        self.silent_at = anyio.current_time() + seconds
+        self.silence_seconds = max(MIN_SILENCE_SECONDS, silence_seconds)
+        self.silent_at = anyio.current_time() + self.silence_seconds
+
+    def stop_measuring(self) -> None:
+        """Don't count the runs as silent until one is sent, goes on or ends."""
+        self.silent_at = math.inf
 
     def claim(self, run: Run) -> bool:
         """Give up all other runs; return False if this one was given up.
@@ -152,6 +160,9 @@
             self.error = self.error or error
         finally:
             self.live.remove(run)
+            # The run that ended may have been the reason to measure no silence.
+            if self.silent_at == math.inf:
+                self.extend(self.silence_seconds)
             self._notify()
 
     def _notify(self) -> None:
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -1,7 +1,5 @@
 """Forward a request whose response is a stream of events."""
 
-import math
-
 import anyio
 
 from currantdyke.catalog import Endpoint
@@ -114,7 +112,7 @@
     def _handle_silence(self) -> None:
         """Start a run at another engine, if that is allowed; the live runs go on."""
         if not self._may_run_again():
-            self.race.extend(math.inf)
+            self.race.stop_measuring()
             return
         self.race.extend(SILENCE_TIMEOUT_SECONDS)
         if (
