Run the stages anew if their results are gone at a second placement

The second engine of a silent request was given handles of results that had expired, or whose endpoint had left, and refused them (409): the owner kept a placed request's chain for a second placement without looking at what it held. It now gives the handles out again only if none has expired and each holder is known; otherwise it drops the chain and runs the stages as for a new request.

--- a/currantdyke/scheduler/results.py
+++ b/currantdyke/scheduler/results.py
@@ -1,5 +1,6 @@
 """Results in the memory of stage endpoints, and their release."""
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -50,6 +51,14 @@
         worker.results[handle] = (size, ends_at)
         self.holders[handle] = worker
 
+    def may_exist(self, handle: str, now: float) -> bool:
+        """Return whether a result has neither been released nor expired."""
+        worker = self.holders.get(handle)
+        if worker is None:
+            return False
+        _, ends_at = worker.results.get(handle, (0, -math.inf))
+        return now < ends_at
+
     def release(self, handle: str) -> None:
         """Release a result, in one call with others at the same endpoint."""
         worker = self.holders.pop(handle, None)
--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -113,6 +113,10 @@
         chain = self.chains.get(request.attempt_id) if request.is_retry else None
         if chain is None or not chain.ended.is_set() or chain.refusal is not None:
             return None
+        if not self.stages.has_final_results(chain):
+            # The stages run anew; what is left of the results is of use to no engine.
+            self._remove_chain(request.attempt_id)
+            return None
         chain.request = request
         return chain
 
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -152,6 +152,18 @@
         for stage in range(len(chain.pieces)):
             self.release_stage(chain, stage)
 
+    def has_final_results(self, chain: Chain) -> bool:
+        """Return whether an engine can fetch all results of a chain that are for it."""
+        now = anyio.current_time()
+        return all(
+            self.results.may_exist(handle, now) and self._is_holder_known(handle)
+            for handle in chain.final_handles()
+        )
+
+    def _is_holder_known(self, handle: str) -> bool:
+        holder = self.results.holders[handle]
+        return self.workers.get(holder.endpoint.instance) is holder
+
     def release_stage(self, chain: Chain, stage: int) -> None:
         """Release the results of a stage."""
         if stage in chain.released:
