Let an engine that was given up unheard serve the rest later

A stream broke off after the other run's failure although a sound engine was there: the engine had been tried beside a silent one, was given up when that one went on before it was heard, and stayed excluded. Only an engine that failed, or that was heard, is excluded now. An engine that was given up before it was sent the request is no longer probed for a crash either; it can't have crashed on it.

--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -212,7 +212,7 @@
             parts: list[bytes] = []
             size = 0
             while (data := await response.read()) is not None:
-                run.heard_at = anyio.current_time()
+                run.record_heard()
                 parts.append(data)
                 size += len(data)
                 self.race.extend(self.silence_seconds)
--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -28,6 +28,8 @@
         The endpoint; empty until one is chosen.
     sent : bool
         Whether sending of the request has started.
+    heard : bool
+        Whether anything was received.
     given_up : bool
         Whether another run serves the request.
     heard_at : float
@@ -36,10 +38,16 @@
 
     instance: str = ""
     sent: bool = False
+    heard: bool = False
     given_up: bool = False
     heard_at: float = attrs.field(factory=anyio.current_time)
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
+    def record_heard(self) -> None:
+        """Record that something was received."""
+        self.heard = True
+        self.heard_at = anyio.current_time()
+
     def cancelled_outcome(self) -> str:
         """Return the log's outcome of an attempt that was cancelled."""
         if self.given_up:
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -204,11 +204,12 @@
                 self.context.crashes.start_probe(exchange.fingerprint, endpoint)
         except anyio.get_cancelled_exc_class():
             outcome = run.cancelled_outcome()
-            if run.given_up and endpoint is not None:
+            if run.given_up and run.sent and endpoint is not None:
                 self.context.crashes.start_probe(exchange.fingerprint, endpoint)
             raise
         finally:
-            if not self.ended:
+            # An engine that was given up unheard has not failed: another run was first.
+            if not self.ended and (run.heard or not run.given_up):
                 exchange.excluded.add(placement.instance)
             self._report_end(run, progress)
             seconds = anyio.current_time() - started
@@ -256,7 +257,7 @@
             events, last_id = splitter.feed(data)
             if not events:
                 continue
-            run.heard_at = anyio.current_time()
+            run.record_heard()
             if not self.race.claim(run):
                 return
             # A slow caller is not taken for a silent engine.
--- a/currantdyke/gateway/tests/race_builders.py
+++ b/currantdyke/gateway/tests/race_builders.py
@@ -8,6 +8,7 @@
 __all__ = [
     "choose_in_order",
     "fail_with",
+    "hang_second_attempt",
     "pause_and_break",
     "pause_twice",
     "refuse_after",
@@ -68,6 +69,21 @@
         yield calls
 
 
+def hang_second_attempt(attempt):
+    """Return an attempt of which the second call never begins to send."""
+    calls = []
+
+    @contextlib.asynccontextmanager
+    async def replaced(*arguments, **options):
+        calls.append(arguments)
+        if len(calls) == 2:
+            await anyio.sleep_forever()
+        async with attempt(*arguments, **options) as response:
+            yield response
+
+    return replaced
+
+
 def pause_twice(event, seconds: float):
     """Return a handler of a stream of three events with a pause after each."""
 
--- a/currantdyke/gateway/tests/test_review_races.py
+++ b/currantdyke/gateway/tests/test_review_races.py
@@ -6,6 +6,8 @@
 import anyio
 
 from currantdyke.forward import plain
+from currantdyke.forward import stream as streams
+from currantdyke.forward.crashes import CrashDetector
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.tests.builders import (
     KEY,
@@ -24,6 +26,7 @@
 from currantdyke.gateway.tests.race_builders import (
     choose_in_order,
     fail_with,
+    hang_second_attempt,
     pause_and_break,
     refuse_after,
     replace_second_placement,
@@ -156,7 +159,7 @@
                 return await pause_and_break(event, PAUSE_SECONDS)(request, reply)
             # The second run is still queued when the first one goes on.
             await anyio.sleep(FROZEN_SECONDS if len(arrived) == 2 else 0.0)
-            return await pause_after(0, 0.0)(request, reply)
+            return await pause_after(2, 0.0)(request, reply)
 
         configuration = stream_configuration(max_attempts=4)
         async with run_deployment(configuration) as deployment:
@@ -165,6 +168,22 @@
             answer = await stream(deployment)
         self.assertEqual((answer.complete, answer.body), (True, events(1, 5)))
 
+    # Guards against an engine that is reported as crashed, though it got no request.
+    @run_on_sockets
+    async def test_engine_given_up_before_it_was_sent_to_is_not_probed(self):
+        arrival = FirstArrival(pause_after(2, PAUSE_SECONDS), None)
+        hang = hang_second_attempt(streams.attempt)
+        async with run_deployment(stream_configuration()) as deployment:
+            await start_engines(deployment, arrival, arrival)
+            await deployment.gateway()
+            with (
+                mock.patch.object(streams, "attempt", hang),
+                mock.patch.object(CrashDetector, "start_probe") as probe,
+            ):
+                answer = await stream(deployment)
+        self.assertEqual((answer.complete, answer.body), (True, events(1, 5)))
+        probe.assert_not_called()
+
 
 class TestResumedStream(unittest.TestCase):
     # Guards against TWICE: an engine that still works on a stream 0.4 s after the
