Keep a request's live run going beside an internal error of another one

Callers got 500, or a cut stream, although the first engine was sound: any unexpected error of a run ended the request. Now it is logged as an internal error, the attempt as failed, and the error is raised only if no other run may still serve the request.

--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -21,7 +21,7 @@
     RequestFailedError,
     StreamBrokenError,
 )
-from currantdyke.forward.race import CANCELLED, Race, Run
+from currantdyke.forward.race import CANCELLED, INTERNAL_ERROR, Race, Run
 from currantdyke.platform.answers import ResponseMetadata, end_to_end_headers
 
 __all__ = ["forward_plain"]
@@ -79,7 +79,7 @@
     def __init__(self, exchange: Exchange, context: ForwardContext):
         self.exchange = exchange
         self.context = context
-        self.race = Race()
+        self.race = Race(log=context.log)
         self.final: BufferedResponse | None = None
         self.last_failure: BufferedResponse | None = None
         self.broken = ""
@@ -166,6 +166,9 @@
         except anyio.get_cancelled_exc_class():
             outcome = run.cancelled_outcome()
             raise
+        except Exception:
+            outcome = INTERNAL_ERROR
+            raise
         finally:
             health.in_flight -= 1
             self.exchange.record_attempt(
--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -7,6 +7,8 @@
 import anyio.abc
 import attrs
 
+from currantdyke.decisionlog import DecisionLog, log_internal_error
+
 __all__ = ["Race", "Run"]
 
 # Bounds the rate of checks for silence, whatever a route's target latency.
@@ -16,6 +18,7 @@
 GIVEN_UP = "given up for another"
 SILENT = "silent until the end"
 CANCELLED = "cancelled"
+INTERNAL_ERROR = "internal error"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -74,8 +77,11 @@
         The time for which silence was measured last.
     paused : bool
         Whether silence is not measured, because a response is being relayed.
+    log : DecisionLog or None
+        Receives the errors of runs beside which another one goes on.
     """
 
+    log: DecisionLog | None = None
     live: list[Run] = attrs.field(factory=list)
     silent_at: float = math.inf
     silence_seconds: float = MIN_SILENCE_SECONDS
@@ -136,6 +142,10 @@
                 other.scope.cancel()
         return True
 
+    def has_others(self, run: Run) -> bool:
+        """Return whether another run may still serve the request."""
+        return any(other is not run and not other.given_up for other in self.live)
+
     def is_silent(self) -> bool:
         """Return whether all runs were sent and are silent."""
         return (
@@ -150,7 +160,7 @@
         Raises
         ------
         Exception
-            The error of a run that failed.
+            The error of a run that failed when no other one was left.
         """
         changed = self.changed
         timeout = max(MIN_SILENCE_SECONDS, self.silent_at - anyio.current_time())
@@ -164,8 +174,11 @@
             with run.scope:
                 await function(run)
         except Exception as error:
-            # Raised by `wait`, in the task that serves the request.
-            self.error = self.error or error
+            if not self.has_others(run):
+                # Raised by `wait`, in the task that serves the request.
+                self.error = self.error or error
+            elif self.log is not None:
+                log_internal_error(self.log, error, where="run of a request")
         finally:
             self.live.remove(run)
             # The run that ended may have been the reason to measure no silence.
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -13,7 +13,7 @@
 from currantdyke.forward.context import ForwardContext, build_outgoing_request
 from currantdyke.forward.events import EventSplitter, EventTooLongError
 from currantdyke.forward.exchange import Exchange, StreamBrokenError
-from currantdyke.forward.race import CANCELLED, Race, Run
+from currantdyke.forward.race import CANCELLED, INTERNAL_ERROR, Race, Run
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
 from currantdyke.scheduler.messages import (
@@ -80,7 +80,7 @@
         self.exchange = exchange
         self.context = context
         self.scheduler = scheduler
-        self.race = Race()
+        self.race = Race(log=context.log)
         self.last_event_id: bytes | None = None
         self.placed: Run | None = None
         self.ended = False
@@ -207,6 +207,9 @@
             if run.given_up and run.sent and endpoint is not None:
                 self.context.crashes.start_probe(exchange.fingerprint, endpoint)
             raise
+        except Exception:
+            outcome = INTERNAL_ERROR
+            raise
         finally:
             # An engine that was given up unheard has not failed: another run was first.
             if not self.ended and (run.heard or not run.given_up):
