Keep a failure back while another run may still serve the request

Callers got the 409 or 422 of a second endpoint although the first one was about to answer: a failure of the request itself claimed it and gave the live run up. Such a failure is kept now while another run is alive: no further endpoint is tried, and it is relayed if none of the live runs serves the request, at the latest shortly before the deadline, so that a frozen endpoint doesn't turn it into a 504.

The two new tests hold the failure beside a frozen endpoint; they were not run on the code before, which relayed it at once.

--- a/currantdyke/forward/exchange.py
+++ b/currantdyke/forward/exchange.py
@@ -10,6 +10,7 @@
 from currantdyke.platform.requests import RequestMetadata
 
 __all__ = [
+    "KEPT_FAILURE_MARGIN_SECONDS",
     "AttemptRecord",
     "Exchange",
     "RequestFailedError",
@@ -20,6 +21,9 @@
 # Used where nothing is known of the time at which an endpoint will be free. Short
 # compared with the deadlines of callers, which wait at most a third of what is left.
 DEFAULT_RETRY_SECONDS = 0.5
+# A failure that waits for another run of the request is relayed this long before the
+# deadline.
+KEPT_FAILURE_MARGIN_SECONDS = 0.1
 
 
 class ResponseWriter(Protocol):
--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -17,6 +17,7 @@
 from currantdyke.forward.choose import choose_endpoint
 from currantdyke.forward.context import ForwardContext, build_outgoing_request
 from currantdyke.forward.exchange import (
+    KEPT_FAILURE_MARGIN_SECONDS,
     Exchange,
     RequestFailedError,
     StreamBrokenError,
@@ -72,6 +73,9 @@
         The response that ends the request.
     last_failure : BufferedResponse or None
         A failure that is relayed if no endpoint serves the request.
+    kept_failure : BufferedResponse or None
+        A failure after which the request is sent nowhere else, relayed if none of the
+        live runs serves the request.
     broken : str
         Why a long response that has started can't be completed; empty if it can.
     """
@@ -82,6 +86,7 @@
         self.race = Race(log=context.log)
         self.final: BufferedResponse | None = None
         self.last_failure: BufferedResponse | None = None
+        self.kept_failure: BufferedResponse | None = None
         self.broken = ""
         self.silence_seconds = SILENCE_TARGETS * exchange.route.target_latency
 
@@ -93,17 +98,20 @@
                 await self._relay_last_or_fail("no endpoint is left to try")
                 return
             await self.race.wait()
+            if self.race.live and self.race.is_silent():
+                self._handle_silence()
+            if not (self.race.live or caller.response_started):
+                self.final = self.final or self.kept_failure
             if self.final is not None:
                 await self._relay(self.final)
                 return
             if self.race.live:
-                if self.race.is_silent():
-                    self._handle_silence()
-            elif self.broken:
+                continue
+            if self.broken:
                 raise StreamBrokenError(self.broken)
-            elif caller.response_started:
+            if caller.response_started:
                 return
-            elif not _may_retry(self.exchange, self.context):
+            if not _may_retry(self.exchange, self.context):
                 await self._relay_last_or_fail("no further attempt is allowed")
                 return
 
@@ -125,6 +133,9 @@
 
     def _handle_silence(self) -> None:
         """Send the request elsewhere too, if that is allowed; the live runs go on."""
+        if self.kept_failure is not None:
+            self._await_live_runs(self.kept_failure)
+            return
         route = self.exchange.route
         if not route.may_repeat or self.exchange.runs >= route.max_attempts:
             self.race.stop_measuring()
@@ -135,6 +146,16 @@
         if self._has_other_endpoint() and _may_retry(self.exchange, self.context):
             self._start_run()
 
+    def _await_live_runs(self, failure: BufferedResponse) -> None:
+        """Relay a kept failure only once the deadline is near."""
+        end = self.exchange.deadline_at - KEPT_FAILURE_MARGIN_SECONDS
+        left = end - anyio.current_time()
+        if left > 0:
+            self.race.extend(left)
+        else:
+            self.race.give_up_all()
+            self.final = failure
+
     def _has_other_endpoint(self) -> bool:
         known = self.context.directory.endpoints.of_service(self.exchange.service)
         return not self.exchange.excluded.issuperset(known)
@@ -194,7 +215,9 @@
 
     def _handle_response(self, response: BufferedResponse, run: Run) -> None:
         if _is_final(response):
-            if self.race.claim(run):
+            if not response.facts.success and self.race.has_others(run):
+                self.kept_failure = response
+            elif self.race.claim(run):
                 self.final = response
         elif not response.facts.not_run:
             self.last_failure = response
--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -1,7 +1,7 @@
 """Runs of one request at several endpoints, of which the first to serve it wins."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import anyio.abc
@@ -136,12 +136,18 @@
         """
         if run.given_up:
             return False
-        for other in self.live:
-            if other is not run:
-                other.given_up = True
-                other.scope.cancel()
+        self._give_up(other for other in self.live if other is not run)
         return True
 
+    def give_up_all(self) -> None:
+        """Give up all runs, so that something else than their responses is relayed."""
+        self._give_up(self.live)
+
+    def _give_up(self, runs: Iterable[Run]) -> None:
+        for run in runs:
+            run.given_up = True
+            run.scope.cancel()
+
     def has_others(self, run: Run) -> bool:
         """Return whether another run may still serve the request."""
         return any(other is not run and not other.given_up for other in self.live)
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -12,7 +12,11 @@
 )
 from currantdyke.forward.context import ForwardContext, build_outgoing_request
 from currantdyke.forward.events import EventSplitter, EventTooLongError
-from currantdyke.forward.exchange import Exchange, StreamBrokenError
+from currantdyke.forward.exchange import (
+    KEPT_FAILURE_MARGIN_SECONDS,
+    Exchange,
+    StreamBrokenError,
+)
 from currantdyke.forward.race import CANCELLED, INTERNAL_ERROR, Race, Run
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
@@ -38,6 +42,9 @@
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
 
+# Status, headers and body of an engine's failure.
+Failure = tuple[int, list[tuple[bytes, bytes]], bytes]
+
 
 async def forward_stream(
     exchange: Exchange, context: ForwardContext, scheduler: SchedulerClient
@@ -72,6 +79,9 @@
     failure : tuple or None
         Status, headers and body of an engine's failure, relayed if no other engine
         serves the request.
+    kept_failure : tuple or None
+        The same after which no other engine is tried, relayed if none of the live runs
+        serves the request.
     """
 
     def __init__(
@@ -85,7 +95,8 @@
         self.placed: Run | None = None
         self.ended = False
         self.final_error: Exception | None = None
-        self.failure: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
+        self.failure: Failure | None = None
+        self.kept_failure: Failure | None = None
 
     async def run(self) -> None:
         """Forward the stream until it ends."""
@@ -101,16 +112,17 @@
             await self.race.wait()
             if self.race.live:
                 if not self.ended and self.race.is_silent():
-                    self._handle_silence()
-            elif self.ended:
-                return
-            else:
+                    await self._handle_silence()
+            elif not self.ended:
                 await self._retry_or_fail()
-                if self.ended:
-                    return
+            if self.ended and not self.race.live:
+                return
 
-    def _handle_silence(self) -> None:
+    async def _handle_silence(self) -> None:
         """Start a run at another engine, if that is allowed; the live runs go on."""
+        if self.kept_failure is not None and not self.exchange.caller.response_started:
+            await self._await_live_runs(self.kept_failure)
+            return
         if not self._may_run_again():
             self.race.stop_measuring()
             return
@@ -122,6 +134,20 @@
         ):
             self.race.start(self._run)
 
+    async def _await_live_runs(self, failure: Failure) -> None:
+        """Relay a kept failure only once the deadline is near."""
+        end = self._placement_deadline() - KEPT_FAILURE_MARGIN_SECONDS
+        left = end - anyio.current_time()
+        if left > 0:
+            self.race.extend(left)
+        else:
+            self.race.give_up_all()
+            await self._relay_failure(failure)
+
+    async def _relay_failure(self, failure: Failure) -> None:
+        self.ended = True
+        await self.exchange.caller.answer(*failure)
+
     def _tried_engines(self) -> set[str]:
         return self.exchange.excluded | {run.instance for run in self.race.live}
 
@@ -304,14 +330,20 @@
             return f"failed: {facts.status}", ProgressKind.FINISHED
         if exchange.caller.response_started:
             self._end_with(StreamBrokenError(f"the engine answered {facts.status}"))
+        elif self.race.has_others(run):
+            self.kept_failure = (facts.status, headers, body)
+            return f"failed: {facts.status}", ProgressKind.FINISHED
         elif self.race.claim(run):
-            self.ended = True
-            await exchange.caller.answer(facts.status, headers, body)
+            await self._relay_failure((facts.status, headers, body))
         return f"passed on: {facts.status}", ProgressKind.FINISHED
 
     async def _retry_or_fail(self) -> None:
         """Start another run, or relay a failure or raise if none may follow."""
         exchange = self.exchange
+        begun = exchange.caller.response_started
+        if self.kept_failure is not None and not begun:
+            await self._relay_failure(self.kept_failure)
+            return
         if self.final_error is not None:
             raise self.final_error
         may_run = exchange.runs == 0 or self._may_run_again()
@@ -320,9 +352,8 @@
             allowed = self.context.take_retry(exchange.service)
         if allowed:
             self.race.start(self._run)
-        elif self.failure is not None and not exchange.caller.response_started:
-            self.ended = True
-            await exchange.caller.answer(*self.failure)
+        elif self.failure is not None and not begun:
+            await self._relay_failure(self.failure)
         else:
             raise self._failure(exchange.attempts[-1].outcome, RETRY_AFTER_SECONDS)
 
--- a/currantdyke/gateway/tests/test_review_races.py
+++ b/currantdyke/gateway/tests/test_review_races.py
@@ -145,6 +145,28 @@
             answer = await stream(deployment)
         self.assertEqual((answer.status, len(arrival.arrived)), (200, 2))
 
+    # Guards against a failure that is lost, since the run that it waits for is frozen.
+    @run_on_sockets
+    async def test_failure_is_relayed_before_the_deadline_beside_a_frozen_endpoint(
+        self,
+    ):
+        arrival = FirstArrival(work(FROZEN_SECONDS), fail_with(422))
+        async with run_deployment(plain_configuration(max_attempts=3)) as deployment:
+            await start_plain(deployment, arrival, arrival, arrival)
+            await deployment.gateway()
+            answer = await ask(deployment)
+        self.assertEqual((answer.status, len(arrival.arrived)), (422, 2))
+
+    # Guards against the same for a stream.
+    @run_on_sockets
+    async def test_failure_is_relayed_before_the_deadline_beside_a_frozen_engine(self):
+        arrival = FirstArrival(pause_after(0, FROZEN_SECONDS), fail_with(422))
+        async with run_deployment(stream_configuration(max_attempts=3)) as deployment:
+            await start_engines(deployment, arrival, arrival, arrival)
+            await deployment.gateway()
+            answer = await stream(deployment)
+        self.assertEqual((answer.status, len(arrival.arrived)), (422, 2))
+
 
 class TestGivenUpEngine(unittest.TestCase):
     # Guards against a stream that breaks off beside a sound engine, which was given up
