Account for each run of a request that is placed twice

Engines got too much work, or too little: the owner knew one engine of a request. A second placement dropped the first one from its account for good, so that a stream that went on there was counted nowhere; the end of a second run beside a live first one, for example its 409, was not reported, so that the request stayed counted at an engine that had refused it, and the next one got the same results that were gone. A refused second placement also took the request from the list of its link, so that the first placement was counted on if the entry daemon died.

A report may now name the engine of the run that it is about. The owner keeps the earlier placements uncounted: the start of a run leaves it as the only one, and the end of the latest run counts the request at the one before. Results are kept only while a live engine may fetch them, not after a 409. A placement that is cancelled since another run goes on ends no account but its own. The list of a link holds a request while the scheduler has any state of it. A daemon of an older version ignores the two new fields of a report and ends the account, as it did before.

--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -39,6 +39,7 @@
 # wait for a place in the batch.
 START_TIMEOUT_TARGETS = 1.5
 LOWEST_URGENCY = 9
+RESULTS_GONE = "not run: 409"
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
 
@@ -70,8 +71,8 @@
     ----------
     last_event_id : bytes or None
         Id of the last event that was relayed from an engine.
-    placed : Run or None
-        The run whose placement is the latest.
+    serving : Run or None
+        The run of which events were relayed last.
     ended : bool
         Whether a response was relayed to its end.
     final_error : Exception or None
@@ -92,7 +93,7 @@
         self.scheduler = scheduler
         self.race = Race(log=context.log)
         self.last_event_id: bytes | None = None
-        self.placed: Run | None = None
+        self.serving: Run | None = None
         self.ended = False
         self.final_error: Exception | None = None
         self.failure: Failure | None = None
@@ -200,9 +201,14 @@
 
     async def _run(self, run: Run) -> None:
         """Place the request and send it to the engine."""
-        answer = await self._place()
+        try:
+            answer = await self._place()
+        except anyio.get_cancelled_exc_class():
+            # The scheduler may have placed the request here nevertheless.
+            if run.given_up and self.serving is not None:
+                self._report_start(self.serving)
+            raise
         if isinstance(answer, Placement):
-            self.placed = run
             run.instance = answer.instance
             await self._run_attempt(run, answer)
             return
@@ -240,7 +246,8 @@
             # An engine that was given up unheard has not failed: another run was first.
             if not self.ended and (run.heard or not run.given_up):
                 exchange.excluded.add(placement.instance)
-            self._report_end(run, progress)
+            results_gone = outcome == RESULTS_GONE
+            self._report_end(run, progress, results_gone=results_gone)
             seconds = anyio.current_time() - started
             exchange.record_attempt(placement.instance, outcome, seconds)
 
@@ -293,6 +300,7 @@
             self.race.paused = True
             if not started:
                 started = True
+                self.serving = run
                 self._report_start(run)
             if not caller.response_started:
                 await caller.begin(
@@ -371,17 +379,37 @@
             self.final_error = error
 
     def _report_start(self, run: Run) -> None:
-        # The scheduler knows one run of a request, the one that it placed last.
-        placed = run is self.placed
-        self._report(ProgressKind.STARTED if placed else ProgressKind.CANCELLED)
-
-    def _report_end(self, run: Run, kind: ProgressKind) -> None:
-        """Report the end of a run, unless a report would end that of another one."""
-        others = [other for other in self.race.live if other is not run]
-        started = self.exchange.caller.response_started
-        pending = any(not other.sent for other in others)
-        if run is self.placed and (not others or (started and not pending)):
+        self.scheduler.report_progress(
+            self.exchange.facts.attempt_id,
+            ProgressKind.STARTED,
+            instance=run.instance,
+        )
+
+    def _report_end(
+        self, run: Run, kind: ProgressKind, *, results_gone: bool = False
+    ) -> None:
+        """Report the end of a run; it is that of the request's runs if it is the last.
+
+        Parameters
+        ----------
+        results_gone : bool
+            Whether the engine did not find the results of the stages.
+        """
+        others = [
+            other for other in self.race.live if other is not run and not other.given_up
+        ]
+        if not others:
             self._report(kind)
+            return
+        being_placed = any(not other.instance for other in others)
+        pending = any(not other.sent for other in others)
+        fetched = self.exchange.caller.response_started and not pending
+        self.scheduler.report_progress(
+            self.exchange.facts.attempt_id,
+            kind,
+            instance=run.instance,
+            keeps_results=being_placed or not (fetched or results_gone),
+        )
 
     def _report(self, kind: ProgressKind) -> None:
         self.scheduler.report_progress(self.exchange.facts.attempt_id, kind)
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -41,8 +41,6 @@
 from currantdyke.scheduler.messages import (
     PlacementRequest,
     Progress,
-    ProgressKind,
-    Refusal,
 )
 from currantdyke.scheduler.scheduler import Scheduler
 from currantdyke.scheduler.stagecall import free_results, run_pieces
@@ -380,19 +378,22 @@
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
             answer = await self.scheduler.place(content)
-            if isinstance(answer, Refusal):
-                attempt_ids.discard(content.attempt_id)
+            self._forget_ended(link, content.attempt_id)
             return answer
         return Unknown()
 
     def _handle_peer_notification(self, link: Link, content: Content) -> None:
         if isinstance(content, Progress):
             self.scheduler.record_progress(content)
-            if content.kind is not ProgressKind.STARTED:
-                self.attempts_by_link.get(link, set()).discard(content.attempt_id)
+            self._forget_ended(link, content.attempt_id)
         elif isinstance(content, CrashReport):
             self.crashes.table.record(content.fingerprint, content.endpoint)
 
+    def _forget_ended(self, link: Link, attempt_id: str) -> None:
+        # A refused placement or the end of a run may leave another run.
+        if not self.scheduler.has_request(attempt_id):
+            self.attempts_by_link.get(link, set()).discard(attempt_id)
+
     def _broadcast_crash(self, fingerprint: str, endpoint: str) -> None:
         self.peers.broadcast(CrashReport(fingerprint=fingerprint, endpoint=endpoint))
 
--- a/currantdyke/gateway/tests/race_builders.py
+++ b/currantdyke/gateway/tests/race_builders.py
@@ -26,12 +26,12 @@
     return choose
 
 
-def refuse_after(seconds: float):
+def refuse_after(seconds: float, *, status: int = 503):
     """Return a handler that answers late that the request was not run."""
 
     async def handle(request, reply):
         await anyio.sleep(seconds)
-        await reply.send_response(503, {"x-not-executed": "1"})
+        await reply.send_response(status, {"x-not-executed": "1"})
         return True
 
     return handle
--- a/currantdyke/gateway/tests/test_review_accounts.py
+++ b/currantdyke/gateway/tests/test_review_accounts.py
@@ -9,10 +9,11 @@
     STREAM_HEADERS,
     FirstArrival,
     event,
+    pause_after,
     start_engines,
     stream_configuration,
 )
-from currantdyke.gateway.tests.race_builders import pause_twice
+from currantdyke.gateway.tests.race_builders import pause_twice, refuse_after
 from currantdyke.scheduler.messages import Placement, PlacementRequest, Refusal
 from currantdyke.testing.gateways import run_deployment, run_on_sockets, wait_until
 
@@ -28,6 +29,10 @@
     return False
 
 
+async def ask_for_stream(deployment):
+    await deployment.caller().request("POST", "/stream/", headers=STREAM_HEADERS)
+
+
 class TestAccounts(unittest.TestCase):
     # Guards against load that is counted after the entry daemon has died, because a
     # second placement was refused.
@@ -64,16 +69,35 @@
                 lambda: len(gateway.directory.endpoints.of_service("engine")) == 2
             )
             async with anyio.create_task_group() as tasks:
-
-                async def stream():
-                    await deployment.caller().request(
-                        "POST", "/stream/", headers=STREAM_HEADERS
-                    )
-
-                tasks.start_soon(stream)
+                tasks.start_soon(ask_for_stream, deployment)
                 await wait_until(lambda: arrival.stopped)
                 await anyio.sleep(0.1)
                 placed = gateway.scheduler.engines.requests.values()
                 counted = [one.instance for one in placed]
                 tasks.cancel_scope.cancel()
         self.assertEqual(counted, arrival.arrived[:1])
+
+    # Guards against load that is counted at an engine that refused, not at the one that
+    # still works on the request.
+    @run_on_sockets
+    async def test_refusal_of_a_second_engine_leaves_the_request_at_the_first(self):
+        refuse = refuse_after(0.0, status=409)
+        arrival = FirstArrival(pause_after(0, SLOW_START_SECONDS), refuse)
+        async with run_deployment(stream_configuration()) as deployment:
+            await start_engines(deployment, arrival, arrival)
+            gateway = await deployment.gateway()
+            await wait_until(
+                lambda: len(gateway.directory.endpoints.of_service("engine")) == 2
+            )
+            scheduler = gateway.scheduler
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask_for_stream, deployment)
+                await wait_until(lambda: len(arrival.arrived) == 2)
+                await anyio.sleep(0.1)
+                placed = scheduler.engines.requests.values()
+                counted = [one.instance for one in placed]
+                chains = list(scheduler.chains)
+                tasks.cancel_scope.cancel()
+        self.assertEqual(counted, arrival.arrived[:1])
+        # The results are not given to a third engine.
+        self.assertEqual(chains, [])
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -178,6 +178,8 @@
             progress = builder.init("progress")
             progress.attemptId = content.attempt_id
             progress.kind = content.kind.value
+            progress.instance = content.instance
+            progress.keepsResults = content.keeps_results
 
 
 def _encode_changes(builder: Any, changes: ChangeSet, compressed: bool) -> None:
@@ -260,8 +262,12 @@
                 retry_after=reader.refused.retryAfterMilliseconds / 1_000,
             )
         case "progress":
-            kind = ProgressKind(reader.progress.kind)
-            return Progress(attempt_id=reader.progress.attemptId, kind=kind)
+            return Progress(
+                attempt_id=reader.progress.attemptId,
+                kind=ProgressKind(reader.progress.kind),
+                instance=reader.progress.instance,
+                keeps_results=reader.progress.keepsResults,
+            )
         case _:
             return Unknown()
 
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -89,4 +89,6 @@
 struct Progress {
   attemptId @0 :Text;
   kind @1 :UInt8;
+  instance @2 :Text;
+  keepsResults @3 :Bool;
 }
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -49,6 +49,12 @@
     Placement(instance="i", handles=()),
     Refusal(code="overloaded", detail="d", retry_after=0.25),
     Progress(attempt_id="a", kind=ProgressKind.STARTED),
+    Progress(
+        attempt_id="a",
+        kind=ProgressKind.ENGINE_LOST,
+        instance="i",
+        keeps_results=True,
+    ),
     ChangesRequest(revision=7),
     ChangesRequest(revision=7, accepts_compressed=True),
     ChangeSet(
--- a/currantdyke/scheduler/client.py
+++ b/currantdyke/scheduler/client.py
@@ -58,10 +58,16 @@
         """Run the request's stages and choose its engine.
 
         A request that is at an engine already may be placed at another one too. If that
-        is refused, the earlier placement stays.
+        is refused, the earlier placement stays. If it is cancelled, the caller of this
+        function reports which placements are left.
         """
         earlier = self.placed_by.get(request.attempt_id, ())
-        answer = await self._ask_owners(request)
+        try:
+            answer = await self._ask_owners(request)
+        except anyio.get_cancelled_exc_class():
+            if not earlier:
+                self.report_progress(request.attempt_id, ProgressKind.CANCELLED)
+            raise
         if isinstance(answer, Refusal):
             self.placed_by.pop(request.attempt_id, None)
             if earlier:
@@ -89,28 +95,36 @@
                     waited=round(anyio.current_time() - started, 3),
                 )
                 continue
-            except anyio.get_cancelled_exc_class():
-                self.report_progress(request.attempt_id, ProgressKind.CANCELLED)
-                raise
             if isinstance(answer, (Placement, Refusal)):
                 return answer
         self._add_owner(request.attempt_id, "")
-        try:
-            return await self.local.place(request)
-        except anyio.get_cancelled_exc_class():
-            self.report_progress(request.attempt_id, ProgressKind.CANCELLED)
-            raise
+        return await self.local.place(request)
 
     def _startup_wait(self, now: float) -> float:
         """Return the seconds to wait for an owner that does not accept connections."""
         return max(0.0, self.started_at + STARTUP_SPREAD_SECONDS - now)
 
-    def report_progress(self, attempt_id: str, kind: ProgressKind) -> None:
-        """Report a request's progress to the daemons that placed it."""
+    def report_progress(
+        self,
+        attempt_id: str,
+        kind: ProgressKind,
+        *,
+        instance: str = "",
+        keeps_results: bool = False,
+    ) -> None:
+        """Report a request's progress to the daemons that placed it.
+
+        With an instance, the progress of its run there is reported; see `Progress`.
+        """
         ips = self.placed_by.get(attempt_id, ())
-        if kind is not ProgressKind.STARTED:
+        if kind is not ProgressKind.STARTED and not instance:
             self.placed_by.pop(attempt_id, None)
-        progress = Progress(attempt_id=attempt_id, kind=kind)
+        progress = Progress(
+            attempt_id=attempt_id,
+            kind=kind,
+            instance=instance,
+            keeps_results=keeps_results,
+        )
         for ip in ips:
             if ip == "":
                 self.local.record_progress(progress)
--- a/currantdyke/scheduler/engines.py
+++ b/currantdyke/scheduler/engines.py
@@ -165,7 +165,9 @@
     engines : dict of str to Engine
         Engines by instance.
     requests : dict of str to PlacedRequest
-        Placed requests by attempt id.
+        Placed requests by attempt id, each at the engine that it was placed at last.
+    earlier : dict of str to list of PlacedRequest
+        Placements before that one whose runs have not ended; they are not counted.
     hit_tokens, prompt_tokens : int
         Prompt tokens that were expected to be cached, and all prompt tokens, of the
         requests placed so far.
@@ -173,6 +175,7 @@
 
     engines: dict[str, Engine] = attrs.field(factory=dict)
     requests: dict[str, PlacedRequest] = attrs.field(factory=dict)
+    earlier: dict[str, list[PlacedRequest]] = attrs.field(factory=dict)
     hit_tokens: int = 0
     prompt_tokens: int = 0
 
@@ -233,6 +236,7 @@
             placed.started = True
             return
         del self.requests[attempt_id]
+        self.earlier.pop(attempt_id, None)
         if engine is None:
             return
         engine.placed.pop(attempt_id, None)
@@ -244,6 +248,45 @@
         elif kind is ProgressKind.ENGINE_FULL:
             engine.avoid_until = max(engine.avoid_until, now + FULL_AVOID_SECONDS)
 
+    def set_aside(self, attempt_id: str, now: float) -> None:
+        """Keep a request's placement uncounted, since another one replaces it."""
+        placed = self.requests.get(attempt_id)
+        if placed is not None:
+            earlier = self.earlier.get(attempt_id, [])
+            self.record_progress(attempt_id, ProgressKind.ENGINE_LOST, now)
+            self.earlier[attempt_id] = [*earlier, placed]
+
+    def record_run(
+        self, attempt_id: str, instance: str, kind: ProgressKind, now: float
+    ) -> None:
+        """Record the progress of one of the runs of a request.
+
+        A run that has started is the only one left. If the latest run ends, the request
+        counts at the engine of the one before.
+        """
+        latest = self.requests.get(attempt_id)
+        earlier = self.earlier.get(attempt_id, [])
+        others = [placed for placed in earlier if placed.instance != instance]
+        if latest is not None and latest.instance == instance:
+            self.record_progress(attempt_id, kind, now)
+            if kind is not ProgressKind.STARTED and others:
+                self._count(attempt_id, others.pop())
+        elif kind is ProgressKind.STARTED:
+            self.record_progress(attempt_id, ProgressKind.CANCELLED, now)
+            for placed in earlier:
+                if placed.instance == instance:
+                    self._count(attempt_id, placed)
+            self.record_progress(attempt_id, kind, now)
+        self.earlier.pop(attempt_id, None)
+        if kind is not ProgressKind.STARTED and others:
+            self.earlier[attempt_id] = others
+
+    def _count(self, attempt_id: str, placed: PlacedRequest) -> None:
+        self.requests[attempt_id] = placed
+        engine = self.engines.get(placed.instance)
+        if engine is not None:
+            engine.placed[attempt_id] = placed
+
     def _record_start(self, engine: Engine, placed: PlacedRequest, now: float) -> None:
         ratio = (now - placed.placed_at) / max(placed.expected_start_seconds, 1e-3)
         previous = engine.expected_slowness(now)
@@ -336,6 +379,7 @@
         expired = [key for key, p in self.requests.items() if p.expires_at < now]
         for attempt_id in expired:
             placed = self.requests.pop(attempt_id)
+            self.earlier.pop(attempt_id, None)
             engine = self.engines.get(placed.instance)
             if engine is not None:
                 engine.placed.pop(attempt_id, None)
--- a/currantdyke/scheduler/messages.py
+++ b/currantdyke/scheduler/messages.py
@@ -102,7 +102,18 @@
 
 @attrs.frozen(kw_only=True)
 class Progress:
-    """A report of a placed request's progress at its engine."""
+    """A report of a placed request's progress at its engine.
+
+    Attributes
+    ----------
+    instance : str
+        The engine, if the progress is that of the run there only; empty if it is that
+        of all runs of the request.
+    keeps_results : bool
+        Whether another engine may yet fetch the results of the stages.
+    """
 
     attempt_id: str
     kind: ProgressKind
+    instance: str = ""
+    keeps_results: bool = False
--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -89,10 +89,19 @@
     def record_progress(self, progress: Progress) -> None:
         """Record the progress of a request at its engine."""
         now = anyio.current_time()
-        self.engines.record_progress(progress.attempt_id, progress.kind, now)
+        attempt_id, instance = progress.attempt_id, progress.instance
+        if instance:
+            self.engines.record_run(attempt_id, instance, progress.kind, now)
+        else:
+            self.engines.record_progress(attempt_id, progress.kind, now)
         # The results can be released: the engine has fetched them, or the attempt has
         # ended.
-        self._remove_chain(progress.attempt_id)
+        if not progress.keeps_results:
+            self._remove_chain(attempt_id)
+
+    def has_request(self, attempt_id: str) -> bool:
+        """Return whether a request is placed or being placed."""
+        return attempt_id in self.engines.requests or attempt_id in self.chains
 
     def remove_endpoint(self, instance: str) -> None:
         """Remove the state of an endpoint that was removed from the directory."""
@@ -148,8 +157,7 @@
                 retry_after=NO_ENGINE_RETRY_SECONDS,
             )
         # The request is no longer expected at the engine that it was placed at before.
-        lost = ProgressKind.ENGINE_LOST
-        self.engines.record_progress(request.attempt_id, lost, now)
+        self.engines.set_aside(request.attempt_id, now)
         placed = self.engines.record_placement(engine, request, limits, now)
         self.log.write(
             "placed",
--- a/currantdyke/scheduler/tests/test_engines.py
+++ b/currantdyke/scheduler/tests/test_engines.py
@@ -69,6 +69,46 @@
         self.table.record_progress("a", ProgressKind.ENGINE_LOST, 1.0)
         self.assertNotEqual(self.place(make_request("b"), 1.1).instance, first.instance)
 
+    def place_twice(self):
+        """Place a request at a second engine beside the first; return both."""
+        first = self.place(make_request("a"))
+        self.table.set_aside("a", 1.0)
+        return first, self.place(make_request("a", excluded=(first.instance,)), 1.0)
+
+    def counted(self):
+        engines = self.table.engines.values()
+        return [e.endpoint.instance for e in engines if "a" in e.placed]
+
+    def test_request_counts_at_the_earlier_engine_if_the_later_run_ends(self):
+        first, second = self.place_twice()
+        self.assertEqual(self.counted(), [second.instance])
+        self.table.record_run("a", second.instance, ProgressKind.ENGINE_FULL, 2.0)
+        self.assertEqual(self.counted(), [first.instance])
+
+    def test_request_counts_only_at_the_engine_that_starts(self):
+        for number in range(2):
+            self.table = EngineTable()
+            pair = self.place_twice()
+            started, other = pair[number].instance, pair[1 - number].instance
+            self.table.record_run("a", started, ProgressKind.STARTED, 2.0)
+            # The report of the run that was given up comes later.
+            self.table.record_run("a", other, ProgressKind.CANCELLED, 2.0)
+            self.assertEqual(self.counted(), [started])
+
+    def test_end_of_the_earlier_run_leaves_the_later_one(self):
+        first, second = self.place_twice()
+        self.table.record_run("a", first.instance, ProgressKind.ENGINE_LOST, 2.0)
+        self.assertEqual(self.counted(), [second.instance])
+        self.table.record_run("a", second.instance, ProgressKind.ENGINE_LOST, 3.0)
+        self.assertEqual(self.counted(), [])
+
+    def test_end_of_the_request_ends_all_of_its_runs(self):
+        self.place_twice()
+        self.table.record_progress("a", ProgressKind.CANCELLED, 2.0)
+        self.assertEqual(
+            (self.counted(), self.table.requests, self.table.earlier), ([], {}, {})
+        )
+
     def test_restarted_engine_has_an_empty_cache(self):
         first = self.place(make_request("a"))
         self.table.record_progress("a", ProgressKind.FINISHED, 0.5)
