--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -1,12 +1,14 @@
 """Runs of one request at several endpoints, of which the first to serve it wins."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import anyio.abc
 import attrs
 
+from currantdyke.decisionlog import DecisionLog, log_internal_error
+
 __all__ = ["Race", "Run"]
 
 # Bounds the rate of checks for silence, whatever a route's target latency.
@@ -16,6 +18,7 @@
 GIVEN_UP = "given up for another"
 SILENT = "silent until the end"
 CANCELLED = "cancelled"
+INTERNAL_ERROR = "internal error"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -28,6 +31,8 @@
         The endpoint; empty until one is chosen.
     sent : bool
         Whether sending of the request has started.
+    heard : bool
+        Whether anything was received.
     given_up : bool
         Whether another run serves the request.
     heard_at : float
@@ -36,10 +41,16 @@
 
     instance: str = ""
     sent: bool = False
+    heard: bool = False
     given_up: bool = False
     heard_at: float = attrs.field(factory=anyio.current_time)
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
+    def record_heard(self) -> None:
+        """Record that something was received."""
+        self.heard = True
+        self.heard_at = anyio.current_time()
+
     def cancelled_outcome(self) -> str:
         """Return the log's outcome of an attempt that was cancelled."""
         if self.given_up:
@@ -60,13 +71,20 @@
     live : list of Run
         Runs that have not ended, in the order of their start.
     silent_at : float
-        Monotonic time in seconds at which the runs count as silent.
+        Monotonic time in seconds at which the runs count as silent; infinite while
+        silence is not measured.
+    silence_seconds : float
+        The time for which silence was measured last.
     paused : bool
         Whether silence is not measured, because a response is being relayed.
+    log : DecisionLog or None
+        Receives the errors of runs beside which another one goes on.
     """
 
+    log: DecisionLog | None = None
     live: list[Run] = attrs.field(factory=list)
     silent_at: float = math.inf
+    silence_seconds: float = MIN_SILENCE_SECONDS
     paused: bool = False
     error: Exception | None = None
     changed: anyio.Event = attrs.field(factory=anyio.Event)
@@ -87,11 +105,11 @@
             raise error
 
     def start(self, function: Callable[[Run], Awaitable[None]]) -> None:
-        """Start a run; silence is measured again once it is sent."""
+        """Start a run; silence is measured again once it is sent or has ended."""
         assert self.tasks is not None
         run = Run()
         self.live.append(run)
-        self.silent_at = math.inf
+        self.stop_measuring()
         self.tasks.start_soon(self._run, run, function)
 
     def record_sent(self, run: Run, silence_seconds: float) -> None:
@@ -103,8 +121,12 @@
 
     def extend(self, silence_seconds: float) -> None:
         """Count the runs as silent only after this time, in seconds from now."""
-        seconds = max(MIN_SILENCE_SECONDS, silence_seconds)
-        self.silent_at = anyio.current_time() + seconds
+        self.silence_seconds = max(MIN_SILENCE_SECONDS, silence_seconds)
+        self.silent_at = anyio.current_time() + self.silence_seconds
+
+    def stop_measuring(self) -> None:
+        """Don't count the runs as silent until one is sent, goes on or ends."""
+        self.silent_at = math.inf
 
     def claim(self, run: Run) -> bool:
         """Give up all other runs; return False if this one was given up.
@@ -114,12 +136,22 @@
         """
         if run.given_up:
             return False
-        for other in self.live:
-            if other is not run:
-                other.given_up = True
-                other.scope.cancel()
+        self._give_up(other for other in self.live if other is not run)
         return True
 
+    def give_up_all(self) -> None:
+        """Give up all runs, so that something else than their responses is relayed."""
+        self._give_up(self.live)
+
+    def _give_up(self, runs: Iterable[Run]) -> None:
+        for run in runs:
+            run.given_up = True
+            run.scope.cancel()
+
+    def has_others(self, run: Run) -> bool:
+        """Return whether another run may still serve the request."""
+        return any(other is not run and not other.given_up for other in self.live)
+
     def is_silent(self) -> bool:
         """Return whether all runs were sent and are silent."""
         return (
@@ -134,7 +166,7 @@
         Raises
         ------
         Exception
-            The error of a run that failed.
+            The error of a run that failed when no other one was left.
         """
         changed = self.changed
         timeout = max(MIN_SILENCE_SECONDS, self.silent_at - anyio.current_time())
@@ -148,10 +180,16 @@
             with run.scope:
                 await function(run)
         except Exception as error:
-            # Raised by `wait`, in the task that serves the request.
-            self.error = self.error or error
+            if not self.has_others(run):
+                # Raised by `wait`, in the task that serves the request.
+                self.error = self.error or error
+            elif self.log is not None:
+                log_internal_error(self.log, error, where="run of a request")
         finally:
             self.live.remove(run)
+            # The run that ended may have been the reason to measure no silence.
+            if self.silent_at == math.inf:
+                self.extend(self.silence_seconds)
             self._notify()
 
     def _notify(self) -> None:
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -1,7 +1,5 @@
 """Forward a request whose response is a stream of events."""
 
-import math
-
 import anyio
 
 from currantdyke.catalog import Endpoint
@@ -15,9 +13,13 @@
 )
 from currantdyke.forward.context import ForwardContext, build_outgoing_request
 from currantdyke.forward.events import EventSplitter, EventTooLongError
-from currantdyke.forward.exchange import Exchange, StreamBrokenError
+from currantdyke.forward.exchange import (
+    KEPT_FAILURE_MARGIN_SECONDS,
+    Exchange,
+    StreamBrokenError,
+)
 from currantdyke.forward.quarantine import quarantine_failure, settle, start_run
-from currantdyke.forward.race import CANCELLED, Race, Run
+from currantdyke.forward.race import CANCELLED, INTERNAL_ERROR, Race, Run
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
 from currantdyke.scheduler.messages import (
@@ -39,9 +41,13 @@
 # wait for a place in the batch.
 START_TIMEOUT_TARGETS = 1.5
 LOWEST_URGENCY = 9
+RESULTS_GONE = "not run: 409"
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
 
+# Status, headers and body of an engine's failure.
+Failure = tuple[int, list[tuple[bytes, bytes]], bytes]
+
 
 async def forward_stream(
     exchange: Exchange, context: ForwardContext, scheduler: SchedulerClient
@@ -67,8 +73,8 @@
     ----------
     last_event_id : bytes or None
         Id of the last event that was relayed from an engine.
-    placed : Run or None
-        The run whose placement is the latest.
+    serving : Run or None
+        The run of which events were relayed last.
     ended : bool
         Whether a response was relayed to its end.
     final_error : Exception or None
@@ -76,6 +82,9 @@
     failure : tuple or None
         Status, headers and body of an engine's failure, relayed if no other engine
         serves the request.
+    kept_failure : tuple or None
+        The same after which no other engine is tried, relayed if none of the live runs
+        serves the request.
     """
 
     def __init__(
@@ -84,12 +93,13 @@
         self.exchange = exchange
         self.context = context
         self.scheduler = scheduler
-        self.race = Race()
+        self.race = Race(log=context.log)
         self.last_event_id: bytes | None = None
-        self.placed: Run | None = None
+        self.serving: Run | None = None
         self.ended = False
         self.final_error: Exception | None = None
-        self.failure: tuple[int, list[tuple[bytes, bytes]], bytes] | None = None
+        self.failure: Failure | None = None
+        self.kept_failure: Failure | None = None
 
     async def run(self) -> None:
         """Forward the stream until it ends."""
@@ -105,18 +115,19 @@
             await self.race.wait()
             if self.race.live:
                 if not self.ended and self.race.is_silent():
-                    self._handle_silence()
-            elif self.ended:
-                return
-            else:
+                    await self._handle_silence()
+            elif not self.ended:
                 await self._retry_or_fail()
-                if self.ended:
-                    return
+            if self.ended and not self.race.live:
+                return
 
-    def _handle_silence(self) -> None:
+    async def _handle_silence(self) -> None:
         """Start a run at another engine, if that is allowed; the live runs go on."""
+        if self.kept_failure is not None and not self.exchange.caller.response_started:
+            await self._await_live_runs(self.kept_failure)
+            return
         if not self._may_run_again():
-            self.race.extend(math.inf)
+            self.race.stop_measuring()
             return
         self.race.extend(SILENCE_TIMEOUT_SECONDS)
         if (
@@ -126,6 +137,20 @@
         ):
             self.race.start(self._run)
 
+    async def _await_live_runs(self, failure: Failure) -> None:
+        """Relay a kept failure only once the deadline is near."""
+        end = self._placement_deadline() - KEPT_FAILURE_MARGIN_SECONDS
+        left = end - anyio.current_time()
+        if left > 0:
+            self.race.extend(left)
+        else:
+            self.race.give_up_all()
+            await self._relay_failure(failure)
+
+    async def _relay_failure(self, failure: Failure) -> None:
+        self.ended = True
+        await self.exchange.caller.answer(*failure)
+
     def _tried_engines(self) -> set[str]:
         return self.exchange.excluded | {run.instance for run in self.race.live}
 
@@ -178,9 +203,14 @@
 
     async def _run(self, run: Run) -> None:
         """Place the request and send it to the engine."""
-        answer = await self._place()
+        try:
+            answer = await self._place()
+        except anyio.get_cancelled_exc_class():
+            # The scheduler may have placed the request here nevertheless.
+            if run.given_up and self.serving is not None:
+                self._report_start(self.serving)
+            raise
         if isinstance(answer, Placement):
-            self.placed = run
             run.instance = answer.instance
             await self._run_attempt(run, answer)
             return
@@ -215,13 +245,18 @@
                 evidence.lose()
         except anyio.get_cancelled_exc_class():
             outcome = run.cancelled_outcome()
-            if run.given_up and evidence is not None:
+            if run.given_up and run.sent and evidence is not None:
                 evidence.lose(abandoned=True)
             raise
+        except Exception:
+            outcome = INTERNAL_ERROR
+            raise
         finally:
-            if not self.ended:
+            # An engine that was given up unheard has not failed: another run was first.
+            if not self.ended and (run.heard or not run.given_up):
                 exchange.excluded.add(placement.instance)
-            self._report_end(run, progress)
+            results_gone = outcome == RESULTS_GONE
+            self._report_end(run, progress, results_gone=results_gone)
             seconds = anyio.current_time() - started
             exchange.record_attempt(placement.instance, outcome, seconds)
 
@@ -269,7 +304,7 @@
             events, last_id = splitter.feed(data)
             if not events:
                 continue
-            run.heard_at = anyio.current_time()
+            run.record_heard()
             evidence.record_data()
             if not self.race.claim(run):
                 return
@@ -277,6 +312,7 @@
             self.race.paused = True
             if not started:
                 started = True
+                self.serving = run
                 self._report_start(run)
             if not caller.response_started:
                 await caller.begin(
@@ -314,14 +350,20 @@
             return f"failed: {facts.status}", ProgressKind.FINISHED
         if exchange.caller.response_started:
             self._end_with(StreamBrokenError(f"the engine answered {facts.status}"))
+        elif self.race.has_others(run):
+            self.kept_failure = (facts.status, headers, body)
+            return f"failed: {facts.status}", ProgressKind.FINISHED
         elif self.race.claim(run):
-            self.ended = True
-            await exchange.caller.answer(facts.status, headers, body)
+            await self._relay_failure((facts.status, headers, body))
         return f"passed on: {facts.status}", ProgressKind.FINISHED
 
     async def _retry_or_fail(self) -> None:
         """Start another run, or relay a failure or raise if none may follow."""
         exchange = self.exchange
+        begun = exchange.caller.response_started
+        if self.kept_failure is not None and not begun:
+            await self._relay_failure(self.kept_failure)
+            return
         if self.final_error is not None:
             raise self.final_error
         await settle(exchange)
@@ -334,9 +376,8 @@
             allowed = self.context.take_retry(exchange.service)
         if allowed:
             self.race.start(self._run)
-        elif self.failure is not None and not exchange.caller.response_started:
-            self.ended = True
-            await exchange.caller.answer(*self.failure)
+        elif self.failure is not None and not begun:
+            await self._relay_failure(self.failure)
         else:
             raise self._failure(exchange.attempts[-1].outcome, RETRY_AFTER_SECONDS)
 
@@ -354,17 +395,37 @@
             self.final_error = error
 
     def _report_start(self, run: Run) -> None:
-        # The scheduler knows one run of a request, the one that it placed last.
-        placed = run is self.placed
-        self._report(ProgressKind.STARTED if placed else ProgressKind.CANCELLED)
-
-    def _report_end(self, run: Run, kind: ProgressKind) -> None:
-        """Report the end of a run, unless a report would end that of another one."""
-        others = [other for other in self.race.live if other is not run]
-        started = self.exchange.caller.response_started
-        pending = any(not other.sent for other in others)
-        if run is self.placed and (not others or (started and not pending)):
+        self.scheduler.report_progress(
+            self.exchange.facts.attempt_id,
+            ProgressKind.STARTED,
+            instance=run.instance,
+        )
+
+    def _report_end(
+        self, run: Run, kind: ProgressKind, *, results_gone: bool = False
+    ) -> None:
+        """Report the end of a run; it is that of the request's runs if it is the last.
+
+        Parameters
+        ----------
+        results_gone : bool
+            Whether the engine did not find the results of the stages.
+        """
+        others = [
+            other for other in self.race.live if other is not run and not other.given_up
+        ]
+        if not others:
             self._report(kind)
+            return
+        being_placed = any(not other.instance for other in others)
+        pending = any(not other.sent for other in others)
+        fetched = self.exchange.caller.response_started and not pending
+        self.scheduler.report_progress(
+            self.exchange.facts.attempt_id,
+            kind,
+            instance=run.instance,
+            keeps_results=being_placed or not (fetched or results_gone),
+        )
 
     def _report(self, kind: ProgressKind) -> None:
         self.scheduler.report_progress(self.exchange.facts.attempt_id, kind)
--- a/currantdyke/forward/tests/test_silence.py
+++ b/currantdyke/forward/tests/test_silence.py
@@ -45,7 +45,7 @@
         facts=types.SimpleNamespace(attempt_id="a"),
     )
     scheduler = types.SimpleNamespace(report_progress=lambda attempt_id, kind: None)
-    stream = ForwardedStream(exchange, types.SimpleNamespace(), scheduler)
+    stream = ForwardedStream(exchange, types.SimpleNamespace(log=None), scheduler)
     race = stream.race
     race.live += [Run(instance="silent"), Run(instance="other")]
     evidence = types.SimpleNamespace(record_data=lambda: None)
