--- a/currantdyke/crashes/tests/test_fleet.py
+++ b/currantdyke/crashes/tests/test_fleet.py
@@ -92,7 +92,15 @@
             for gateway in (0, 1) * 3:
                 await fleet.send("", gateway=gateway)
         after = fleet.sound_results_after(killed_at)
-        self.assertEqual([result.served for result in after], [True] * 6)
+        lines = [
+            line
+            for lines in fleet.deployment.lines.values()
+            for line in lines
+            if line["event"] in ("request_ended", "crash_group_condemned")
+        ]
+        self.assertEqual([line for line in lines if "crashes" in line], [])
+        served = [result.served for result in after]
+        self.assertEqual(served, [True] * 6, (after, lines[-10:]))
 
     async def _crash_engines(self, fleet) -> None:
         """Send load until engines have crashed, and until its last request ended."""
