Refuse repeats of a request as soon as its third crash is known

A request that had crashed three endpoints reached a fourth one 0.4 s after the third crash: crashes are weighed 0.3 s after they happen and on a timer, since the report of the run that caused a crash may come after others. The hash of a request needs no other report: it is evaluated with each report now.

--- a/currantdyke/crashes/detector.py
+++ b/currantdyke/crashes/detector.py
@@ -154,13 +154,15 @@
         else:
             # A daemon of an earlier build names only the request.
             keys = frozenset(content.keys or (request_key(content.fingerprint),))
+            lost_run = RunInCrash(keys=keys, sent_at=now - content.sent_age)
             self.table.record_crash(
                 content.endpoint,
                 content.born,
-                RunInCrash(keys=keys, sent_at=now - content.sent_age),
+                lost_run,
                 at=now - content.age,
                 own=False,
             )
+            self.table.evaluate_request(lost_run.request)
 
     def on_record(
         self, group: str, record: CrashGroupRecord | None, revision: int
@@ -233,6 +235,7 @@
             at=lost.lost_at,
             own=True,
         )
+        self.table.evaluate_request(lost_run.request)
         self.broadcast(
             CrashReport(
                 fingerprint=lost_run.request,
--- a/currantdyke/crashes/table.py
+++ b/currantdyke/crashes/table.py
@@ -1,17 +1,19 @@
 """Crashes of endpoints, and the groups of requests that are refused because of them."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import xxhash
 
 from currantdyke.crashes.evidence import (
+    CRASHES_TO_CONDEMN,
     CrashEvent,
     CrashGroup,
     RunInCrash,
     find_groups,
 )
+from currantdyke.crashes.keys import is_request_key
 from currantdyke.decisionlog import DecisionLog
 
 __all__ = ["CondemnedGroup", "CrashTable", "group_id"]
@@ -172,6 +174,17 @@
                             callback(group)
         return frozenset(cleared)
 
+    def evaluate_request(self, request: str) -> None:
+        """Evaluate at once if repeats of one request may have to be refused.
+
+        Parameters
+        ----------
+        request : str
+            The key of the request in a report that was recorded just now.
+        """
+        if self.count_crashes(frozenset((request,))) >= CRASHES_TO_CONDEMN:
+            self.evaluate()
+
     def evaluate(self) -> None:
         """Drop old crashes and condemn the groups that the others show."""
         now = self.now()
@@ -182,9 +195,12 @@
             reported = now - REPORT_SECONDS
             settled = [event for event in self.events.values() if event.at <= reported]
             self.changed = len(settled) < len(self.events)
-            refused = [group.keys for group in self.groups.values()]
-            for found in find_groups(settled, refused=refused):
+            for found in self._find_groups(settled):
                 self._condemn(found)
+            # The hash of a request names it, whatever else ran on the endpoints.
+            for found in self._find_groups(self.events.values()):
+                if any(map(is_request_key, found.keys)):
+                    self._condemn(found)
         for group in list(self.groups.values()):
             # Without its record, nothing but time ends a group.
             if group.revision == 0 and group.until < now:
@@ -259,6 +275,10 @@
         """Return the seconds until a request of a group may be sent again."""
         return max(MIN_RETRY_AFTER_SECONDS, group.until - self.now())
 
+    def _find_groups(self, events: Iterable[CrashEvent]) -> list[CrashGroup]:
+        refused = [group.keys for group in self.groups.values()]
+        return find_groups(events, refused=refused)
+
     def _condemn(self, found: CrashGroup) -> None:
         now = self.now()
         if group_id(found.keys) in self.groups:
