--- a/currantdyke/forward/tests/test_silence.py
+++ b/currantdyke/forward/tests/test_silence.py
@@ -44,8 +44,8 @@
         route=types.SimpleNamespace(may_repeat=True, max_attempts=2),
         facts=types.SimpleNamespace(attempt_id="a"),
     )
-    scheduler = types.SimpleNamespace(report_progress=lambda attempt_id, kind: None)
-    stream = ForwardedStream(exchange, types.SimpleNamespace(), scheduler)
+    scheduler = types.SimpleNamespace(report_progress=lambda *_, **__: None)
+    stream = ForwardedStream(exchange, types.SimpleNamespace(log=None), scheduler)
     race = stream.race
     race.live += [Run(instance="silent"), Run(instance="other")]
     with race.live[0].scope:
--- a/currantdyke/scheduler/tests/test_client.py
+++ b/currantdyke/scheduler/tests/test_client.py
@@ -49,6 +49,22 @@
         self.assertEqual(client.placed_by, {})
         self.assertEqual(local.progress, [("a1", ProgressKind.CANCELLED)])
 
+    # Guards against a live run that is no longer counted, since a second placement was
+    # cancelled for it.
+    def test_cancelled_second_placement_leaves_the_first(self):
+        local = WaitingScheduler()
+        client = build_client(local)
+        client.placed_by["a1"] = ("",)
+        request = types.SimpleNamespace(attempt_id="a1", service="engine")
+
+        async def scenario():
+            with anyio.move_on_after(1.0):
+                await client.place(request)
+
+        run_virtual(scenario)
+        self.assertEqual(client.placed_by, {"a1": ("",)})
+        self.assertEqual(local.progress, [])
+
 
 if __name__ == "__main__":
     unittest.main()
