--- a/currantdyke/gateway/tests/test_review_races.py
+++ b/currantdyke/gateway/tests/test_review_races.py
@@ -5,9 +5,9 @@
 
 import anyio
 
+from currantdyke.crashes import CrashDetector
 from currantdyke.forward import plain
 from currantdyke.forward import stream as streams
-from currantdyke.forward.crashes import CrashDetector
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.tests.builders import (
     KEY,
