Test that endpoints get no more than the limits that they name

What callers and endpoints see on: a limit in answers changes nothing. Emulated endpoints can name a limit now; the soak has a pattern in which they name, change and drop limits, and a planted fault that ignores them.

--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -55,6 +55,10 @@
     crash_part : str
         The endpoint crashes when it begins an answer to a prompt with this part,
         anywhere but last; empty for none. Stages don't use it.
+    server_limit : str
+        The limit on requests per second that its answers name; empty for none.
+    arrived_at : list of float
+        Times of the arrivals, in monotonic seconds.
     crashed_on : list of str
         Attempt ids of the requests that crashed it.
     on_crash : callable
@@ -80,6 +84,8 @@
     handle_first: FaultHandler = inject_no_fault
     plan_answer: Callable[[Request], AnswerPlan] = plan_sound
     crash_part: str = ""
+    server_limit: str = ""
+    arrived_at: list[float] = attrs.field(factory=list)
     crashed_on: list[str] = attrs.field(factory=list)
     on_crash: Callable[[], None] = lambda: None
     incarnation: int = 1
@@ -128,13 +134,19 @@
         return {
             "x-attempt-id": request.headers.get("x-attempt-id", ""),
             "x-server-signature": f"signed.{self.instance}",
-        }
+        } | self.limit_headers()
+
+    def limit_headers(self) -> dict[str, str]:
+        """Return the header by which all answers name a limit, if there is one."""
+        return {"server-limit": self.server_limit} if self.server_limit else {}
 
     async def _handle(self, request: Request, reply: Reply) -> None:
         self.arrivals.append(request)
+        self.arrived_at.append(anyio.current_time())
         expected = request.headers.get("x-expect-instance")
         if expected is not None and expected != self.instance:
-            await reply.send_response(421, {"x-instance-id": self.instance})
+            headers = {"x-instance-id": self.instance} | self.limit_headers()
+            await reply.send_response(421, headers)
             return
         if await self.handle_first(request, reply):
             return
@@ -243,7 +255,7 @@
             self.freed += document["handles"]
             for handle in document["handles"]:
                 self.results.pop(handle, None)
-            await reply.send_response(200)
+            await reply.send_response(200, self.limit_headers())
             return
         await anyio.sleep(self.work_seconds)
         results = []
@@ -253,4 +265,5 @@
             handle = f"{self.address}/{self.instance}-{next(self.handle_numbers)}"
             self.results[handle] = piece
             results.append({"handle": handle})
-        await reply.send_response(200, {}, msgspec.json.encode({"entries": results}))
+        body = msgspec.json.encode({"entries": results})
+        await reply.send_response(200, self.limit_headers(), body)
--- a/currantdyke/soak/callers.py
+++ b/currantdyke/soak/callers.py
@@ -101,6 +101,11 @@
     answer: CallerAnswer | None = None
     error: str = ""
 
+    @property
+    def process_name(self) -> str:
+        """Name of the gateway process that the request was sent to."""
+        return f"{self.gateway.name}/{self.incarnation.number}"
+
     @property
     def answered(self) -> bool:
         """Whether there is a whole answer."""
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -18,6 +18,7 @@
 from currantdyke.soak.callers import ChooseRequest, choose_request
 from currantdyke.soak.configurations import grow_configuration
 from currantdyke.soak.faults import FAULTS, GATEWAY_FAULTS
+from currantdyke.soak.limits import change_limits, limit_violations
 from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
 from currantdyke.soak.prompts import (
     choose_prompt,
@@ -126,6 +127,13 @@
         deadline_seconds=SILENT_DEADLINE_SECONDS,
         timeout_seconds=LOWEST_TIMEOUT_SECONDS,
     ),
+    "limits": Pattern(
+        endpoints=ENDPOINTS,
+        faults=GATEWAY_FAULTS,
+        activities=(grow_configuration, change_limits, change_limits, change_limits),
+        fault_series=2,
+        find_violations=limit_violations,
+    ),
     "crashing-part": Pattern(
         start_endpoints=start_engines,
         faults=GATEWAY_FAULTS,
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -10,6 +10,7 @@
 
 import anyio
 import attrs
+import h11
 
 from currantdyke.crashes import CrashDetector
 from currantdyke.directory import Directory
@@ -28,6 +29,7 @@
 LATE_SECONDS = 4.0
 # Less than the silence of sound endpoints.
 SILENCE_SECONDS = 0.3
+SERVER_LIMIT = b"server-limit"
 
 
 def _repeat_attempts() -> None:
@@ -103,6 +105,16 @@
     CrashDetector.start_probe = start_no_probe  # type: ignore[method-assign, assignment]
 
 
+def _ignore_limits() -> None:
+    decode = attempt.decode_response_metadata
+
+    def decode_without_limit(head: h11.Response) -> Any:
+        headers = [field for field in head.headers if field[0] != SERVER_LIMIT]
+        return decode(h11.Response(status_code=head.status_code, headers=headers))
+
+    attempt.decode_response_metadata = decode_without_limit
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -114,6 +126,7 @@
     "leaving": _use_leaving_endpoints,
     "silence": _close_at_silence,
     "crashes": _detect_no_crash,
+    "limits": _ignore_limits,
 }
 
 
--- a/currantdyke/soak/tests/test_patterns.py
+++ b/currantdyke/soak/tests/test_patterns.py
@@ -27,6 +27,17 @@
         compared = report.counts["sound requests beside the part"]
         self.assertGreater(compared, MIN_ANSWERS, report.text())
 
+    # Issue 28: endpoints that name a limit got as many requests as the others.
+    def test_short_run_with_limits_has_no_violations(self):
+        report = anyio.run(functools.partial(soak, SEED, 14.0, pattern="limits"))
+        self.assertEqual(report.broken, [], report.text())
+        self.assertGreater(report.counts["windows of a limit"], 0, report.text())
+
+    def test_ignored_limits_are_detected(self):
+        run = functools.partial(soak, SEED, 14.0, pattern="limits", planted="limits")
+        report = anyio.run(run)
+        self.assertIn("named a limit of", " ".join(report.broken))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -58,7 +58,10 @@
     crashes : CrashObservations
         Kept by the runs with a crashing part.
     arrivals : list of (float, dict)
-        Times, endpoints and attempt ids of the requests that reached endpoints.
+        Times, endpoints and attempt ids of the requests that reached endpoints, with
+        the gateway processes that sent them and whether these were in touch.
+    limits : list of NamedLimit
+        The limits that endpoints named.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
@@ -71,6 +74,7 @@
     proxies: dict[str, Proxy] = attrs.field(factory=dict)
     gateways: list[SupervisedGateway] = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
+    limits: list = attrs.field(factory=list)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
@@ -168,14 +172,18 @@
         self.proxies.pop(instance)
 
     async def _record_arrival(self, instance: str, request, reply) -> bool:
-        fields = {"endpoint": instance, "attempt_id": request.attempt_id}
-        self.arrivals.append((anyio.current_time(), fields))
         attempt = self._find_attempt(request.attempt_id)
+        in_touch = attempt is not None and self.is_in_touch(attempt.gateway)
+        fields = {
+            "endpoint": instance,
+            "attempt_id": request.attempt_id,
+            "gateway": "" if attempt is None else attempt.process_name,
+            "in_touch": in_touch,
+        }
+        self.arrivals.append((anyio.current_time(), fields))
         name = "the owner of its stages" if attempt is None else attempt.gateway.name
         self.checker.check_arrival(instance, request.attempt_id, name)
-        if attempt is None or attempt.kind != BAD:
-            return False
-        if self.is_in_touch(attempt.gateway):
+        if in_touch and attempt is not None and attempt.kind == BAD:
             self.crashes.bad_arrivals.append(anyio.current_time())
         return False
 
