Let the owners of a stage service share the retries of a window

What callers could see: when daemons stop one after another, stage endpoints get more retries than the fleet may send, as each new owner began with half of a window's retries.

Cause: the budget for retries of stage calls belongs to the owner alone and started full. Class: as with the limits of endpoints, a bound on the fleet that each owner in turn counts for itself.

Change: it starts empty at an owner's first stage call and is refilled from then on.

--- a/currantdyke/forward/budget.py
+++ b/currantdyke/forward/budget.py
@@ -26,7 +26,8 @@
     earned : float
         Retries earned by requests and not yet used.
     allowance : float or None
-        This daemon's available part of the slack; None before the first use.
+        This daemon's available part of the slack; None for half of its share at the
+        first use.
     refilled_at : float
         Monotonic time in seconds at which the allowance was refilled last.
 
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -412,7 +412,8 @@
         """Return the retry budget for stage calls to a service.
 
         Only the owner of the service, the daemon that schedules its stage calls, spends
-        it, so it is not divided among the daemons.
+        it, so it is not divided among the daemons. It is empty at the first call: what
+        the owner before has spent is not known.
         """
         budget = self.stage_retry_budgets.get(service)
         if budget is None:
@@ -420,6 +421,8 @@
                 ratio=0.0,
                 window=self.settings.retry_window,
                 slack=self.settings.retry_slack,
+                allowance=0.0,
+                refilled_at=anyio.current_time(),
             )
         return budget
 
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -318,6 +318,8 @@
     ) -> None:
         expected = limits.call_seconds + len(pieces) * limits.piece_seconds
         self.endpoint_limits.take_token(worker.endpoint)
+        # A new owner's budget is refilled from its first call on.
+        self.retry_budget(worker.endpoint.service)
         worker.calls += 1
         worker.calls_end_at = now + expected * worker.expected_slowness(now)
         worker.reserved += sum(piece.result_bytes for piece in pieces)
