Test that a stream goes on only at the version that began it

What callers see on: a stream that is taken up, by its caller or by the gateway, goes on at any engine, whatever its software version. Emulated engines can name a version in their entries and events; the soak has a pattern in which versions come and go and callers take their streams up elsewhere, and a planted fault that ignores versions.

--- a/currantdyke/emulator/callers.py
+++ b/currantdyke/emulator/callers.py
@@ -12,6 +12,7 @@
 __all__ = ["Caller", "CallerAnswer", "caller_headers"]
 
 ANSWER_TIMEOUT_SECONDS = 10.0
+EVENT_END = b"\n\n"
 
 
 @attrs.frozen(kw_only=True)
@@ -61,6 +62,15 @@
     return headers
 
 
+def _build_answer(head: h11.Response, body: bytes, complete: bool) -> CallerAnswer:
+    headers = {
+        key.decode("latin-1"): value.decode("latin-1") for key, value in head.headers
+    }
+    return CallerAnswer(
+        status=head.status_code, headers=headers, body=body, complete=complete
+    )
+
+
 class Caller:
     """Client that sends requests over one connection.
 
@@ -146,15 +156,32 @@
             connection.state.start_next_cycle()
         else:
             await self.close()
-        return CallerAnswer(
-            status=head.status_code,
-            headers={
-                key.decode("latin-1"): value.decode("latin-1")
-                for key, value in head.headers
-            },
-            body=body,
-            complete=complete,
-        )
+        return _build_answer(head, body, complete)
+
+    async def first_events(self, count: int) -> CallerAnswer:
+        """Read the answer up to a number of events, and close the connection.
+
+        The answer is whole if it ends before, or without an event after the last one.
+        """
+        connection = await self.connect()
+        body = b""
+        complete = False
+        with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
+            head = await connection.next_event()
+            if not isinstance(head, h11.Response):
+                raise ConnectionLostError("closed without an answer")
+            try:
+                while body.count(EVENT_END) < count:
+                    event = await connection.next_event()
+                    if not isinstance(event, h11.Data):
+                        complete = isinstance(event, h11.EndOfMessage)
+                        break
+                    body += bytes(event.data)
+            except (ConnectionLostError, h11.RemoteProtocolError):
+                # The connection was lost during the answer.
+                complete = False
+        await self.close()
+        return _build_answer(head, body, complete)
 
     async def raw(self, data: bytes) -> bytes:
         """Send bytes, and return all bytes received until the connection closes."""
--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -63,6 +63,8 @@
         Attempt ids of the requests that crashed it.
     on_crash : callable
         Called at each crash.
+    version : str
+        Version of its software, which its entry names.
     incarnation, born : int
         Number and start of the current lifetime, in Unix milliseconds.
     cancel_scope : CancelScope
@@ -88,6 +90,7 @@
     arrived_at: list[float] = attrs.field(factory=list)
     crashed_on: list[str] = attrs.field(factory=list)
     on_crash: Callable[[], None] = lambda: None
+    version: str = "v1"
     incarnation: int = 1
     born: int = 1
     streams: set[anyio.abc.SocketStream] = attrs.field(factory=set)
@@ -104,7 +107,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.availability_zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
@@ -198,11 +201,14 @@
         Number of events in a complete stream.
     break_after : int or None
         Number of events after which the connection is reset, within the next event.
+    marks_events : bool
+        Whether its events name its version.
     """
 
     events: int = 5
     event_seconds: float = 0.01
     break_after: int | None = None
+    marks_events: bool = False
 
     async def _serve(self, request: Request, reply: Reply) -> None:
         attempt_id = request.attempt_id
@@ -216,7 +222,7 @@
             await write_answer(
                 reply,
                 self.answer_headers(request) | headers,
-                [b"id: %d\ndata: %d\n\n" % (number, number) for number in numbers],
+                list(map(self._event, numbers)),
                 self._plan(request, first),
                 framing=Framing.CHUNKS,
                 part_seconds=self.event_seconds,
@@ -225,6 +231,10 @@
             self.stopped.append(attempt_id)
             raise
 
+    def _event(self, number: int) -> bytes:
+        mark = f" {self.version}" if self.marks_events else ""
+        return f"id: {number}\ndata: {number}{mark}\n\n".encode()
+
     def _plan(self, request: Request, first: int) -> AnswerPlan:
         if self.break_after is None:
             return self.plan_answer(request)
--- a/currantdyke/soak/callers.py
+++ b/currantdyke/soak/callers.py
@@ -18,6 +18,7 @@
     "Attempt",
     "ChooseRequest",
     "RequestChoice",
+    "choose_plain",
     "choose_request",
     "send_requests",
 ]
@@ -194,6 +195,11 @@
     return attempt.answer is not None and caller.connection is not None
 
 
+def choose_plain(world, rng: random.Random) -> RequestChoice:
+    """Choose a plain request."""
+    return RequestChoice(kind="plain", prefix="/plain/", key=FIRST_KEY)
+
+
 def choose_request(world, rng: random.Random) -> RequestChoice:
     """Choose among the kinds of requests and the routes of the configurations."""
     kind = rng.choice(("plain", "once", "stream", "added"))
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -15,7 +15,7 @@
 )
 from currantdyke.emulator.answers import plan_sound
 from currantdyke.emulator.http import Request
-from currantdyke.soak.callers import ChooseRequest, choose_request
+from currantdyke.soak.callers import ChooseRequest, choose_plain, choose_request
 from currantdyke.soak.configurations import grow_configuration
 from currantdyke.soak.faults import FAULTS, GATEWAY_FAULTS
 from currantdyke.soak.limits import change_limits, limit_violations
@@ -25,6 +25,12 @@
     crash_violations,
     start_engines,
 )
+from currantdyke.soak.versions import (
+    change_versions,
+    start_versions,
+    take_up_streams,
+    version_violations,
+)
 
 __all__ = ["PATTERNS", "Pattern"]
 
@@ -36,6 +42,8 @@
 # Callers abandon a stream after two seconds without an event.
 MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS = 0.5, 1.8
 UNDELIMITED_SHARE = 0.3
+# Callers that take streams up elsewhere.
+STREAM_CALLERS = 10
 # Longer than any time-out of the routes.
 SILENT_DEADLINE_SECONDS = 10.0
 
@@ -134,6 +142,17 @@
         fault_series=2,
         find_violations=limit_violations,
     ),
+    "versions": Pattern(
+        endpoints=ENDPOINTS[:1],
+        start_endpoints=start_versions,
+        faults=GATEWAY_FAULTS,
+        choose_request=choose_plain,
+        activities=(change_versions, *[take_up_streams] * STREAM_CALLERS),
+        think_seconds=0.5,
+        fault_series=1,
+        route_stages=False,
+        find_violations=version_violations,
+    ),
     "crashing-part": Pattern(
         start_endpoints=start_engines,
         faults=GATEWAY_FAULTS,
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -21,7 +21,7 @@
 from currantdyke.gateway.__main__ import main
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.daemon import GatewayDaemon
-from currantdyke.platform import answers
+from currantdyke.platform import answers, records
 from currantdyke.platform.answers import ResponseMetadata
 
 __all__ = ["PLANTED"]
@@ -117,6 +117,15 @@
     attempt.decode_response_metadata = decode_without_limit
 
 
+def _ignore_versions() -> None:
+    decode: Any = records._decode_endpoint
+
+    def decode_without_version(instance: str, document: dict) -> Any:
+        return decode(instance, document | {"version": ""})
+
+    records._decode_endpoint = decode_without_version
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -129,6 +138,7 @@
     "silence": _close_at_silence,
     "crashes": _detect_no_crash,
     "limits": _ignore_limits,
+    "versions": _ignore_versions,
 }
 
 
--- a/currantdyke/soak/tests/test_patterns.py
+++ b/currantdyke/soak/tests/test_patterns.py
@@ -33,6 +33,19 @@
         self.assertEqual(report.broken, [], report.text())
         self.assertGreater(report.counts["windows of a limit"], 0, report.text())
 
+    # Issue 28: streams went on at another version than the one that began them.
+    def test_short_run_with_versions_has_no_violations(self):
+        report = anyio.run(functools.partial(soak, SEED, 14.0, pattern="versions"))
+        self.assertEqual(report.broken, [], report.text())
+        self.assertGreater(report.counts["streams taken up"], 12, report.text())
+
+    def test_ignored_versions_are_detected(self):
+        run = functools.partial(
+            soak, SEED, 10.0, pattern="versions", planted="versions"
+        )
+        report = anyio.run(run)
+        self.assertIn("hold events of two versions", " ".join(report.broken))
+
     def test_ignored_limits_are_detected(self):
         run = functools.partial(soak, SEED, 14.0, pattern="limits", planted="limits")
         report = anyio.run(run)
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -62,6 +62,8 @@
         the gateway processes that sent them and whether these were in touch.
     limits : list of NamedLimit
         The limits that endpoints named.
+    streams : list of StreamRecord
+        Streams whose callers take them up elsewhere.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
@@ -75,6 +77,7 @@
     gateways: list[SupervisedGateway] = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
     limits: list = attrs.field(factory=list)
+    streams: list = attrs.field(factory=list)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
