Let a stream go on only at the version that began it

Cause: neither the version of an endpoint's entry nor the attempt that a caller takes up was read. Class: what binds a request to one kind of endpoint is known to one daemon only, or to none.

A version that is not known, or has no engine, is refused at once. A record in the store keeps daemons that all start anew from guessing.

--- a/currantdyke/catalog/types.py
+++ b/currantdyke/catalog/types.py
@@ -210,6 +210,8 @@
         Start time of this incarnation, in Unix milliseconds; 0 if not announced.
     leaving : bool
         Whether the endpoint is draining and must receive no new requests.
+    version : str
+        Version of its software, without an order; empty if not announced.
     """
 
     instance: str
@@ -219,3 +221,4 @@
     slots: int = 1
     leaving: bool = False
     born: int = 0
+    version: str = ""
--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -14,6 +14,7 @@
 from currantdyke.platform.records import (
     CrashGroupRecord,
     DaemonEntry,
+    VersionsRecord,
     decode_record,
     record_kind,
 )
@@ -72,6 +73,7 @@
     unreadable_count: int = 0
     on_configuration: list[Callable[[Catalog], None]] = attrs.field(factory=list)
     on_crash_group: list[CrashGroupCallback] = attrs.field(factory=list)
+    on_versions_record: list[Callable[[str, bool], None]] = attrs.field(factory=list)
 
     @property
     def complete(self) -> bool:
@@ -142,6 +144,8 @@
         if change.value is None:
             if kind.crash_group is not None:
                 self._apply_crash_group(kind.crash_group, None, change.revision)
+            if kind.versions is not None:
+                self._apply_versions_record(kind.versions, exists=False)
             self._apply_removal(kind.endpoint, kind.daemon, source)
             return
         started = time.monotonic()
@@ -156,6 +160,8 @@
             self._apply_endpoint(record, source)
         elif isinstance(record, CrashGroupRecord):
             self._apply_crash_group(record.group, record, change.revision)
+        elif isinstance(record, VersionsRecord):
+            self._apply_versions_record(record.service, exists=True)
         else:
             self.daemons[record.name] = record
             self.departed.pop(record.name, None)
@@ -184,15 +190,17 @@
 
     def _apply_endpoint(self, endpoint: Endpoint, source: str) -> None:
         previous = self.endpoints.known.get(endpoint.instance)
-        if previous is None or (previous.leaving, previous.born) != (
-            endpoint.leaving,
-            endpoint.born,
-        ):
+        if previous is None or (
+            previous.leaving,
+            previous.born,
+            previous.version,
+        ) != (endpoint.leaving, endpoint.born, endpoint.version):
             self.log.write(
                 "endpoint_announced",
                 endpoint=endpoint.instance,
                 service=endpoint.service,
                 address=endpoint.address,
+                version=endpoint.version,
                 leaving=endpoint.leaving,
                 source=source,
             )
@@ -204,6 +212,10 @@
         for callback in self.on_crash_group:
             callback(group, record, revision)
 
+    def _apply_versions_record(self, service: str, *, exists: bool) -> None:
+        for callback in self.on_versions_record:
+            callback(service, exists)
+
     def _apply_removal(
         self, endpoint: str | None, daemon: str | None, source: str
     ) -> None:
--- a/currantdyke/forward/context.py
+++ b/currantdyke/forward/context.py
@@ -17,6 +17,7 @@
 from currantdyke.forward.exchange import Exchange
 from currantdyke.forward.health import HealthTable
 from currantdyke.platform.requests import EndpointHeaderValues, endpoint_headers
+from currantdyke.streamversions.client import FleetStreamVersions
 
 __all__ = ["ForwardContext", "build_outgoing_request"]
 
@@ -33,6 +34,8 @@
         Returns the number of daemons that share the fleet's budgets.
     limits : EndpointLimits
         The limits that endpoints name, within which requests are sent.
+    versions : FleetStreamVersions
+        The versions that began streams, at which they go on.
     """
 
     directory: Directory
@@ -44,6 +47,7 @@
     count_daemons: Callable[[], int]
     crashes: CrashDetector
     limits: EndpointLimits
+    versions: FleetStreamVersions
     connections: EndpointConnections = attrs.field(factory=EndpointConnections)
     health: HealthTable = attrs.field(factory=HealthTable)
     budgets: dict[str, FleetRetryBudget] = attrs.field(factory=dict)
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -44,6 +44,8 @@
 RESULTS_GONE = "not run: 409"
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
+# A crashed engine is back after a few seconds; one that was replaced never is.
+VERSION_RETRY_SECONDS = 2.0
 
 # Status, headers and body of an engine's failure.
 Failure = tuple[int, list[tuple[bytes, bytes]], bytes]
@@ -62,10 +64,44 @@
         If the response has started and can't be completed.
     """
     context.budget(exchange.service).earn()
-    stream = ForwardedStream(exchange, context, scheduler)
+    version = None
+    if exchange.facts.last_event_id is not None:
+        version = await _find_version(exchange, context)
+    stream = ForwardedStream(exchange, context, scheduler, version)
     await stream.run()
 
 
+async def _find_version(exchange: Exchange, context: ForwardContext) -> str:
+    """Return the version at which a stream that its caller takes up goes on.
+
+    Raises
+    ------
+    RequestFailedError
+        If the version is not known, or has no engine.
+    """
+    facts = exchange.facts
+    version = await context.versions.find(facts.resumes, exchange.service)
+    known = context.directory.endpoints.of_service(exchange.service).values()
+    detail, retry_after = "", RETRY_AFTER_SECONDS
+    if version is None:
+        detail = "the version that began the stream is not known"
+    elif all(engine.version != version for engine in known):
+        detail = f"no engine of version {version!r} is left to go on with the stream"
+        retry_after = VERSION_RETRY_SECONDS
+    context.log.write(
+        "stream_resumed",
+        failure=bool(detail),
+        request=facts.attempt_id,
+        resumes=facts.resumes,
+        version=version,
+        refused=detail,
+    )
+    if version is None or detail:
+        context.versions.refused += 1
+        raise exchange.failure(FailureKind.NO_ENDPOINT, detail, retry_after=retry_after)
+    return version
+
+
 class ForwardedStream:
     """A stream to a caller that one or more engines produce in turn.
 
@@ -87,10 +123,17 @@
         serves the request.
     retry_after : float
         Seconds after which the caller of a refused stream should come back.
+    version : str or None
+        The version of the engines that may go on with the stream; None until its first
+        event.
     """
 
     def __init__(
-        self, exchange: Exchange, context: ForwardContext, scheduler: SchedulerClient
+        self,
+        exchange: Exchange,
+        context: ForwardContext,
+        scheduler: SchedulerClient,
+        version: str | None = None,
     ):
         self.exchange = exchange
         self.context = context
@@ -103,6 +146,7 @@
         self.failure: Failure | None = None
         self.kept_failure: Failure | None = None
         self.retry_after = RETRY_AFTER_SECONDS
+        self.version = version
 
     async def run(self) -> None:
         """Forward the stream until it ends."""
@@ -159,7 +203,14 @@
 
     def _has_other_engine(self) -> bool:
         known = self.context.directory.endpoints.of_service(self.exchange.service)
-        return not self._tried_engines().issuperset(known)
+        tried = self._tried_engines()
+        return any(
+            name not in tried and self._is_of_version(engine)
+            for name, engine in known.items()
+        )
+
+    def _is_of_version(self, engine: Endpoint) -> bool:
+        return self.version is None or engine.version == self.version
 
     async def _place(self) -> Placement | Refusal:
         exchange = self.exchange
@@ -182,6 +233,7 @@
                 availability_zone=self.context.availability_zone,
                 excluded=tuple(exchange.excluded | live),
                 is_retry=exchange.sends > 0,
+                version=self.version,
             )
         )
         if isinstance(answer, Placement) and answer.instance in live:
@@ -232,6 +284,11 @@
                 outcome, progress = "leaving", ProgressKind.ENGINE_FULL
                 exchange.not_run_attempts += 1
                 return
+            if not self._is_of_version(endpoint):
+                # The owner is of an earlier build, or knows another entry.
+                outcome, progress = "another version", ProgressKind.ENGINE_FULL
+                exchange.not_run_attempts += 1
+                return
             if not await self._may_send(endpoint, placement):
                 outcome, progress = "at its limit", ProgressKind.ENGINE_FULL
                 exchange.not_run_attempts += 1
@@ -299,7 +356,7 @@
             self.context.connections, endpoint, request, on_send=on_send
         ) as response:
             if response.facts.success:
-                await self._relay_events(run, response, evidence)
+                await self._relay_events(run, endpoint, response, evidence)
                 return "finished", ProgressKind.FINISHED
             return await self._handle_failure(run, response)
 
@@ -310,8 +367,25 @@
         runs = max(exchange.runs, 1)
         return exchange.route.may_repeat and runs < exchange.route.max_attempts
 
+    def _bind_version(self, endpoint: Endpoint) -> None:
+        """Let the stream go on at an engine's version only, at any daemon."""
+        exchange = self.exchange
+        self.version = endpoint.version
+        if exchange.route.may_repeat:
+            facts = exchange.facts
+            first_attempt = facts.attempt_id
+            if facts.last_event_id is not None:
+                first_attempt = facts.resumes or facts.attempt_id
+            self.context.versions.record(
+                first_attempt, exchange.service, endpoint.version
+            )
+
     async def _relay_events(
-        self, run: Run, response: EndpointResponse, evidence: EndpointRun
+        self,
+        run: Run,
+        endpoint: Endpoint,
+        response: EndpointResponse,
+        evidence: EndpointRun,
     ) -> None:
         """Relay complete events; return at the end of the stream."""
         caller = self.exchange.caller
@@ -330,6 +404,7 @@
             if not started:
                 started = True
                 self.serving = run
+                self._bind_version(endpoint)
                 self._report_start(run)
             if not caller.response_started:
                 await caller.begin(
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -10,7 +10,7 @@
 import anyio
 import anyio.abc
 
-from currantdyke.catalog import Catalog, Endpoint
+from currantdyke.catalog import Catalog, Endpoint, Repeatability
 from currantdyke.crashes import CrashDetector, CrashTable, GroupRecorder
 from currantdyke.decisionlog import DecisionLog, log_internal_error
 from currantdyke.directory import Directory, Follower
@@ -50,6 +50,9 @@
 from currantdyke.scheduler.scheduler import Scheduler
 from currantdyke.scheduler.stagecall import free_results, run_pieces
 from currantdyke.scheduler.stages import StageQueues
+from currantdyke.streamversions.client import FleetStreamVersions
+from currantdyke.streamversions.messages import StreamVersions, VersionRequest
+from currantdyke.streamversions.recorder import VersionsRecorder
 from currantdyke.timers import TimerService
 
 __all__ = ["GatewayDaemon"]
@@ -157,7 +160,21 @@
             ranked_daemons=self._limit_owners,
             count_daemons=self.count_daemons,
         )
+        self.versions = FleetStreamVersions(
+            directory=self.directory,
+            log=log,
+            request=self.peers.request,
+            send=self.peers.send,
+            others=self._version_keepers,
+        )
+        self.versions_recorder = VersionsRecorder(
+            versions=self.versions,
+            store=self.crashes.recorder.store,
+            log=log,
+            is_owner=lambda service: self._limit_owners(service, False)[0] == "",
+        )
         self.context = ForwardContext(
+            versions=self.versions,
             limits=self.endpoint_limits,
             crashes=self.crashes,
             directory=self.directory,
@@ -211,6 +228,7 @@
         self.stage_retry_budgets: dict[str, FleetRetryBudget] = {}
         self.directory.on_configuration.append(self._on_configuration)
         self.directory.on_crash_group.append(self.crashes.on_record)
+        self.directory.on_versions_record.append(self.versions.on_record)
         self.directory.endpoints.watchers.append(self._on_endpoint_change)
 
     def count_daemons(self) -> int:
@@ -224,6 +242,14 @@
         )
         return [ip for _, ip in ranked]
 
+    def _version_keepers(self) -> list[str]:
+        """Return the IPs of the daemons that can be told of streams, and asked."""
+        return [
+            daemon.ip
+            for daemon in self.peers.others()
+            if not daemon.leaving and daemon.protocol >= PROTOCOL
+        ]
+
     async def run(self) -> None:
         """Serve until a stop is requested, then finish the requests in progress."""
         self.log.write(
@@ -285,6 +311,8 @@
             self.peers.run,
             self.stages.run,
             self.crashes.run,
+            self.versions.run,
+            self.versions_recorder.run,
             self.follower.run,
             self.registration.run,
             self._serve_readiness,
@@ -330,6 +358,8 @@
         )
         metrics.limit_refusals.set(limits.turned_away)
         metrics.limit_requests.set(limits.asked)
+        metrics.version_requests.set(self.versions.asked)
+        metrics.resumptions_refused.set(self.versions.refused)
         metrics.log_lines_dropped.set(self.log.dropped)
         return Page(status=200, body=metrics.render())
 
@@ -380,6 +410,7 @@
         self.caller_server.start_draining()
         self.log.write("stopping", serving=self.caller_server.requests_in_progress)
         self.tasks.start_soon(run_logged, self.log, self.registration.withdraw)
+        self.versions.hand_over()
         drain_deadline = started + self.settings.grace - SHUTDOWN_MARGIN_SECONDS
         self.handler.streams_until = started + STREAM_ACCEPT_SECONDS
         self.handler.serves_until = drain_deadline
@@ -395,10 +426,17 @@
 
     def _on_configuration(self, catalog: Catalog) -> None:
         self.scheduler_client.groups = service_groups(catalog)
+        self.versions_recorder.streaming = frozenset(
+            service
+            for route in catalog.routes
+            if route.repeatability is Repeatability.STREAM and route.may_repeat
+            for service, _ in route.targets
+        )
 
     def _on_endpoint_change(self, instance: str, endpoint: Endpoint | None) -> None:
         self.crashes.on_endpoint_change(instance, endpoint)
         self.endpoint_limits.on_endpoint_change(instance, endpoint)
+        self.versions.on_endpoint_change(instance, endpoint)
         if endpoint is None:
             self.context.health.forget(instance)
             self.scheduler.remove_endpoint(instance)
@@ -445,6 +483,8 @@
             return answer
         if isinstance(content, TokenRequest):
             return await self.endpoint_limits.handle_request(content)
+        if isinstance(content, VersionRequest):
+            return self.versions.answer(content)
         return Unknown()
 
     def _handle_peer_notification(self, link: Link, content: Content) -> None:
@@ -457,6 +497,8 @@
             endpoint = self.directory.endpoints.known.get(content.instance)
             service = None if endpoint is None else endpoint.service
             self.endpoint_limits.handle_report(content, service)
+        elif isinstance(content, StreamVersions):
+            self.versions.handle(content)
 
     def _forget_ended(self, link: Link, attempt_id: str) -> None:
         # A refused placement or the end of a run may leave another run.
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -98,6 +98,12 @@
         self.limit_requests = self.gauge(
             "limit_requests", "Requests to other daemons for a part of a limit"
         )
+        self.version_requests = self.gauge(
+            "version_requests", "Requests to other daemons for the version of a stream"
+        )
+        self.resumptions_refused = self.gauge(
+            "resumptions_refused", "Streams whose version is not known or has no engine"
+        )
         self.log_lines_dropped = self.gauge(
             "log_lines_dropped", "Lines dropped since the last were told of"
         )
--- a/currantdyke/gateway/tests/test_stream_versions.py
+++ b/currantdyke/gateway/tests/test_stream_versions.py
@@ -153,6 +153,26 @@
         self.assertEqual({stream.answers[-1].status for stream in again}, {503})
 
 
+class TestRecordInTheStore(unittest.TestCase):
+    # Only engines of one version are left, but another one may have begun the stream.
+    @run_on_sockets
+    async def test_daemons_that_all_start_anew_do_not_guess(self):
+        async with run_deployment(stream_configuration()) as deployment:
+            engines = await start_versions(deployment, *VERSIONS)
+            await start_gateways(deployment, 3)
+            streams = await begin(deployment, STREAMS, gateways=[0])
+            await wait_until(lambda: "stream-versions/engine" in deployment.store.items)
+            for gateway in deployment.gateways:
+                gateway.tasks.cancel_scope.cancel()
+            for engine in engines[:2]:
+                deployment.store.withdraw(engine.instance)
+            for _ in range(2):
+                await deployment.gateway()
+            await take_up(deployment, streams, gateways=[3, 4])
+        self.assertEqual(count_joined(streams), 0)
+        self.assertEqual({stream.answers[-1].status for stream in streams}, {503})
+
+
 class TestOneAnswer(unittest.TestCase):
     # Issue 28: an answer that the gateway resumed held events of two versions.
     @run_on_sockets
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -21,6 +21,11 @@
     ProgressKind,
     Refusal,
 )
+from currantdyke.streamversions.messages import (
+    StreamVersions,
+    VersionAnswer,
+    VersionRequest,
+)
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -141,10 +146,21 @@
     | LimitReport
     | TokenRequest
     | TokenGrant
+    | StreamVersions
+    | VersionRequest
+    | VersionAnswer
 )
 
 # Types of content that are responses; a response that arrives too late is dropped.
-RESPONSE_TYPES = (Pong, Unknown, ChangeSet, Placement, Refusal, TokenGrant)
+RESPONSE_TYPES = (
+    Pong,
+    Unknown,
+    ChangeSet,
+    Placement,
+    Refusal,
+    TokenGrant,
+    VersionAnswer,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -226,6 +242,8 @@
             progress.keepsResults = content.keeps_results
         case LimitReport() | TokenRequest() | TokenGrant():
             _encode_limit(builder, content)
+        case StreamVersions() | VersionRequest() | VersionAnswer():
+            _encode_version(builder, content)
 
 
 def _encode_limit(
@@ -257,6 +275,36 @@
             grant.ageMilliseconds = _milliseconds(content.age)
 
 
+def _encode_version(
+    builder: Any, content: StreamVersions | VersionRequest | VersionAnswer
+) -> None:
+    match content:
+        case StreamVersions():
+            report = builder.init("streamVersions")
+            report.versions = list(content.versions)
+            report.digests = [digest for digest, _ in content.streams]
+            report.numbers = [number for _, number in content.streams]
+        case VersionRequest():
+            request = builder.init("versionRequest")
+            request.digest = content.digest
+            request.service = content.service
+        case VersionAnswer():
+            answer = builder.init("versionAnswer")
+            answer.known = content.known
+            answer.withVersion = content.version is not None
+            answer.version = content.version or ""
+            answer.several = content.several
+
+
+def _decode_stream_versions(reader: Any) -> StreamVersions:
+    versions = tuple(reader.versions)
+    numbers = list(reader.numbers)
+    if max(numbers, default=-1) >= len(versions):
+        raise ValueError("a stream has a version without a name")
+    streams = zip(reader.digests, numbers, strict=True)
+    return StreamVersions(versions=versions, streams=tuple(streams))
+
+
 def _encode_crashed(
     builder: Any, content: CrashReport | KeysCleared | GroupCondemned
 ) -> None:
@@ -316,6 +364,8 @@
     builder.excluded = list(request.excluded)
     builder.again = request.is_retry
     builder.givesWay = request.sheddable
+    builder.withVersion = request.version is not None
+    builder.version = request.version or ""
     steps = builder.init("steps", len(request.steps))
     for index, step in enumerate(request.steps):
         steps[index].service = step.service
@@ -374,6 +424,20 @@
                 sent_age=report.sentAgeMilliseconds / 1_000,
                 age=report.ageMilliseconds / 1_000,
             )
+        case "streamVersions":
+            return _decode_stream_versions(reader.streamVersions)
+        case "versionRequest":
+            return VersionRequest(
+                digest=reader.versionRequest.digest,
+                service=reader.versionRequest.service,
+            )
+        case "versionAnswer":
+            answer = reader.versionAnswer
+            return VersionAnswer(
+                known=answer.known,
+                version=answer.version if answer.withVersion else None,
+                several=answer.several,
+            )
         case "tokenRequest":
             request = reader.tokenRequest
             return TokenRequest(
@@ -479,4 +543,5 @@
         excluded=tuple(reader.excluded),
         is_retry=reader.again,
         sheddable=reader.givesWay,
+        version=reader.version if reader.withVersion else None,
     )
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -20,6 +20,9 @@
     limitReport @12 :LimitReport;
     tokenRequest @13 :TokenRequest;
     tokenGrant @14 :TokenGrant;
+    streamVersions @15 :StreamVersions;
+    versionRequest @16 :VersionRequest;
+    versionAnswer @17 :VersionAnswer;
   }
   # Of a request: the response may contain compressed values.
   acceptsCompressed @11 :Bool;
@@ -59,6 +62,9 @@
   excluded @11 :List(Text);
   again @12 :Bool;
   givesWay @13 :Bool;
+  # Of an engine that began the stream.
+  withVersion @14 :Bool;
+  version @15 :Text;
 }
 
 struct Step {
@@ -101,6 +107,25 @@
   forwarded @6 :Bool;
 }
 
+struct StreamVersions {
+  versions @0 :List(Text);
+  digests @1 :List(UInt64);
+  # Of the version of each digest.
+  numbers @2 :List(UInt16);
+}
+
+struct VersionRequest {
+  digest @0 :UInt64;
+  service @1 :Text;
+}
+
+struct VersionAnswer {
+  known @0 :Bool;
+  withVersion @1 :Bool;
+  version @2 :Text;
+  several @3 :Bool;
+}
+
 struct TokenGrant {
   waitMilliseconds @0 :UInt32;
   limited @1 :Bool;
--- a/currantdyke/platform/records.py
+++ b/currantdyke/platform/records.py
@@ -11,8 +11,10 @@
     "CrashGroupRecord",
     "DaemonEntry",
     "RecordKind",
+    "VersionsRecord",
     "encode_crash_group",
     "encode_daemon_entry",
+    "encode_versions_record",
     "decode_record",
     "record_kind",
 ]
@@ -21,6 +23,7 @@
 ENDPOINTS_PREFIX = "servers/"
 DAEMONS_PREFIX = "daemons/"
 CRASH_GROUPS_PREFIX = "crash-groups/"
+VERSIONS_PREFIX = "stream-versions/"
 # The empty prefix, under which all keys are listed and watched at once.
 ALL_KEYS_PREFIX = ""
 
@@ -72,6 +75,13 @@
     crashes: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class VersionsRecord:
+    """States that a service has endpoints of several versions, or recently had."""
+
+    service: str
+
+
 @attrs.frozen(kw_only=True)
 class RecordKind:
     """What a key refers to; exactly one of the fields is set."""
@@ -80,6 +90,7 @@
     endpoint: str | None = None
     daemon: str | None = None
     crash_group: str | None = None
+    versions: str | None = None
 
 
 def record_kind(key: str) -> RecordKind | None:
@@ -95,12 +106,14 @@
         return RecordKind(daemon=key.removeprefix(DAEMONS_PREFIX))
     if key.startswith(CRASH_GROUPS_PREFIX):
         return RecordKind(crash_group=key.removeprefix(CRASH_GROUPS_PREFIX))
+    if key.startswith(VERSIONS_PREFIX):
+        return RecordKind(versions=key.removeprefix(VERSIONS_PREFIX))
     return None
 
 
 def decode_record(
     key: str, value: bytes
-) -> Result[Catalog | Endpoint | DaemonEntry | CrashGroupRecord, str]:
+) -> Result[Catalog | Endpoint | DaemonEntry | CrashGroupRecord | VersionsRecord, str]:
     """Decode an item of the store.
 
     Returns
@@ -113,6 +126,8 @@
         return Error("the key belongs to another writer")
     if kind.configuration:
         return decode_catalog(value)
+    if kind.versions is not None:
+        return Ok(VersionsRecord(service=kind.versions))
     try:
         document = msgspec.json.decode(value)
         if kind.endpoint is not None:
@@ -130,9 +145,11 @@
         raise ValueError(f"state {state!r} is unknown")
     service, address = document["service"], document["address"]
     zone = document.get("zone", "")
+    version = document.get("version", "")
     born = document.get("born", 0)
     slots = document.get("slots", 1)
-    all_strings = all(isinstance(text, str) for text in (service, address, zone))
+    texts = (service, address, zone, version)
+    all_strings = all(isinstance(text, str) for text in texts)
     if not all_strings or type(slots) is not int or type(born) is not int:
         raise TypeError("a field has an unexpected type")
     host, colon, port = address.rpartition(":")
@@ -146,6 +163,7 @@
         slots=max(1, slots),
         leaving=state == "draining",
         born=born,
+        version=version,
     )
 
 
@@ -183,6 +201,11 @@
     return CRASH_GROUPS_PREFIX + record.group, msgspec.json.encode(document)
 
 
+def encode_versions_record(service: str) -> tuple[str, bytes]:
+    """Return the key and the value of the record of a service's versions."""
+    return VERSIONS_PREFIX + service, b"{}"
+
+
 def encode_daemon_entry(entry: DaemonEntry) -> tuple[str, bytes]:
     """Return the key and the value with which a daemon registers itself."""
     document = {
--- a/currantdyke/platform/requests.py
+++ b/currantdyke/platform/requests.py
@@ -31,6 +31,7 @@
 TOKEN_USAGE = b"x-token-usage"
 MODEL = b"x-model"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 REQUEST_PRIORITY = b"x-request-priority"
 
 # Headers that concern one connection or the transfer of one message; they are not
@@ -79,6 +80,7 @@
         TOKEN_USAGE,
         MODEL,
         LAST_EVENT_ID,
+        RESUMES,
         b"x-length-hint",
         b"content-type",
     )
@@ -111,6 +113,8 @@
         Key of the input of the stages without predecessors.
     last_event_id : bytes or None
         Id of the event after which a stream resumes.
+    resumes : str or None
+        The attempt that brought the first event of the stream that resumes.
     """
 
     attempt_id: str
@@ -122,6 +126,7 @@
     stage_pieces: tuple[int, ...] = ()
     stage_key: str = ""
     last_event_id: bytes | None = None
+    resumes: str | None = None
 
 
 def decode_request_metadata(request: h11.Request) -> RequestMetadata:
@@ -136,6 +141,7 @@
     headers = request.headers
     attempt_id = one_value(headers, ATTEMPT_ID)
     usage = one_value(headers, TOKEN_USAGE)
+    resumes = one_value(headers, RESUMES)
     prompt_tokens, max_output_tokens = _decode_token_usage(usage)
     return RequestMetadata(
         attempt_id="" if attempt_id is None else attempt_id.decode("latin-1"),
@@ -146,7 +152,8 @@
         prompt_parts=_decode_prompt_parts(one_value(headers, PROMPT_PARTS)),
         stage_pieces=_decode_stage_pieces(one_value(headers, STAGE_PIECES)),
         stage_key=(one_value(headers, STAGE_KEY) or b"").decode("latin-1"),
-        last_event_id=one_value(headers, LAST_EVENT_ID),
+        last_event_id=one_value(headers, LAST_EVENT_ID) or None,
+        resumes=resumes.decode("latin-1") if resumes else None,
     )
 
 
--- a/currantdyke/scheduler/messages.py
+++ b/currantdyke/scheduler/messages.py
@@ -40,6 +40,8 @@
         Whether a route to the same service has a more urgent rank.
     is_retry : bool
         Whether it was sent to an engine before; then admission control admits it.
+    version : str or None
+        The version of the engine, if one began the stream; None for any.
     """
 
     attempt_id: str
@@ -57,6 +59,7 @@
     excluded: tuple[str, ...] = ()
     sheddable: bool = False
     is_retry: bool = False
+    version: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -95,6 +95,17 @@
             self._log_refusal(request, answer)
         return answer
 
+    def _engines(self, request: PlacementRequest) -> dict[str, Endpoint]:
+        """Return the engines at which a request may run, by instance."""
+        engines = self.directory.endpoints.of_service(request.service)
+        if request.version is None:
+            return engines
+        return {
+            name: engine
+            for name, engine in engines.items()
+            if engine.version == request.version
+        }
+
     def record_progress(self, progress: Progress) -> None:
         """Record the progress of a request at its engine."""
         now = anyio.current_time()
@@ -150,7 +161,7 @@
             return chain.refusal
         now = anyio.current_time()
         limits = self._engine_limits(request.service)
-        endpoints = self.directory.endpoints.of_service(request.service)
+        endpoints = self._engines(request)
         held = self.limits.held(endpoints.values(), sheddable=request.sheddable)
         engine = self.engines.choose(
             request,
@@ -177,6 +188,7 @@
             "placed",
             request=request.attempt_id,
             endpoint=placed.instance,
+            version=engine.endpoint.version,
             stages_seconds=round(now - started, 3),
             uncached_tokens=placed.uncached_tokens,
             expected_start=round(placed.expected_start_seconds, 3),
@@ -193,7 +205,7 @@
 
     def _check_limits(self, request: PlacementRequest, now: float) -> Refusal | None:
         """Refuse a request that no engine could take once its stages have run."""
-        endpoints = self.directory.endpoints.of_service(request.service).values()
+        endpoints = self._engines(request).values()
         if request.is_retry or not any(map(self.limits.rate, endpoints)):
             return None
         waiting = sum(
@@ -236,7 +248,7 @@
             return None
         engine = self.engines.choose(
             request,
-            self.directory.endpoints.of_service(request.service),
+            self._engines(request),
             self._engine_limits(request.service),
             now,
         )
--- /dev/null
+++ b/currantdyke/streamversions/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began each stream, known to the whole fleet."""
