Keep the version of an engine with its run

The version goes with the run instead of a further argument, and the daemons that are suspected have a method of their own.

--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -35,6 +35,8 @@
         Whether anything was received.
     given_up : bool
         Whether another run serves the request.
+    version : str
+        Software version of the endpoint.
     heard_at : float
         Monotonic time in seconds at which it was sent or last received anything.
     """
@@ -43,6 +45,7 @@
     sent: bool = False
     heard: bool = False
     given_up: bool = False
+    version: str = ""
     heard_at: float = attrs.field(factory=anyio.current_time)
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -299,6 +299,7 @@
                 self._end_with(refusal)
                 return
             evidence = start_run(exchange, self.context, endpoint)
+            run.version = endpoint.version
             outcome, progress = await self._send(run, endpoint, placement, evidence)
         except NotSentError as error:
             outcome, progress = f"not sent: {error}", ProgressKind.ENGINE_LOST
@@ -356,7 +357,7 @@
             self.context.connections, endpoint, request, on_send=on_send
         ) as response:
             if response.facts.success:
-                await self._relay_events(run, endpoint, response, evidence)
+                await self._relay_events(run, response, evidence)
                 return "finished", ProgressKind.FINISHED
             return await self._handle_failure(run, response)
 
@@ -367,23 +368,20 @@
         runs = max(exchange.runs, 1)
         return exchange.route.may_repeat and runs < exchange.route.max_attempts
 
-    def _bind_version(self, endpoint: Endpoint) -> None:
-        """Let the stream go on at an engine's version only, at any daemon."""
+    def _bind_version(self, version: str) -> None:
+        """Let the stream go on at engines of a version only, at any daemon."""
         exchange = self.exchange
-        self.version = endpoint.version
+        self.version = version
         if exchange.route.may_repeat:
             facts = exchange.facts
             first_attempt = facts.attempt_id
             if facts.last_event_id is not None:
                 first_attempt = facts.resumes or facts.attempt_id
-            self.context.versions.record(
-                first_attempt, exchange.service, endpoint.version
-            )
+            self.context.versions.record(first_attempt, exchange.service, version)
 
     async def _relay_events(
         self,
         run: Run,
-        endpoint: Endpoint,
         response: EndpointResponse,
         evidence: EndpointRun,
     ) -> None:
@@ -404,7 +402,7 @@
             if not started:
                 started = True
                 self.serving = run
-                self._bind_version(endpoint)
+                self._bind_version(run.version)
                 self._report_start(run)
             if not caller.response_started:
                 await caller.begin(
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -104,20 +104,18 @@
             on_lost=self.on_link_lost,
         )
 
-    def others(self, *, suspected: bool = False) -> list[DaemonEntry]:
-        """Return the other registered daemons.
+    def registered(self) -> list[DaemonEntry]:
+        """Return the other registered daemons."""
+        daemons = self.directory.daemons.values()
+        return [daemon for daemon in daemons if daemon.ip != self.own.ip]
 
-        Parameters
-        ----------
-        suspected : bool
-            Whether those that are suspected of a failure are included.
-        """
+    def others(self) -> list[DaemonEntry]:
+        """Return the other registered daemons that are not suspected of a failure."""
         now = anyio.current_time()
         return [
             daemon
-            for daemon in self.directory.daemons.values()
-            if daemon.ip != self.own.ip
-            and (suspected or not self._is_suspected(daemon, now))
+            for daemon in self.registered()
+            if not self._is_suspected(daemon, now)
         ]
 
     async def request(
--- a/currantdyke/scheduler/client.py
+++ b/currantdyke/scheduler/client.py
@@ -151,9 +151,10 @@
         suspected : bool
             Whether daemons that are suspected of a failure are included.
         """
+        known = self.peers.registered() if suspected else self.peers.others()
         others = [
             daemon
-            for daemon in self.peers.others(suspected=suspected)
+            for daemon in known
             if not daemon.leaving and daemon.protocol >= protocol
         ]
         ips = {daemon.name: daemon.ip for daemon in others}
