--- a/currantdyke/links/tests/test_earlier_build.py
+++ b/currantdyke/links/tests/test_earlier_build.py
@@ -1,12 +1,23 @@
-"""Messages about crashes between daemons of this build and of the previous one."""
+"""Messages between daemons of this build and of the previous one."""
 
+import json
 import pathlib
 import unittest
 
+import attrs
 import capnp
 
+from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
 from currantdyke.links import CrashReport, Frame, GroupCondemned, KeysCleared
-from currantdyke.links.codec import decode_frame, encode_frame
+from currantdyke.links.codec import PROTOCOL, decode_frame, encode_frame
+from currantdyke.links.tests.builders import build_entry, build_peers
+from currantdyke.platform.records import decode_record
+from currantdyke.scheduler.messages import Placement, PlacementRequest
+from currantdyke.streamversions.messages import (
+    StreamVersions,
+    VersionAnswer,
+    VersionRequest,
+)
 
 EARLIER = capnp.load(str(pathlib.Path(__file__).with_name("earlier.capnp")))
 
@@ -40,6 +51,56 @@
         decoded = decode_frame(frame.to_bytes_packed()).ok
         self.assertEqual(decoded.content, CrashReport(fingerprint="f", endpoint="i"))
 
+    # Guards against an earlier build that closes its links to daemons of this one.
+    def test_new_messages_go_to_daemons_that_know_them(self):
+        entries = [
+            build_entry(2),
+            attrs.evolve(build_entry(3), protocol=PROTOCOL),
+        ]
+        sent = []
+        peers = build_peers(1, known=entries)
+        peers.send = lambda ip, content: sent.append(ip)
+        report = LimitReport(instance="e", born=1, rate=2.0)
+        peers.broadcast(report, protocol=PROTOCOL)
+        self.assertEqual(sent, [entries[1].ip])
+        earlier = {"ip": "10.0.0.1", "incarnation": "a"}
+        decoded = decode_record("daemons/d", json.dumps(earlier).encode())
+        self.assertEqual(decoded.ok.protocol, 0)
+
+    def test_earlier_build_reads_placements_with_a_version_and_a_grant(self):
+        for content in (
+            PlacementRequest(attempt_id="a", service="s", version="v2"),
+            Placement(instance="i", rate_limit=1.0),
+        ):
+            data = encode_frame(Frame(number=1, content=content))
+            which = str(EARLIER.Frame.from_bytes_packed(data).which())
+            self.assertIn(which, ("place", "placed"))
+            self.assertEqual(decode_frame(data).ok.content, content)
+
+
+class TestFrames(unittest.TestCase):
+    def test_new_messages_are_read_as_they_were_sent(self):
+        for content in (
+            LimitReport(instance="e", born=1, rate=None, sent_age=0.5, age=0.25),
+            LimitReport(instance="e", born=1, rate=0.0),
+            TokenRequest(
+                instance="e", service="s", born=1, rate=0.5, age=2.0, forwarded=True
+            ),
+            TokenGrant(wait=0.0),
+            TokenGrant(wait=0.0, limited=False, age=1.5),
+            StreamVersions(versions=("v1", ""), streams=((2**64 - 1, 0), (1, 1))),
+            VersionRequest(digest=7, service="s"),
+            VersionAnswer(known=True, version="", several=True),
+            VersionAnswer(known=True),
+        ):
+            data = encode_frame(Frame(number=1, content=content))
+            self.assertEqual(decode_frame(data).ok.content, content)
+
+    # A daemon that may not send yet must not read that it may.
+    def test_short_wait_is_no_grant(self):
+        data = encode_frame(Frame(number=1, content=TokenGrant(wait=0.000_1)))
+        self.assertGreater(decode_frame(data).ok.content.wait, 0.0)
+
 
 if __name__ == "__main__":
     unittest.main()
