--- a/currantdyke/links/tests/test_earlier_build.py
+++ b/currantdyke/links/tests/test_earlier_build.py
@@ -3,12 +3,13 @@
 import json
 import pathlib
 import unittest
+import unittest.mock
 
 import attrs
 import capnp
 
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
-from currantdyke.links import CrashReport, Frame, GroupCondemned, KeysCleared
+from currantdyke.links import CrashReport, Frame, GroupCondemned, KeysCleared, Peers
 from currantdyke.links.codec import PROTOCOL, decode_frame, encode_frame
 from currantdyke.links.tests.builders import build_entry, build_peers
 from currantdyke.platform.records import decode_record
@@ -57,12 +58,10 @@
             build_entry(2),
             attrs.evolve(build_entry(3), protocol=PROTOCOL),
         ]
-        sent = []
-        peers = build_peers(1, known=entries)
-        peers.send = lambda ip, content: sent.append(ip)
         report = LimitReport(instance="e", born=1, rate=2.0)
-        peers.broadcast(report, protocol=PROTOCOL)
-        self.assertEqual(sent, [entries[1].ip])
+        with unittest.mock.patch.object(Peers, "send") as send:
+            build_peers(1, known=entries).broadcast(report, protocol=PROTOCOL)
+        send.assert_called_once_with(entries[1].ip, report)
         earlier = {"ip": "10.0.0.1", "incarnation": "a"}
         decoded = decode_record("daemons/d", json.dumps(earlier).encode())
         self.assertEqual(decoded.ok.protocol, 0)
