--- a/currantdyke/links/tests/test_earlier_build.py
+++ b/currantdyke/links/tests/test_earlier_build.py
@@ -19,6 +19,7 @@
     VersionAnswer,
     VersionRequest,
 )
+from currantdyke.testing.virtual import run_virtual
 
 EARLIER = capnp.load(str(pathlib.Path(__file__).with_name("earlier.capnp")))
 
@@ -59,8 +60,12 @@
             attrs.evolve(build_entry(3), protocol=PROTOCOL),
         ]
         report = LimitReport(instance="e", born=1, rate=2.0)
-        with unittest.mock.patch.object(Peers, "send") as send:
+
+        async def broadcast():
             build_peers(1, known=entries).broadcast(report, protocol=PROTOCOL)
+
+        with unittest.mock.patch.object(Peers, "send") as send:
+            run_virtual(broadcast)
         send.assert_called_once_with(entries[1].ip, report)
         earlier = {"ip": "10.0.0.1", "incarnation": "a"}
         decoded = decode_record("daemons/d", json.dumps(earlier).encode())
