--- a/currantdyke/endpointlimits/client.py
+++ b/currantdyke/endpointlimits/client.py
@@ -1,7 +1,6 @@
 """Keeps the fleet's requests to an endpoint within the limit that it names."""
 
 import heapq
-import math
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -11,6 +10,7 @@
 from currantdyke.catalog import Endpoint
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
+from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.endpointlimits.table import (
     EndpointLimit,
     LimitTable,
@@ -29,29 +29,6 @@
 # After an owner did not respond, or was no owner: by then its link is found broken, or
 # its entry shows that it stops.
 UNANSWERED_HOLD_SECONDS = 0.5
-# Small compared with the time in which a daemon learns that another one stops.
-OWNER_CACHE_SECONDS = 0.1
-# For this long, a request of another daemon shows that this one is not cut off itself.
-CONTACT_SECONDS = 3.0
-
-
-@attrs.frozen(kw_only=True)
-class _Owner:
-    """The owner of a service's limits.
-
-    Attributes
-    ----------
-    ip : str
-        Empty if it is this daemon.
-    undisputed : bool
-        Whether it is first also among the daemons that are suspected of a failure.
-    until : float
-        Until when this is not determined again.
-    """
-
-    ip: str
-    undisputed: bool
-    until: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -65,16 +42,10 @@
     ----------
     request, send, broadcast : callable
         Send a request to a daemon by its IP, a notification to one, or to all.
-    ranked_daemons : callable
-        Returns the IPs of the daemons that own the limits of a service, the first in
-        order; the IP of this daemon is empty. With the second argument, those that are
-        suspected of a failure are included.
+    owners : LimitOwners
+        The owners of the limits of each service.
     count_daemons : callable
         Returns the number of daemons in the fleet.
-    owners : dict of str to _Owner
-        The owner of each service's limits, as this daemon sees it.
-    asked_at : float
-        When another daemon last asked this one.
     turned_away : int
         Requests that were not sent to an endpoint because of its limit.
     asked : int
@@ -85,11 +56,9 @@
     request: Callable[[str, TokenRequest], Awaitable[Any]]
     send: Callable[[str, LimitReport], None]
     broadcast: Callable[[LimitReport], None]
-    ranked_daemons: Callable[[str, bool], list[str]]
+    owners: LimitOwners
     count_daemons: Callable[[], int]
     table: LimitTable = attrs.field(factory=LimitTable)
-    owners: dict[str, "_Owner"] = attrs.field(factory=dict)
-    asked_at: float = -math.inf
     unreadable: set[str] = attrs.field(factory=set)
     turned_away: int = 0
     asked: int = 0
@@ -146,7 +115,7 @@
         )
         if changed:
             self._log_change(report.instance, before, source="peer")
-            if service is not None and not self._owner(service).ip:
+            if service is not None and not self.owners.find(service).ip:
                 self._spread(service, report, before)
 
     async def handle_request(self, request: TokenRequest) -> TokenGrant:
@@ -155,14 +124,14 @@
         A daemon that sees another owner passes the request on, so that it learns
         whether that one responds.
         """
-        self.asked_at = anyio.current_time()
-        owner = self._owner(request.service)
+        self.owners.record_contact()
+        owner = self.owners.find(request.service)
         if owner.ip and not request.forwarded:
             forwarded = attrs.evolve(request, forwarded=True)
             answer = await self._request(owner.ip, forwarded)
             if answer is not None:
                 return answer
-            self.owners.pop(request.service, None)
+            self.owners.forget(request.service)
         now = anyio.current_time()
         before = self._rate_of(request.instance)
         named_at = now - request.age
@@ -171,7 +140,7 @@
         limit = self.table.limits[request.instance]
         if limit.rate is None or limit.born != request.born:
             return TokenGrant(wait=0.0, limited=False, age=now - limit.named_at)
-        role = self._local_role(request.service)
+        role = self.owners.local_role(request.service)
         wait = self._take(limit, role, now, sheddable=request.sheddable)
         if role is Role.ALONE:
             return TokenGrant(wait=min(wait, UNANSWERED_HOLD_SECONDS))
@@ -206,7 +175,7 @@
         if limit is None:
             return False
         now = anyio.current_time()
-        if self._local_role(endpoint.service) is Role.ALONE:
+        if self.owners.local_role(endpoint.service) is Role.ALONE:
             return limit.held_until[sheddable] > now
         return self._wait(limit, now, sheddable=sheddable) > 0.0
 
@@ -223,7 +192,7 @@
     def take_as_owner(self, endpoint: Endpoint, *, sheddable: bool) -> float | None:
         """Grant a request as the owner; return the limit, or None without one."""
         limit = self.table.of(endpoint)
-        if limit is None or self._local_role(endpoint.service) is Role.ALONE:
+        if limit is None or self.owners.local_role(endpoint.service) is Role.ALONE:
             return None
         now = anyio.current_time()
         self._take(limit, Role.OWNER, now, sheddable=sheddable)
@@ -235,7 +204,7 @@
         if limit is None:
             return True
         now = anyio.current_time()
-        role = self._local_role(endpoint.service)
+        role = self.owners.local_role(endpoint.service)
         self.table.enter(limit, role, now=now, daemons=self.count_daemons())
         return limit.bucket.wait(now) == 0.0
 
@@ -250,7 +219,7 @@
         limit = self.table.of(endpoint)
         if limit is None:
             return True
-        role = self._local_role(endpoint.service)
+        role = self.owners.local_role(endpoint.service)
         return not self._take(limit, role, anyio.current_time(), spare=spare)
 
     def rate(self, endpoint: Endpoint) -> float | None:
@@ -280,7 +249,7 @@
         now = anyio.current_time()
         for endpoint in endpoints:
             limit = self.table.of(endpoint)
-            if limit is None or self._local_role(endpoint.service) is Role.ALONE:
+            if limit is None or self.owners.local_role(endpoint.service) is Role.ALONE:
                 return 0.0
             self._wait(limit, now, sheddable=False)
             bucket = limit.bucket
@@ -319,24 +288,11 @@
             self.table.forget(instance)
         self.unreadable.discard(instance)
 
-    def _owner(self, service: str) -> _Owner:
-        now = anyio.current_time()
-        owner = self.owners.get(service)
-        if owner is None or now >= owner.until:
-            responding = self.ranked_daemons(service, False)
-            known = self.ranked_daemons(service, True)
-            owner = self.owners[service] = _Owner(
-                ip=responding[0],
-                undisputed=responding[0] == known[0],
-                until=now + OWNER_CACHE_SECONDS,
-            )
-        return owner
-
     async def _ask(
         self, limit: EndpointLimit, endpoint: Endpoint, sheddable: bool
     ) -> float:
         """Ask the owner for a token; return 0, or the seconds until the next try."""
-        ip = self._owner(endpoint.service).ip
+        ip = self.owners.find(endpoint.service).ip
         now = anyio.current_time()
         if not ip:
             return self._take_locally(limit, endpoint, sheddable)
@@ -354,7 +310,7 @@
             answer = await self._request(ip, request)
         now = anyio.current_time()
         if answer is None:
-            self.owners.pop(endpoint.service, None)
+            self.owners.forget(endpoint.service)
             return self._take_locally(limit, endpoint, sheddable)
         limit.role = Role.ASKING
         if not answer.limited:
@@ -379,7 +335,7 @@
         self, limit: EndpointLimit, endpoint: Endpoint, sheddable: bool
     ) -> float:
         """Take a token of this daemon's own, or hold requests back for a moment."""
-        role = self._local_role(endpoint.service)
+        role = self.owners.local_role(endpoint.service)
         now = anyio.current_time()
         wait = self._take(limit, role, now, sheddable=sheddable)
         if wait and role is Role.ALONE:
@@ -388,18 +344,6 @@
             )
         return wait
 
-    def _local_role(self, service: str) -> Role:
-        """Return the role in which this daemon takes tokens without asking.
-
-        A daemon that no other one asks, and that can't reach those that come before it,
-        is probably cut off.
-        """
-        owner = self._owner(service)
-        is_cut_off = anyio.current_time() - self.asked_at > CONTACT_SECONDS
-        if owner.ip or (is_cut_off and not owner.undisputed):
-            return Role.ALONE
-        return Role.OWNER
-
     def _take(
         self, limit: EndpointLimit, role: Role, now: float, **reserve: bool
     ) -> float:
@@ -418,7 +362,7 @@
 
     def _spread(self, service: str, report: LimitReport, before: float | None) -> None:
         """Report a change to the owner; as the owner, report a begin or end to all."""
-        ip = self._owner(service).ip
+        ip = self.owners.find(service).ip
         if ip:
             self.send(ip, report)
         elif (before is None) != (report.rate is None):
--- /dev/null
+++ b/currantdyke/endpointlimits/owners.py
@@ -0,0 +1,90 @@
+"""Which daemon grants the requests to the endpoints of a service."""
+
+import math
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from currantdyke.endpointlimits.table import Role
+
+__all__ = ["LimitOwner", "LimitOwners"]
+
+# Small compared with the time in which a daemon learns that another one stops.
+OWNER_CACHE_SECONDS = 0.1
+# For this long, a request of another daemon shows that this one is not cut off itself.
+CONTACT_SECONDS = 3.0
+
+
+@attrs.frozen(kw_only=True)
+class LimitOwner:
+    """The owner of a service's limits.
+
+    Attributes
+    ----------
+    ip : str
+        Empty if it is this daemon.
+    undisputed : bool
+        Whether it is first also among the daemons that are suspected of a failure.
+    until : float
+        Until when this is not determined again.
+    """
+
+    ip: str
+    undisputed: bool
+    until: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class LimitOwners:
+    """The owners of the limits of all services, as one daemon sees them.
+
+    Attributes
+    ----------
+    ranked_daemons : callable
+        Returns the IPs of the daemons that own the limits of a service, the first in
+        order; the IP of this daemon is empty. With the second argument, those that are
+        suspected of a failure are included.
+    by_service : dict of str to LimitOwner
+        Owners that were determined lately.
+    contact_at : float
+        When another daemon last asked this one.
+    """
+
+    ranked_daemons: Callable[[str, bool], list[str]]
+    by_service: dict[str, LimitOwner] = attrs.field(factory=dict)
+    contact_at: float = -math.inf
+
+    def record_contact(self) -> None:
+        """Record a request of another daemon."""
+        self.contact_at = anyio.current_time()
+
+    def find(self, service: str) -> LimitOwner:
+        """Return the owner of the limits of a service."""
+        now = anyio.current_time()
+        owner = self.by_service.get(service)
+        if owner is None or now >= owner.until:
+            responding = self.ranked_daemons(service, False)
+            known = self.ranked_daemons(service, True)
+            owner = self.by_service[service] = LimitOwner(
+                ip=responding[0],
+                undisputed=responding[0] == known[0],
+                until=now + OWNER_CACHE_SECONDS,
+            )
+        return owner
+
+    def forget(self, service: str) -> None:
+        """Determine an owner anew, since it did not respond."""
+        self.by_service.pop(service, None)
+
+    def local_role(self, service: str) -> Role:
+        """Return the role in which this daemon takes tokens without asking.
+
+        A daemon that no other one asks, and that can't reach those that come before it,
+        is probably cut off.
+        """
+        owner = self.find(service)
+        is_cut_off = anyio.current_time() - self.contact_at > CONTACT_SECONDS
+        if owner.ip or (is_cut_off and not owner.undisputed):
+            return Role.ALONE
+        return Role.OWNER
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -20,6 +20,7 @@
 )
 from currantdyke.forward.quarantine import quarantine_failure, settle, start_run
 from currantdyke.forward.race import CANCELLED, INTERNAL_ERROR, Race, Run
+from currantdyke.forward.resumption import find_version, record_version
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
 from currantdyke.scheduler.messages import (
@@ -44,8 +45,6 @@
 RESULTS_GONE = "not run: 409"
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
-# A crashed engine is back after a few seconds; one that was replaced never is.
-VERSION_RETRY_SECONDS = 2.0
 
 # Status, headers and body of an engine's failure.
 Failure = tuple[int, list[tuple[bytes, bytes]], bytes]
@@ -66,42 +65,11 @@
     context.budget(exchange.service).earn()
     version = None
     if exchange.facts.last_event_id is not None:
-        version = await _find_version(exchange, context)
+        version = await find_version(exchange, context)
     stream = ForwardedStream(exchange, context, scheduler, version)
     await stream.run()
 
 
-async def _find_version(exchange: Exchange, context: ForwardContext) -> str:
-    """Return the version at which a stream that its caller takes up goes on.
-
-    Raises
-    ------
-    RequestFailedError
-        If the version is not known, or has no engine.
-    """
-    facts = exchange.facts
-    version = await context.versions.find(facts.resumes, exchange.service)
-    known = context.directory.endpoints.of_service(exchange.service).values()
-    detail, retry_after = "", RETRY_AFTER_SECONDS
-    if version is None:
-        detail = "the version that began the stream is not known"
-    elif all(engine.version != version for engine in known):
-        detail = f"no engine of version {version!r} is left to go on with the stream"
-        retry_after = VERSION_RETRY_SECONDS
-    context.log.write(
-        "stream_resumed",
-        failure=bool(detail),
-        request=facts.attempt_id,
-        resumes=facts.resumes,
-        version=version,
-        refused=detail,
-    )
-    if version is None or detail:
-        context.versions.refused += 1
-        raise exchange.failure(FailureKind.NO_ENDPOINT, detail, retry_after=retry_after)
-    return version
-
-
 class ForwardedStream:
     """A stream to a caller that one or more engines produce in turn.
 
@@ -370,14 +338,8 @@
 
     def _bind_version(self, version: str) -> None:
         """Let the stream go on at engines of a version only, at any daemon."""
-        exchange = self.exchange
         self.version = version
-        if exchange.route.may_repeat:
-            facts = exchange.facts
-            first_attempt = facts.attempt_id
-            if facts.last_event_id is not None:
-                first_attempt = facts.resumes or facts.attempt_id
-            self.context.versions.record(first_attempt, exchange.service, version)
+        record_version(self.exchange, self.context, version)
 
     async def _relay_events(
         self,
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -16,6 +16,7 @@
 from currantdyke.directory import Directory, Follower
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
+from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.gateway.background import keep_running, run_logged
@@ -160,7 +161,7 @@
             request=self.peers.request,
             send=self.peers.send,
             broadcast=functools.partial(self.peers.broadcast, protocol=PROTOCOL),
-            ranked_daemons=self._limit_owners,
+            owners=LimitOwners(ranked_daemons=self._limit_owners),
             count_daemons=self.count_daemons,
         )
         self.versions = FleetStreamVersions(
@@ -174,7 +175,7 @@
             versions=self.versions,
             store=self.crashes.recorder.store,
             log=log,
-            is_owner=lambda service: self._limit_owners(service, False)[0] == "",
+            is_owner=lambda service: not self.endpoint_limits.owners.find(service).ip,
         )
         self.context = ForwardContext(
             versions=self.versions,
@@ -481,6 +482,7 @@
         if isinstance(content, PlacementRequest) and self.directory.complete:
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
+            self.endpoint_limits.owners.record_contact()
             answer = await self.scheduler.place(content)
             self._forget_ended(link, content.attempt_id)
             return answer
--- a/currantdyke/gateway/tests/test_endpoint_limits.py
+++ b/currantdyke/gateway/tests/test_endpoint_limits.py
@@ -24,6 +24,20 @@
 AT_ONCE_SECONDS = 0.4
 
 
+def assert_all_limited(case, limited, answers):
+    """Check that endpoints get up to their limit of 1, and callers a refusal."""
+    for endpoint in limited:
+        start = endpoint.arrived_at[0] + CONTACT_SECONDS
+        busiest = busiest_window(endpoint.arrived_at, start)
+        case.assertLessEqual(busiest, allowed_requests(1.0))
+        used = first_after(endpoint.arrived_at, start)
+        case.assertGreater(used, WINDOW_SECONDS / 2)
+    refused = [answer for answer in answers if answer.status != 200]
+    case.assertEqual({answer.status for answer in refused}, {503})
+    case.assertTrue(all(answer.has_retry_after for answer in refused))
+    case.assertLess(max(answer.seconds for answer in refused), AT_ONCE_SECONDS)
+
+
 class TestPlainEndpoints(unittest.TestCase):
     # Issue 28: each daemon chose endpoints by itself and read no limit.
     @run_on_sockets
@@ -59,17 +73,7 @@
             answers = await send_load(
                 deployment, "/plain/", rate=RATE, seconds=LOAD_SECONDS
             )
-        for endpoint in limited:
-            start = endpoint.arrived_at[0] + CONTACT_SECONDS
-            self.assertLessEqual(
-                busiest_window(endpoint.arrived_at, start), allowed_requests(1.0)
-            )
-            used = first_after(endpoint.arrived_at, start)
-            self.assertGreater(used, WINDOW_SECONDS / 2)
-        refused = [answer for answer in answers if answer.status != 200]
-        self.assertEqual({answer.status for answer in refused}, {503})
-        self.assertTrue(all(answer.has_retry_after for answer in refused))
-        self.assertLess(max(answer.seconds for answer in refused), AT_ONCE_SECONDS)
+        assert_all_limited(self, limited, answers)
 
 
 class TestEngines(unittest.TestCase):
@@ -150,17 +154,7 @@
             answers = await send_load(
                 deployment, "/stream/", rate=RATE, seconds=LOAD_SECONDS
             )
-        for engine in limited:
-            start = engine.arrived_at[0] + CONTACT_SECONDS
-            self.assertLessEqual(
-                busiest_window(engine.arrived_at, start), allowed_requests(1.0)
-            )
-            used = first_after(engine.arrived_at, start)
-            self.assertGreater(used, WINDOW_SECONDS / 2)
-        refused = [answer for answer in answers if answer.status != 200]
-        self.assertEqual({answer.status for answer in refused}, {503})
-        self.assertTrue(all(answer.has_retry_after for answer in refused))
-        self.assertLess(max(answer.seconds for answer in refused), AT_ONCE_SECONDS)
+        assert_all_limited(self, limited, answers)
 
 
 if __name__ == "__main__":
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -12,6 +12,14 @@
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
 from currantdyke.links.compression import compress, decompress
+from currantdyke.links.fleet_state import (
+    MAX_UINT32,
+    decode_limit,
+    decode_version,
+    encode_limit,
+    encode_version,
+    milliseconds,
+)
 from currantdyke.platform.requests import PromptPart
 from currantdyke.platform.store import Change
 from currantdyke.scheduler.messages import (
@@ -48,7 +56,6 @@
 
 # Raised with each type of content that daemons of an earlier build don't know.
 PROTOCOL = 1
-MAX_UINT32 = 2**32 - 1
 MAX_UINT16 = 2**16 - 1
 # Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
 # Limits also what the compressed values of a frame take after decompression.
@@ -203,10 +210,6 @@
         return Error(f"{type(error).__name__}: {error!s:.100}")
 
 
-def _milliseconds(seconds: float) -> int:
-    return max(0, min(MAX_UINT32, int(seconds * 1_000)))
-
-
 def _encode_content(builder: Any, content: Content) -> None:
     match content:
         case Ping():
@@ -233,7 +236,7 @@
             refused = builder.init("refused")
             refused.code = content.code
             refused.detail = content.detail
-            refused.retryAfterMilliseconds = _milliseconds(content.retry_after)
+            refused.retryAfterMilliseconds = milliseconds(content.retry_after)
         case Progress():
             progress = builder.init("progress")
             progress.attemptId = content.attempt_id
@@ -241,68 +244,9 @@
             progress.instance = content.instance
             progress.keepsResults = content.keeps_results
         case LimitReport() | TokenRequest() | TokenGrant():
-            _encode_limit(builder, content)
+            encode_limit(builder, content)
         case StreamVersions() | VersionRequest() | VersionAnswer():
-            _encode_version(builder, content)
-
-
-def _encode_limit(
-    builder: Any, content: LimitReport | TokenRequest | TokenGrant
-) -> None:
-    match content:
-        case LimitReport():
-            report = builder.init("limitReport")
-            report.instance = content.instance
-            report.born = content.born
-            report.limited = content.rate is not None
-            report.rate = content.rate or 0.0
-            report.sentAgeMilliseconds = _milliseconds(content.sent_age)
-            report.ageMilliseconds = _milliseconds(content.age)
-        case TokenRequest():
-            request = builder.init("tokenRequest")
-            request.instance = content.instance
-            request.service = content.service
-            request.born = content.born
-            request.rate = content.rate
-            request.ageMilliseconds = _milliseconds(content.age)
-            request.sheddable = content.sheddable
-            request.forwarded = content.forwarded
-        case TokenGrant():
-            grant = builder.init("tokenGrant")
-            # A wait of less than a millisecond is no grant.
-            grant.waitMilliseconds = _milliseconds(content.wait + 0.000_999)
-            grant.limited = content.limited
-            grant.ageMilliseconds = _milliseconds(content.age)
-
-
-def _encode_version(
-    builder: Any, content: StreamVersions | VersionRequest | VersionAnswer
-) -> None:
-    match content:
-        case StreamVersions():
-            report = builder.init("streamVersions")
-            report.versions = list(content.versions)
-            report.digests = [digest for digest, _ in content.streams]
-            report.numbers = [number for _, number in content.streams]
-        case VersionRequest():
-            request = builder.init("versionRequest")
-            request.digest = content.digest
-            request.service = content.service
-        case VersionAnswer():
-            answer = builder.init("versionAnswer")
-            answer.known = content.known
-            answer.withVersion = content.version is not None
-            answer.version = content.version or ""
-            answer.several = content.several
-
-
-def _decode_stream_versions(reader: Any) -> StreamVersions:
-    versions = tuple(reader.versions)
-    numbers = list(reader.numbers)
-    if max(numbers, default=-1) >= len(versions):
-        raise ValueError("a stream has a version without a name")
-    streams = zip(reader.digests, numbers, strict=True)
-    return StreamVersions(versions=versions, streams=tuple(streams))
+            encode_version(builder, content)
 
 
 def _encode_crashed(
@@ -315,14 +259,14 @@
             builder.fingerprint = content.fingerprint
             builder.endpoint = content.endpoint
             builder.born = content.born
-            builder.ageMilliseconds = _milliseconds(content.age)
-            builder.sentAgeMilliseconds = _milliseconds(content.sent_age)
+            builder.ageMilliseconds = milliseconds(content.age)
+            builder.sentAgeMilliseconds = milliseconds(content.sent_age)
         case KeysCleared():
             builder.kind = "cleared"
-            builder.ageMilliseconds = _milliseconds(content.age)
+            builder.ageMilliseconds = milliseconds(content.age)
         case GroupCondemned():
             builder.kind = "condemned"
-            builder.leftMilliseconds = _milliseconds(content.seconds)
+            builder.leftMilliseconds = milliseconds(content.seconds)
             builder.crashes = min(MAX_UINT32, content.crashes)
 
 
@@ -330,8 +274,8 @@
     builder.revision = changes.revision
     builder.whole = changes.is_snapshot
     builder.settling = changes.grace_period > 0.0
-    builder.settlingMilliseconds = _milliseconds(changes.grace_period)
-    builder.ageMilliseconds = _milliseconds(changes.age)
+    builder.settlingMilliseconds = milliseconds(changes.grace_period)
+    builder.ageMilliseconds = milliseconds(changes.age)
     items = builder.init("items", len(changes.changes))
     for index, change in enumerate(changes.changes):
         items[index].key = change.key
@@ -355,8 +299,8 @@
     builder.attemptId = request.attempt_id
     builder.service = request.service
     builder.stageKey = request.stage_key
-    builder.targetMilliseconds = _milliseconds(request.target)
-    builder.deadlineMilliseconds = _milliseconds(request.deadline)
+    builder.targetMilliseconds = milliseconds(request.target)
+    builder.deadlineMilliseconds = milliseconds(request.deadline)
     builder.rank = max(0, min(MAX_UINT16, request.rank))
     builder.promptTokens = min(MAX_UINT32, request.prompt_tokens)
     builder.outputTokens = min(MAX_UINT32, request.output_tokens)
@@ -415,46 +359,10 @@
                 instance=reader.progress.instance,
                 keeps_results=reader.progress.keepsResults,
             )
-        case "limitReport":
-            report = reader.limitReport
-            return LimitReport(
-                instance=report.instance,
-                born=report.born,
-                rate=report.rate if report.limited else None,
-                sent_age=report.sentAgeMilliseconds / 1_000,
-                age=report.ageMilliseconds / 1_000,
-            )
-        case "streamVersions":
-            return _decode_stream_versions(reader.streamVersions)
-        case "versionRequest":
-            return VersionRequest(
-                digest=reader.versionRequest.digest,
-                service=reader.versionRequest.service,
-            )
-        case "versionAnswer":
-            answer = reader.versionAnswer
-            return VersionAnswer(
-                known=answer.known,
-                version=answer.version if answer.withVersion else None,
-                several=answer.several,
-            )
-        case "tokenRequest":
-            request = reader.tokenRequest
-            return TokenRequest(
-                instance=request.instance,
-                service=request.service,
-                born=request.born,
-                rate=request.rate,
-                age=request.ageMilliseconds / 1_000,
-                sheddable=request.sheddable,
-                forwarded=request.forwarded,
-            )
-        case "tokenGrant":
-            return TokenGrant(
-                wait=reader.tokenGrant.waitMilliseconds / 1_000,
-                limited=reader.tokenGrant.limited,
-                age=reader.tokenGrant.ageMilliseconds / 1_000,
-            )
+        case "limitReport" | "tokenRequest" | "tokenGrant":
+            return decode_limit(reader)
+        case "streamVersions" | "versionRequest" | "versionAnswer":
+            return decode_version(reader)
         case _:
             return Unknown()
 
--- a/currantdyke/testing/limit_fleet.py
+++ b/currantdyke/testing/limit_fleet.py
@@ -9,6 +9,7 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.endpointlimits.client import EndpointLimits
+from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.links.codec import Content, Frame, encode_frame
 from currantdyke.links.link import LinkLostError, LossReason
 from currantdyke.platform.answers import ResponseMetadata
@@ -112,7 +113,11 @@
                 request=lambda ip, content: self._request(name, ip, content),
                 send=lambda ip, content: self._send(name, ip, content),
                 broadcast=lambda content: self._broadcast(name, content),
-                ranked_daemons=lambda service, suspected: self.ranked(name, suspected),
+                owners=LimitOwners(
+                    ranked_daemons=lambda service, suspected: self.ranked(
+                        name, suspected
+                    )
+                ),
                 count_daemons=lambda: len(self.daemons),
             ),
         )
--- a/currantdyke/testing/stage_fleet.py
+++ b/currantdyke/testing/stage_fleet.py
@@ -27,6 +27,7 @@
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import Directory
 from currantdyke.endpointlimits.client import EndpointLimits
+from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.platform.requests import PromptPart
 from currantdyke.platform.stagecalls import PieceCall, PieceFailure, PieceResult
@@ -147,7 +148,7 @@
         request=request,
         send=lambda ip, content: None,
         broadcast=lambda content: None,
-        ranked_daemons=lambda service, suspected: [""],
+        owners=LimitOwners(ranked_daemons=lambda service, suspected: [""]),
         count_daemons=lambda: 1,
     )
 
