Check whether the owner of a limit that was frozen is back

What endpoints could see: after an owner was frozen, it and the daemon that had taken its place both granted the whole limit until the second one's suspicion ended, up to 12 s later.

Cause: a suspicion of another daemon ends only when its time is over. Change: a daemon that grants in the place of others checks every 0.4 s whether they respond.

--- a/currantdyke/endpointlimits/owners.py
+++ b/currantdyke/endpointlimits/owners.py
@@ -12,6 +12,8 @@
 
 # Small compared with the time in which a daemon learns that another one stops.
 OWNER_CACHE_SECONDS = 0.1
+# Two owners at once, one of which was frozen, grant too much if it lasts.
+CHECK_INTERVAL_SECONDS = 0.4
 # For this long, a request of another daemon shows that this one is not cut off itself.
 CONTACT_SECONDS = 3.0
 
@@ -45,14 +47,20 @@
         Returns the IPs of the daemons that own the limits of a service, the first in
         order; the IP of this daemon is empty. With the second argument, those that are
         suspected of a failure are included.
+    check : callable
+        Finds out soon whether a daemon that is suspected of a failure responds again.
     by_service : dict of str to LimitOwner
         Owners that were determined lately.
+    checked_at : dict of str to float
+        When each suspected daemon was last checked, by IP.
     contact_at : float
         When another daemon last asked this one.
     """
 
     ranked_daemons: Callable[[str, bool], list[str]]
+    check: Callable[[str], None]
     by_service: dict[str, LimitOwner] = attrs.field(factory=dict)
+    checked_at: dict[str, float] = attrs.field(factory=dict)
     contact_at: float = -math.inf
 
     def record_contact(self) -> None:
@@ -71,8 +79,17 @@
                 undisputed=responding[0] == known[0],
                 until=now + OWNER_CACHE_SECONDS,
             )
+            if not owner.ip:
+                self._check_earlier(known[: known.index("")], now)
         return owner
 
+    def _check_earlier(self, ips: list[str], now: float) -> None:
+        """Check the suspected daemons in whose place this one is the owner."""
+        for ip in ips:
+            if now - self.checked_at.get(ip, -math.inf) >= CHECK_INTERVAL_SECONDS:
+                self.checked_at[ip] = now
+                self.check(ip)
+
     def forget(self, service: str) -> None:
         """Determine an owner anew, since it did not respond."""
         self.by_service.pop(service, None)
--- a/currantdyke/endpointlimits/tests/test_fleet.py
+++ b/currantdyke/endpointlimits/tests/test_fleet.py
@@ -85,6 +85,23 @@
             run_fleet(fleet, rate=80.0, seconds=40.0, during=cut)
             self.assert_within(fleet, 0, 8.0)
 
+    # The owner and the daemon that has taken its place would both grant the limit.
+    def test_owner_that_is_back_after_a_freeze_exceeds_no_limit(self):
+        async def freeze(fleet):
+            first = fleet.daemons[min(fleet.daemons)]
+            for _ in range(3):
+                await anyio.sleep(5.0)
+                first.unreachable = set(fleet.daemons)
+                await anyio.sleep(4.0)
+                first.unreachable = set()
+
+        for seed in range(3):
+            fleet = LimitFleet(daemons=12, endpoints=2, limits={0: 8}, seed=seed)
+            entries = sorted(fleet.daemons)[1:]
+            run_fleet(fleet, rate=80.0, seconds=40.0, during=freeze, entries=entries)
+            self.assert_within(fleet, 0, 8.0)
+            self.assertGreater(fleet.rate_of(0, CONTACT_SECONDS, 40.0), 4.0)
+
     # Each daemon sees only itself: one is first for all, the others are alone.
     def test_daemons_that_are_all_cut_off_exceed_no_limit(self):
         async def cut(fleet):
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -161,7 +161,9 @@
             request=self.peers.request,
             send=self.peers.send,
             broadcast=functools.partial(self.peers.broadcast, protocol=PROTOCOL),
-            owners=LimitOwners(ranked_daemons=self._limit_owners),
+            owners=LimitOwners(
+                ranked_daemons=self._limit_owners, check=self.peers.check
+            ),
             count_daemons=self.count_daemons,
         )
         self.versions = FleetStreamVersions(
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -1,5 +1,6 @@
 """The links from this daemon to the others, and the detection of failed daemons."""
 
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -9,7 +10,7 @@
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet, Directory, relay_ips
 from currantdyke.links.changes import ChangesClient
-from currantdyke.links.codec import Content
+from currantdyke.links.codec import Content, Ping
 from currantdyke.links.link import (
     Link,
     LinkLostError,
@@ -153,6 +154,11 @@
         if link is not None:
             link.notify(content)
 
+    def check(self, ip: str) -> None:
+        """Ask a daemon for a sign of life, which ends a suspicion of its failure."""
+        if self.tasks is not None:
+            self.tasks.start_soon(self._check, ip)
+
     def send(self, ip: str, content: Content) -> None:
         """Send a notification to a daemon, to which a link is opened if necessary."""
         if self.tasks is not None:
@@ -191,6 +197,11 @@
             relays &= {daemon.ip for daemon in self.others()}
         return await self.changes.ask(revision, relays)
 
+    async def _check(self, ip: str) -> None:
+        # A failure is logged as that of any request, when the daemon becomes suspected.
+        with contextlib.suppress(LinkLostError):
+            await self.request(ip, Ping())
+
     async def _connect_and_notify(self, ip: str, content: Content) -> None:
         try:
             link = await self._connect(ip)
--- a/currantdyke/testing/limit_fleet.py
+++ b/currantdyke/testing/limit_fleet.py
@@ -10,7 +10,7 @@
 from currantdyke.catalog import Endpoint
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.owners import LimitOwners
-from currantdyke.links.codec import Content, Frame, encode_frame
+from currantdyke.links.codec import Content, Frame, Ping, encode_frame
 from currantdyke.links.link import LinkLostError, LossReason
 from currantdyke.platform.answers import ResponseMetadata
 from currantdyke.testing.stage_fleet import silent_log
@@ -20,8 +20,9 @@
 SERVICE = "plain"
 LINK_SECONDS = 0.001
 ANSWER_SECONDS = 0.02
-# After a failure, other daemons are asked for this time, as by the links.
-SUSPECT_SECONDS = 1.5
+# After a failure, other daemons are asked for this time, as by the links after several
+# failures.
+SUSPECT_SECONDS = 12.0
 
 
 def response(limit: float | None, **changes: Any) -> ResponseMetadata:
@@ -116,7 +117,8 @@
                 owners=LimitOwners(
                     ranked_daemons=lambda service, suspected: self.ranked(
                         name, suspected
-                    )
+                    ),
+                    check=lambda ip: self._check(name, ip),
                 ),
                 count_daemons=lambda: len(self.daemons),
             ),
@@ -221,6 +223,11 @@
         await anyio.sleep(LINK_SECONDS)
         return answer
 
+    def _check(self, name: str, ip: str) -> None:
+        self._count(name, Ping())
+        if not self._is_cut(name, ip):
+            self.daemons[name].suspects.pop(ip, None)
+
     def _send(self, name: str, ip: str, content: Any) -> None:
         self._count(name, content)
         if not self._is_cut(name, ip):
--- a/currantdyke/testing/stage_fleet.py
+++ b/currantdyke/testing/stage_fleet.py
@@ -148,7 +148,9 @@
         request=request,
         send=lambda ip, content: None,
         broadcast=lambda content: None,
-        owners=LimitOwners(ranked_daemons=lambda service, suspected: [""]),
+        owners=LimitOwners(
+            ranked_daemons=lambda service, suspected: [""], check=lambda ip: None
+        ),
         count_daemons=lambda: 1,
     )
 
