Ignore a second signal also while the tasks of a stopping process end

Cause: the handler of signals ends with the other tasks, and the default of a signal holds until the last of them has ended. Change: the signals are blocked before the tasks end, and unblocked when they are ignored.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -58,6 +58,7 @@
 
 __all__ = ["GatewayDaemon"]
 
+SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 # Share of the file descriptors that is reserved for files, links, endpoints and the
 # store; callers get the rest.
 RESERVED_DESCRIPTOR_SHARE = 0.5
@@ -304,6 +305,9 @@
                 tasks.start_soon(self._watch_signals, self.settings_file)
             await self.stop_requested.wait()
             await self._stop()
+            if self.settings_file is not None:
+                # The handler of signals may end before the other tasks.
+                signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
             tasks.cancel_scope.cancel()
         if self.settings_file is not None:
             self._ignore_signals()
@@ -370,7 +374,7 @@
         return Page(status=200, body=metrics.render())
 
     async def _watch_signals(self, settings_file: SettingsFile) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
             async for number in signals:
                 if number == signal.SIGTERM:
                     self.stop_requested.set()
@@ -379,8 +383,9 @@
 
     def _ignore_signals(self) -> None:
         """Ignore further signals, whose default would change the exit status."""
-        for number in (signal.SIGTERM, signal.SIGHUP):
+        for number in SIGNALS:
             signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs."""
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -208,6 +208,32 @@
             for number in (signal.SIGTERM, signal.SIGHUP):
                 signal.raise_signal(number)
 
+    # As above; the handler of signals ends before the other tasks have ended.
+    @run_on_sockets
+    async def test_signal_while_tasks_end_does_not_end_the_process(self):
+        async def signal_late():
+            try:
+                await anyio.sleep_forever()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+
+        async with run_deployment(configuration(1, [plain_route()])) as deployment:
+            gateway = deployment.start_gateway()
+            gateway.settings_file = SettingsFile(
+                path=pathlib.Path("none.yaml"),
+                read=lambda path: Ok(gateway.settings),
+                current=gateway.settings,
+                log=gateway.log,
+            )
+            await wait_until(lambda: gateway.readiness().status == 200)
+            gateway.tasks.start_soon(signal_late)
+            await anyio.sleep(0.05)
+            with without_wait_for_rotation():
+                signal.raise_signal(signal.SIGTERM)
+                await wait_for_end(deployment.lines[gateway.settings.name])
+
 
 class TestStart(unittest.TestCase):
     # Guards against callers that are sent to a daemon that refuses their connections.
