Start no further run of a request that was served while an owner was asked

What a caller could get: half of a long answer. While a daemon asked the owner of a limit about a second endpoint, the silent first one could begin its answer; the second run was started nevertheless, and ended the first one's answer.

Cause: the choice of an endpoint, which waits since limits are kept, was taken for immediate. Change: nothing is started if the request has been served meanwhile. The new test got 1.5 of 3 MB before, and the whole answer now.

--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -135,6 +135,9 @@
         endpoint = await self._choose_endpoint()
         if endpoint is None:
             return False
+        if self.final is not None or self.exchange.caller.response_started:
+            # A run has served the request while the owner of a limit was asked.
+            return True
         self.exchange.excluded.add(endpoint.instance)
         self.race.start(functools.partial(self._run, endpoint))
         return True
--- a/currantdyke/gateway/tests/test_endpoint_limits.py
+++ b/currantdyke/gateway/tests/test_endpoint_limits.py
@@ -1,3 +1,4 @@
+import types
 import unittest
 
 import anyio
@@ -5,7 +6,10 @@
 from currantdyke.directory import rank_daemons
 from currantdyke.emulator import EngineEmulator, PlainEmulator
 from currantdyke.gateway.tests.builders import (
+    KEY,
     plain_configuration,
+    signed_head,
+    start_plain,
     stream_configuration,
 )
 from currantdyke.gateway.tests.limit_builders import (
@@ -16,7 +20,7 @@
     start_gateways,
 )
 from currantdyke.soak.limits import WINDOW_SECONDS, allowed_requests
-from currantdyke.testing.gateways import run_deployment, run_on_sockets
+from currantdyke.testing.gateways import run_deployment, run_on_sockets, wait_until
 
 RATE = 16.0
 LOAD_SECONDS = 7.5
@@ -75,6 +79,38 @@
             )
         assert_all_limited(self, limited, answers)
 
+    # Guards against two answers in one: the first run goes on while the owner is asked.
+    @run_on_sockets
+    async def test_request_that_is_served_meanwhile_is_not_sent_again(self):
+        body = b"x" * 1_500_000
+
+        async def answer_late(request, reply):
+            await anyio.sleep(0.7)
+            length = b"content-length: %d" % (2 * len(body))
+            await reply.send_raw(signed_head(request, length) + body)
+            await anyio.sleep(0.4)
+            await reply.send_raw(body)
+            return True
+
+        async def admit_late(endpoint, *, sheddable):
+            await anyio.sleep(0.3)
+            return 0.0
+
+        async with run_deployment(plain_configuration()) as deployment:
+            [silent] = await start_plain(deployment, answer_late)
+            gateway = await deployment.gateway()
+            caller = deployment.caller()
+            await caller.send("POST", "/plain/", headers=KEY)
+            await wait_until(lambda: silent.arrivals)
+            gateway.context.limits = types.SimpleNamespace(admit=admit_late)
+            other = await deployment.endpoint(PlainEmulator, "plain-9", "plain")
+            await wait_until(
+                lambda: "plain-9" in gateway.directory.endpoints.of_service("plain")
+            )
+            answer = await caller.answer()
+        self.assertEqual((answer.complete, len(answer.body)), (True, 2 * len(body)))
+        self.assertEqual(other.arrivals, [])
+
 
 class TestEngines(unittest.TestCase):
     # Issue 28: the engine with the cached prompt parts got everything.
