--- a/currantdyke/endpointlimits/client.py
+++ b/currantdyke/endpointlimits/client.py
@@ -220,7 +220,8 @@
         if limit is None:
             return True
         role = self.owners.local_role(endpoint.service)
-        return not self._take(limit, role, anyio.current_time(), spare=spare)
+        now = anyio.current_time()
+        return not self._take(limit, role, now, spare=spare)
 
     def rate(self, endpoint: Endpoint) -> float | None:
         """Return the requests per second that an endpoint accepts; None if any."""
@@ -345,10 +346,20 @@
         return wait
 
     def _take(
-        self, limit: EndpointLimit, role: Role, now: float, **reserve: bool
+        self,
+        limit: EndpointLimit,
+        role: Role,
+        now: float,
+        *,
+        sheddable: bool = False,
+        spare: bool = False,
     ) -> float:
         return self.table.take(
-            limit, role, now=now, daemons=self.count_daemons(), **reserve
+            limit,
+            role,
+            now=now,
+            daemons=self.count_daemons(),
+            reserve=reserved_tokens(role, sheddable=sheddable, spare=spare),
         )
 
     def _wait(self, limit: EndpointLimit, now: float, *, sheddable: bool) -> float:
--- a/currantdyke/endpointlimits/table.py
+++ b/currantdyke/endpointlimits/table.py
@@ -159,11 +159,23 @@
         return changed
 
     def take(
-        self, limit: EndpointLimit, role: Role, *, now: float, daemons: int, **reserve
+        self,
+        limit: EndpointLimit,
+        role: Role,
+        *,
+        now: float,
+        daemons: int,
+        reserve: float = 0.0,
     ) -> float:
-        """Take a token in this role; return 0, or the seconds until there is one."""
+        """Take a token in this role; return 0, or the seconds until there is one.
+
+        Parameters
+        ----------
+        reserve : float
+            Tokens that must be left.
+        """
         self.enter(limit, role, now=now, daemons=daemons)
-        return limit.bucket.take(now, reserve=reserved_tokens(role, **reserve))
+        return limit.bucket.take(now, reserve=reserve)
 
     def enter(
         self, limit: EndpointLimit, role: Role, *, now: float, daemons: int
--- a/currantdyke/endpointlimits/tests/test_table.py
+++ b/currantdyke/endpointlimits/tests/test_table.py
@@ -4,7 +4,12 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.endpointlimits.messages import TokenRequest
-from currantdyke.endpointlimits.table import LimitTable, Role, next_turn
+from currantdyke.endpointlimits.table import (
+    LimitTable,
+    Role,
+    next_turn,
+    reserved_tokens,
+)
 from currantdyke.testing.limit_fleet import response
 from currantdyke.testing.stage_fleet import own_limits, silent_log
 from currantdyke.testing.virtual import run_virtual
@@ -53,8 +58,9 @@
         self.table.adopt("e", 1, 2.0, 0.0)
         self.limit = self.table.limits["e"]
 
-    def take(self, role, now, **reserve):
-        return self.table.take(self.limit, role, now=now, daemons=10, **reserve)
+    def take(self, role, now, sheddable=False):
+        reserve = reserved_tokens(role, sheddable=sheddable)
+        return self.table.take(self.limit, role, now=now, daemons=10, reserve=reserve)
 
     def test_daemon_that_becomes_owner_has_no_token(self):
         self.assertEqual(self.take(Role.OWNER, 100.0), 0.5)
