--- a/currantdyke/endpointlimits/client.py
+++ b/currantdyke/endpointlimits/client.py
@@ -15,7 +15,7 @@
     EndpointLimit,
     LimitTable,
     Role,
-    next_turn,
+    next_retry_slot,
     reserved_tokens,
 )
 from currantdyke.links.link import LinkLostError
@@ -46,7 +46,7 @@
         The owners of the limits of each service.
     count_daemons : callable
         Returns the number of daemons in the fleet.
-    turned_away : int
+    denied : int
         Requests that were not sent to an endpoint because of its limit.
     asked : int
         Requests to owners.
@@ -60,7 +60,7 @@
     count_daemons: Callable[[], int]
     table: LimitTable = attrs.field(factory=LimitTable)
     unreadable: set[str] = attrs.field(factory=set)
-    turned_away: int = 0
+    denied: int = 0
     asked: int = 0
 
     def record_response(
@@ -145,7 +145,7 @@
         if role is Role.ALONE:
             return TokenGrant(wait=min(wait, UNANSWERED_HOLD_SECONDS))
         if wait:
-            wait = next_turn(limit, wait, limit.bucket.rate, now)
+            wait = next_retry_slot(limit, wait, limit.bucket.rate, now)
         return TokenGrant(wait=wait)
 
     async def admit(self, endpoint: Endpoint, *, sheddable: bool) -> float:
@@ -165,9 +165,9 @@
             wait = await self._ask(limit, endpoint, sheddable)
         if wait <= 0.0:
             return 0.0
-        self.turned_away += 1
+        self.denied += 1
         rate = limit.caller_rate(self.count_daemons())
-        return next_turn(limit, wait, rate, anyio.current_time())
+        return next_retry_slot(limit, wait, rate, anyio.current_time())
 
     def is_held(self, endpoint: Endpoint, *, sheddable: bool) -> bool:
         """Return whether it is known without asking that a request is not granted."""
@@ -263,17 +263,17 @@
             heapq.heapreplace(tokens, (at + 1.0 / rate, rate))
         return tokens[0][0] if tokens and tokens[0][0] > seconds else 0.0
 
-    def turn(self, endpoints: Iterable[Endpoint]) -> float:
+    def retry_slot(self, endpoints: Iterable[Endpoint]) -> float:
         """Return after how many seconds the caller of a refused stream comes back."""
         now = anyio.current_time()
         limits = [limit for e in endpoints if (limit := self.table.of(e)) is not None]
-        limit = min(limits, key=lambda entry: entry.turn_at)
-        self.turned_away += 1
+        limit = min(limits, key=lambda entry: entry.retry_slot_at)
+        self.denied += 1
         wait = max(limit.held_until.values()) - now
         if limit.role is Role.OWNER:
             wait = limit.bucket.wait(now)
         wait = max(0.0, wait)
-        return next_turn(limit, wait, limit.effective_rate(Role.OWNER, 1), now)
+        return next_retry_slot(limit, wait, limit.effective_rate(Role.OWNER, 1), now)
 
     def learn(self, endpoint: Endpoint, rate: float) -> None:
         """Record the limit by which an owner granted a request, if none is known."""
--- a/currantdyke/endpointlimits/table.py
+++ b/currantdyke/endpointlimits/table.py
@@ -55,8 +55,8 @@
         Tokens that this daemon grants; empty at each change of its role.
     held_until : dict of bool to float
         Until when the owner grants this daemon no request, by whether it is sheddable.
-    turn_at : float
-        Time for which a refused caller was told last to come back.
+    retry_slot_at : float
+        Time at which the caller that was refused last should retry.
     """
 
     instance: str
@@ -68,7 +68,7 @@
     held_until: dict[bool, float] = attrs.field(
         factory=lambda: {False: -math.inf, True: -math.inf}
     )
-    turn_at: float = -math.inf
+    retry_slot_at: float = -math.inf
 
     def effective_rate(self, role: Role, daemons: int) -> float:
         """Return the requests per second that a daemon in this role may grant."""
@@ -208,15 +208,17 @@
         self.limits.pop(instance, None)
 
 
-def next_turn(limit: EndpointLimit, wait: float, rate: float, now: float) -> float:
-    """Return after how many seconds a refused caller should come back.
+def next_retry_slot(
+    limit: EndpointLimit, wait: float, rate: float, now: float
+) -> float:
+    """Return after how many seconds a refused caller should retry.
 
-    Callers that are refused one after another are told turns that follow each other at
-    the rate of the limit.
+    Callers that are refused one after another get retry times that follow each other
+    at the rate of the limit.
     """
     last = now + MAX_RETRY_SECONDS
-    limit.turn_at = min(last, max(limit.turn_at + 1.0 / rate, now + wait))
-    return limit.turn_at - now
+    limit.retry_slot_at = min(last, max(limit.retry_slot_at + 1.0 / rate, now + wait))
+    return limit.retry_slot_at - now
 
 
 def reserved_tokens(
--- a/currantdyke/endpointlimits/tests/test_table.py
+++ b/currantdyke/endpointlimits/tests/test_table.py
@@ -7,7 +7,7 @@
 from currantdyke.endpointlimits.table import (
     LimitTable,
     Role,
-    next_turn,
+    next_retry_slot,
     reserved_tokens,
 )
 from currantdyke.testing.limit_fleet import response
@@ -75,7 +75,7 @@
         self.assertEqual(self.take(Role.OWNER, 1.8, sheddable=True), 0.0)
 
     def test_refused_callers_come_back_one_after_another(self):
-        turns = [next_turn(self.limit, 0.5, 2.0, 10.0) for _ in range(30)]
+        turns = [next_retry_slot(self.limit, 0.5, 2.0, 10.0) for _ in range(30)]
         self.assertEqual(turns[:4], [0.5, 1.0, 1.5, 2.0])
         self.assertEqual(turns[-1], 8.0)
 
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -172,7 +172,7 @@
             log=log,
             request=self.peers.request,
             send=self.peers.send,
-            others=self._version_keepers,
+            others=self._version_replicas,
         )
         self.versions_recorder = VersionsRecorder(
             versions=self.versions,
@@ -249,8 +249,8 @@
         )
         return [ip for _, ip in ranked]
 
-    def _version_keepers(self) -> list[str]:
-        """Return the IPs of the daemons that can be told of streams, and asked."""
+    def _version_replicas(self) -> list[str]:
+        """Return the IPs of the daemons that may hold versions of streams."""
         return [
             daemon.ip
             for daemon in self.peers.others()
@@ -366,7 +366,7 @@
         metrics.endpoint_limits.set(
             sum(limit.rate is not None for limit in limits.table.limits.values())
         )
-        metrics.limit_refusals.set(limits.turned_away)
+        metrics.limit_refusals.set(limits.denied)
         metrics.limit_requests.set(limits.asked)
         metrics.version_requests.set(self.versions.asked)
         metrics.resumptions_refused.set(self.versions.refused)
--- a/currantdyke/gateway/tests/test_stream_versions.py
+++ b/currantdyke/gateway/tests/test_stream_versions.py
@@ -8,8 +8,8 @@
     begin,
     break_off_new,
     count_joined,
+    resume,
     start_versions,
-    take_up,
 )
 from currantdyke.testing.gateways import run_deployment, run_on_sockets, wait_until
 
@@ -62,19 +62,19 @@
             await start_gateways(deployment, 3)
             streams = await begin(deployment, STREAMS, gateways=[0])
             await lose_busiest(deployment, engines)
-            await take_up(deployment, streams, gateways=[1, 2])
+            await resume(deployment, streams, gateways=[1, 2])
         self.assert_all_go_on(streams)
 
     @run_on_sockets
-    async def test_stream_that_is_taken_up_again_goes_on_at_its_first_version(self):
+    async def test_stream_that_is_resumed_again_goes_on_at_its_first_version(self):
         async with run_deployment(stream_configuration()) as deployment:
             engines = await start_versions(deployment, *VERSIONS, "v1", "v1.2")
             await start_gateways(deployment, 4)
             streams = await begin(deployment, STREAMS, gateways=[0], events=1)
             for gateway in (1, 2):
                 await lose_busiest(deployment, engines)
-                await take_up(deployment, streams, gateways=[gateway], events=1)
-            await take_up(deployment, streams, gateways=[3])
+                await resume(deployment, streams, gateways=[gateway], events=1)
+            await resume(deployment, streams, gateways=[3])
         self.assert_all_go_on(streams)
 
     # Issue 28: of a version that had gone, all streams went on at the other one.
@@ -88,7 +88,7 @@
             await wait_for_engines(deployment, 4)
             await withdraw(deployment, first)
             started = anyio.current_time()
-            await take_up(deployment, streams, gateways=[0, 1, 2])
+            await resume(deployment, streams, gateways=[0, 1, 2])
             seconds = anyio.current_time() - started
         self.assertEqual(count_joined(streams), 0)
         answers = [stream.answers[-1] for stream in streams]
@@ -104,7 +104,7 @@
             streams = await begin(deployment, STREAMS, gateways=[0])
             await lose_busiest(deployment, engines)
             deployment.gateways[0].tasks.cancel_scope.cancel()
-            await take_up(deployment, streams, gateways=[1, 2, 3, 4])
+            await resume(deployment, streams, gateways=[1, 2, 3, 4])
         self.assertEqual(count_joined(streams), 0)
         went_on = sum(stream.complete for stream in streams)
         self.assertGreaterEqual(went_on, STREAMS / 2)
@@ -119,10 +119,10 @@
             for number in range(4):
                 deployment.gateways[number].stop_requested.set()
                 await anyio.sleep(0.7)
-            await take_up(deployment, streams, gateways=[4, 5])
+            await resume(deployment, streams, gateways=[4, 5])
         self.assert_all_go_on(streams)
 
-    # Both daemons that were told of a version are gone, as at a loss of power.
+    # Both replicas of a version are gone, as at a loss of power.
     @run_on_sockets
     async def test_stream_of_an_unknown_version_is_refused(self):
         async with run_deployment(stream_configuration()) as deployment:
@@ -133,12 +133,12 @@
                 gateway.tasks.cancel_scope.cancel()
             for _ in range(2):
                 await deployment.gateway()
-            await take_up(deployment, streams, gateways=[3, 4])
+            await resume(deployment, streams, gateways=[3, 4])
         self.assertEqual(count_joined(streams), 0)
         self.assertEqual({stream.answers[-1].status for stream in streams}, {503})
 
     @run_on_sockets
-    async def test_attempt_of_two_versions_is_not_taken_up(self):
+    async def test_attempt_of_two_versions_is_not_resumed(self):
         async with run_deployment(stream_configuration()) as deployment:
             await start_gateways(deployment, 3)
             first = await start_versions(deployment, "v1")
@@ -148,7 +148,7 @@
             await wait_for_engines(deployment, 2)
             await withdraw(deployment, first)
             again = await begin(deployment, 4, gateways=[1])
-            await take_up(deployment, again, gateways=[2])
+            await resume(deployment, again, gateways=[2])
         self.assertEqual([s.attempt_id for s in streams], [s.attempt_id for s in again])
         self.assertEqual({stream.answers[-1].status for stream in again}, {503})
 
@@ -156,7 +156,7 @@
 class TestRecordInTheStore(unittest.TestCase):
     # Only engines of one version are left, but another one may have begun the stream.
     @run_on_sockets
-    async def test_daemons_that_all_start_anew_do_not_guess(self):
+    async def test_daemons_that_all_start_anew_refuse_it(self):
         async with run_deployment(stream_configuration()) as deployment:
             engines = await start_versions(deployment, *VERSIONS)
             await start_gateways(deployment, 3)
@@ -168,7 +168,7 @@
                 deployment.store.withdraw(engine.instance)
             for _ in range(2):
                 await deployment.gateway()
-            await take_up(deployment, streams, gateways=[3, 4])
+            await resume(deployment, streams, gateways=[3, 4])
         self.assertEqual(count_joined(streams), 0)
         self.assertEqual({stream.answers[-1].status for stream in streams}, {503})
 
@@ -195,19 +195,19 @@
             streams = await begin(deployment, 8, gateways=[0], events=1)
             deployment.store.withdraw(engine.instance)
             await wait_for_engines(deployment, 1)
-            await take_up(deployment, streams, gateways=[0])
+            await resume(deployment, streams, gateways=[0])
         self.assertEqual(count_joined(streams), 0)
 
 
 class TestOneVersion(unittest.TestCase):
     @run_on_sockets
-    async def test_streams_go_on_and_no_daemon_is_told(self):
+    async def test_streams_go_on_without_replicas(self):
         async with run_deployment(stream_configuration()) as deployment:
             await start_versions(deployment, "v1", "v1")
             await start_gateways(deployment, 3)
             streams = await begin(deployment, STREAMS, gateways=[0])
             links = [len(gateway.peers.links) for gateway in deployment.gateways]
-            await take_up(deployment, streams, gateways=[1, 2])
+            await resume(deployment, streams, gateways=[1, 2])
         self.assertTrue(all(stream.complete for stream in streams))
         # One link, to the owner that places streams.
         self.assertLessEqual(max(links), 1)
--- a/currantdyke/gateway/tests/version_builders.py
+++ b/currantdyke/gateway/tests/version_builders.py
@@ -8,19 +8,19 @@
 from currantdyke.soak.versions import EVENTS, StreamRecord, read_stream, versions_of
 
 __all__ = [
-    "TakenUpStream",
+    "ResumedStream",
     "begin",
     "break_off_new",
     "count_joined",
     "start_versions",
-    "take_up",
+    "resume",
 ]
 
 CONCURRENT_STREAMS = 4
 
 
 @attrs.define(kw_only=True)
-class TakenUpStream:
+class ResumedStream:
     """A stream of a test.
 
     Attributes
@@ -42,7 +42,7 @@
 
 
 def break_off_new(request) -> AnswerPlan:
-    """Plan an answer that breaks off after two events unless it was taken up."""
+    """Plan an answer that breaks off after two events unless it was resumed."""
     if "last-event-id" in request.headers:
         return AnswerPlan()
     return AnswerPlan(break_after=2, ending=Ending.RESET)
@@ -67,24 +67,24 @@
 
 async def begin(
     deployment, count: int, *, gateways: list[int], events: int = 2
-) -> list[TakenUpStream]:
+) -> list[ResumedStream]:
     """Begin streams and close them after some events, a few at a time."""
-    streams = [TakenUpStream(attempt_id=f"b{number}") for number in range(count)]
+    streams = [ResumedStream(attempt_id=f"b{number}") for number in range(count)]
     await _read_all(deployment, streams, gateways=gateways, events=events)
     return streams
 
 
-async def take_up(
-    deployment, streams: list[TakenUpStream], *, gateways: list[int], events=EVENTS
+async def resume(
+    deployment, streams: list[ResumedStream], *, gateways: list[int], events=EVENTS
 ) -> None:
-    """Take streams up, each by an attempt of its own, a few at a time."""
+    """Resume streams, each by an attempt of its own, a few at a time."""
     await _read_all(deployment, streams, gateways=gateways, events=events)
 
 
 async def _read_all(deployment, streams, *, gateways, events) -> None:
     limiter = anyio.CapacityLimiter(CONCURRENT_STREAMS)
 
-    async def read(number: int, stream: TakenUpStream) -> None:
+    async def read(number: int, stream: ResumedStream) -> None:
         gateway = deployment.gateways[gateways[number % len(gateways)]]
         tries = len(stream.answers)
         async with limiter:
@@ -105,6 +105,6 @@
             tasks.start_soon(read, number, stream)
 
 
-def count_joined(streams: list[TakenUpStream]) -> int:
+def count_joined(streams: list[ResumedStream]) -> int:
     """Return how many streams hold events of two versions."""
     return sum(len(versions_of(stream.record.body)) > 1 for stream in streams)
--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -223,7 +223,7 @@
         return Refusal(
             code="limited",
             detail="the engines are at the limits that they name",
-            retry_after=self.limits.turn(endpoints),
+            retry_after=self.limits.retry_slot(endpoints),
         )
 
     def _engine_limits(self, service: str) -> EngineLimits | None:
--- a/currantdyke/soak/limits.py
+++ b/currantdyke/soak/limits.py
@@ -17,7 +17,7 @@
 WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
 EXTRA_REQUESTS = 5
-TOLD_SECONDS = 0.5
+NOTICE_SECONDS = 0.5
 LIMITS = ("0.5", "1", "2", "5")
 LIMITED_SERVICES = ("plain", "engine")
 # Of a limit before it changes; long enough for a window after `CONTACT_SECONDS`.
@@ -88,11 +88,11 @@
 
 def limit_violations(world) -> list[str]:
     """Return which endpoints got more than their limits allow, and count the cases."""
-    told = _first_told(world)
+    relayed = _first_relayed(world)
     arrivals = collections.defaultdict(list)
     for at, fields in world.arrivals:
         key = fields["endpoint"], fields["gateway"]
-        if fields["in_touch"] and told.get(key, float("inf")) + TOLD_SECONDS <= at:
+        if fields["in_touch"] and relayed.get(key, float("inf")) + NOTICE_SECONDS <= at:
             arrivals[fields["endpoint"]].append(at)
     violations = []
     for named in world.limits:
@@ -100,16 +100,16 @@
     return violations
 
 
-def _first_told(world) -> dict[tuple[str, str], float]:
+def _first_relayed(world) -> dict[tuple[str, str], float]:
     """Return when each gateway process first relayed an answer with a limit."""
-    told: dict[tuple[str, str], float] = {}
+    relayed: dict[tuple[str, str], float] = {}
     for attempt in world.attempts:
         if attempt.answer is None or "server-limit" not in attempt.answer.headers:
             continue
         signature = attempt.answer.headers.get("x-server-signature", "")
         key = signature.removeprefix("signed."), attempt.process_name
-        told[key] = min(told.get(key, float("inf")), attempt.ended_at)
-    return told
+        relayed[key] = min(relayed.get(key, float("inf")), attempt.ended_at)
+    return relayed
 
 
 def _excess(named: NamedLimit, times: list[float], world) -> list[str]:
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -27,8 +27,8 @@
 )
 from currantdyke.soak.versions import (
     change_versions,
+    resume_streams,
     start_versions,
-    take_up_streams,
     version_violations,
 )
 
@@ -42,7 +42,7 @@
 # Callers abandon a stream after two seconds without an event.
 MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS = 0.5, 1.8
 UNDELIMITED_SHARE = 0.3
-# Callers that take streams up elsewhere.
+# Callers that resume streams elsewhere.
 STREAM_CALLERS = 10
 # Longer than any time-out of the routes.
 SILENT_DEADLINE_SECONDS = 10.0
@@ -147,7 +147,7 @@
         start_endpoints=start_versions,
         faults=GATEWAY_FAULTS,
         choose_request=choose_plain,
-        activities=(change_versions, *[take_up_streams] * STREAM_CALLERS),
+        activities=(change_versions, *[resume_streams] * STREAM_CALLERS),
         think_seconds=0.5,
         fault_series=1,
         route_stages=False,
--- a/currantdyke/soak/tests/test_patterns.py
+++ b/currantdyke/soak/tests/test_patterns.py
@@ -37,7 +37,7 @@
     def test_short_run_with_versions_has_no_violations(self):
         report = anyio.run(functools.partial(soak, SEED, 14.0, pattern="versions"))
         self.assertEqual(report.broken, [], report.text())
-        self.assertGreater(report.counts["streams taken up"], 12, report.text())
+        self.assertGreater(report.counts["resumed streams"], 12, report.text())
 
     def test_ignored_versions_are_detected(self):
         run = functools.partial(
--- a/currantdyke/soak/versions.py
+++ b/currantdyke/soak/versions.py
@@ -1,4 +1,4 @@
-"""Streams over engines of several software versions, taken up by their callers."""
+"""Streams over engines of several software versions, resumed by their callers."""
 
 import itertools
 import random
@@ -17,7 +17,7 @@
     "change_versions",
     "read_stream",
     "start_versions",
-    "take_up_streams",
+    "resume_streams",
     "version_violations",
     "versions_of",
 ]
@@ -28,9 +28,9 @@
 MARK_PATTERN = re.compile(rb"data: \d+ (\S+)\n")
 ID_PATTERN = re.compile(rb"id: (\d+)\n")
 # Bounds of the users: this many streams may hold events of two versions; of so many
-# that are taken up, at least half the share of the new streams that begin goes on.
+# that are resumed, at least half the share of the new streams that begin goes on.
 MAX_JOINED = 2
-MIN_TAKEN_UP = 12
+MIN_RESUMED = 12
 MIN_SHARE = 0.5
 MAX_TRIES = 4
 PROMPTS = 16
@@ -50,7 +50,7 @@
     body : bytes
         The events of all tries.
     tries : list of (bool, bool, bool)
-        For each try, whether it takes the stream up, whether the bounds on its gateway
+        For each try, whether it resumes the stream, whether the bounds on its gateway
         held and two engines of the version served, and whether it brought events.
     """
 
@@ -77,7 +77,7 @@
     resumes: str = "",
     prompt: str = "ab",
 ) -> CallerAnswer | None:
-    """Send a request for a stream, or take one up, and read some of its events.
+    """Send a request for a stream, or resume one, and read some of its events.
 
     Parameters
     ----------
@@ -157,8 +157,8 @@
     world.store.withdraw(instance)
 
 
-async def take_up_streams(world, rng: random.Random) -> None:
-    """Begin streams at one gateway and take them up at others, until the run ends."""
+async def resume_streams(world, rng: random.Random) -> None:
+    """Begin streams at one gateway and resume them at others, until the run ends."""
     while not world.finished:
         record = StreamRecord()
         world.streams.append(record)
@@ -214,7 +214,7 @@
         if ids != numbers[: len(ids)]:
             violations.append(f"a stream has the events {ids}")
     shares = {}
-    for name, resumes in (("new streams", False), ("streams taken up", True)):
+    for name, resumes in (("new streams", False), ("resumed streams", True)):
         brought = [
             went_on
             for stream in world.streams
@@ -223,10 +223,10 @@
         ]
         counts[name], counts[f"{name}, with events"] = len(brought), sum(brought)
         shares[resumes] = sum(brought) / max(1, len(brought))
-    enough = counts["streams taken up"] >= MIN_TAKEN_UP
+    enough = counts["resumed streams"] >= MIN_RESUMED
     if enough and shares[True] < MIN_SHARE * shares[False]:
         violations.append(
-            f"{shares[True]:.2f} of the streams that were taken up went on, and "
+            f"{shares[True]:.2f} of the streams that were resumed went on, and "
             f"{shares[False]:.2f} of the new ones began"
         )
     return violations
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -63,7 +63,7 @@
     limits : list of NamedLimit
         The limits that endpoints named.
     streams : list of StreamRecord
-        Streams whose callers take them up elsewhere.
+        Streams whose callers resume them elsewhere.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
--- a/currantdyke/streamversions/client.py
+++ b/currantdyke/streamversions/client.py
@@ -1,4 +1,4 @@
-"""Tells other daemons which version began a stream, and asks them."""
+"""Replicates which version began a stream to other daemons, and asks them."""
 
 import bisect
 from collections.abc import Awaitable, Callable
@@ -22,10 +22,10 @@
 
 __all__ = ["FleetStreamVersions"]
 
-# Daemons that are told of a stream besides the one that began it. One more is asked,
-# since a daemon may have joined or left meanwhile.
-KEEPERS = 2
-KEEPERS_ASKED = KEEPERS + 1
+# Daemons that are notified of a stream besides the one that began it. One more is
+# asked, since a daemon may have joined or left meanwhile.
+REPLICAS = 2
+REPLICAS_ASKED = REPLICAS + 1
 # Callers come back within milliseconds.
 BATCH_SECONDS = 0.005
 ASK_TIMEOUT_SECONDS = 0.3
@@ -38,20 +38,20 @@
 class FleetStreamVersions:
     """The versions that began streams, kept by a few daemons for each stream.
 
-    The daemon that relays the first event of a stream tells two others, which are
+    The daemon that relays the first event of a stream notifies two others, which are
     determined by the attempt id, if the service has several versions. The daemon at
-    which the stream is taken up asks them.
+    which the stream is resumed asks them.
 
     Attributes
     ----------
     request, send : callable
         Send a request or a notification to a daemon by its IP.
     others : callable
-        Returns the IPs of the other daemons that can be told and asked.
+        Returns the IPs of the other daemons that may be replicas.
     recorded : set of str
         Services of which the store records that they have several versions.
     asked, refused : int
-        Requests to other daemons, and streams that could not be taken up.
+        Requests to other daemons, and streams that could not be resumed.
     """
 
     directory: Directory
@@ -83,7 +83,7 @@
         return service in self.recorded or len(self.services.recent(service)) > 1
 
     def on_endpoint_change(self, instance: str, endpoint: Endpoint | None) -> None:
-        """Follow the directory; tell of the streams of a service with a new version."""
+        """Follow the directory; a new version of a service needs replicas."""
         service = "" if endpoint is None else endpoint.service
         had_several = self.has_several(service)
         self.services.update(instance, endpoint)
@@ -108,7 +108,7 @@
             self._publish([(digest, version)])
 
     def handle(self, content: StreamVersions) -> None:
-        """Record what another daemon tells."""
+        """Record the versions that another daemon reports."""
         for digest, number in content.streams:
             self.streams.record(digest, content.versions[number])
 
@@ -139,7 +139,7 @@
         digest = digest_of(attempt_id or "")
         own = self.answer(VersionRequest(digest=digest, service=service))
         answers = [own]
-        others = self._keepers(digest, KEEPERS_ASKED)
+        others = self._replicas(digest, REPLICAS_ASKED)
         if not own.known:
             answers += await self._ask(others, digest, service)
         known = {answer.version for answer in answers if answer.known}
@@ -153,7 +153,7 @@
         return versions[0] if in_touch and not several else None
 
     def hand_over(self) -> None:
-        """Tell other daemons all that this one knows, since it stops."""
+        """Replicate all that this daemon knows, since it stops."""
         if self.services.services_with_several() or self.recorded:
             self._publish(self.streams.recent())
 
@@ -169,7 +169,7 @@
             try:
                 answer = await self.request(ip, request)
             except LinkLostError as error:
-                self.log.write("version_keeper_lost", keeper=ip, reason=str(error))
+                self.log.write("version_replica_lost", replica=ip, reason=str(error))
                 return
             if isinstance(answer, VersionAnswer):
                 answers.append(answer)
@@ -183,7 +183,7 @@
         return answers
 
     def _publish(self, streams: list[tuple[int, str]]) -> None:
-        """Tell the keepers of streams soon, many at a time."""
+        """Notify the replicas of streams soon, many at a time."""
         if not streams or self.tasks is None:
             return
         if not self.pending:
@@ -195,7 +195,7 @@
         pending, self.pending = self.pending, []
         batches: dict[str, list[tuple[int, str]]] = {}
         for stream in pending:
-            for ip in self._keepers(stream[0], KEEPERS):
+            for ip in self._replicas(stream[0], REPLICAS):
                 batches.setdefault(ip, []).append(stream)
         for ip, streams in batches.items():
             for start in range(0, len(streams), MAX_BATCH_STREAMS):
@@ -203,7 +203,7 @@
                     ip, _build_message(streams[start : start + MAX_BATCH_STREAMS])
                 )
 
-    def _keepers(self, digest: int, count: int) -> list[str]:
+    def _replicas(self, digest: int, count: int) -> list[str]:
         """Return the daemons that follow a digest on a ring of hashed IPs."""
         now = anyio.current_time()
         if now >= self.ring_until:
--- a/currantdyke/streamversions/recorder.py
+++ b/currantdyke/streamversions/recorder.py
@@ -36,7 +36,7 @@
     is_owner : callable
         Returns whether this daemon owns a service.
     streaming : frozenset of str
-        Services with streams that may be taken up; others need no record.
+        Services with streams that may be resumed; others need no record.
     written_at : dict of str to float
         When each service's record was written by this daemon.
     """
--- a/currantdyke/streamversions/table.py
+++ b/currantdyke/streamversions/table.py
@@ -11,7 +11,7 @@
 
 __all__ = ["RETENTION_SECONDS", "ServiceVersions", "StreamTable", "digest_of"]
 
-# A caller that waits until its deadline, 15 s, takes a stream up within this time.
+# A caller that waits until its deadline, 15 s, resumes a stream within this time.
 RETENTION_SECONDS = 60.0
 
 
--- a/currantdyke/streamversions/tests/test_client.py
+++ b/currantdyke/streamversions/tests/test_client.py
@@ -105,24 +105,24 @@
         for count in SIZES:
             self.assertEqual(run_fleet(count, scenario, "v1", "v2"), {"v2"})
 
-    def test_version_is_found_without_the_daemon_that_began_and_one_that_was_told(self):
+    def test_version_is_found_without_the_daemon_that_began_and_one_replica(self):
         async def scenario(fleet, daemons):
             daemons[0].record("a", SERVICE, "v1")
             await anyio.sleep(0.01)
-            told = [
+            replicas = [
                 name
                 for name, daemon in fleet.daemons.items()
                 if daemon.streams.find(digest_of("a")) and daemon is not daemons[0]
             ]
-            fleet.down = {"10.0.0.1", told[0]}
+            fleet.down = {"10.0.0.1", replicas[0]}
             await anyio.sleep(1.0)
             up = [fleet.daemons[n] for n in fleet.daemons if n not in fleet.down]
-            return len(told), {await daemon.find("a", SERVICE) for daemon in up}
+            return len(replicas), {await daemon.find("a", SERVICE) for daemon in up}
 
         self.assertEqual(run_fleet(12, scenario, "v1", "v2"), (2, {"v1"}))
 
     # The daemon that began the stream knew one version only.
-    def test_streams_from_before_a_second_version_are_told_when_it_comes(self):
+    def test_streams_from_before_a_second_version_are_replicated_when_it_comes(self):
         async def scenario(fleet, daemons):
             daemons[0].record("a", SERVICE, "v1")
             await anyio.sleep(0.01)
@@ -135,7 +135,7 @@
 
         self.assertEqual(run_fleet(12, scenario, "v1"), (0, "v1"))
 
-    # The daemon at which it is taken up knows one version only, and the wrong one.
+    # The daemon at which it is resumed knows one version only, and the wrong one.
     def test_daemon_that_does_not_know_a_version_asks_the_others(self):
         async def scenario(fleet, daemons):
             daemons[0].on_endpoint_change("e2", build_engine("e2", "v2"))
@@ -165,7 +165,7 @@
         self.assertIsNone(run_fleet(3, find_recorded, "v1"))
         self.assertEqual(run_fleet(3, find_after_another, "v1"), (None, "v2"))
 
-    def test_daemon_that_nobody_answers_does_not_guess(self):
+    def test_daemon_that_nobody_answers_refuses(self):
         async def scenario(fleet, daemons):
             fleet.down = set(fleet.daemons)
             return await daemons[1].find("unknown", SERVICE)
