--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -77,6 +77,8 @@
 EXPIRY_CHECK_SECONDS = 0.25
 SETTINGS_CHECK_SECONDS = 1.0
 CRASH_CHECK_SECONDS = 0.25
+# The record matters once all daemons have stopped.
+VERSIONS_CHECK_SECONDS = 0.5
 # Part of the retries of a window that a new owner of stage calls may send at once. Five
 # owners in turn, and what is refilled meanwhile, stay within the window's retries.
 NEW_OWNER_RETRY_SHARE = 0.08
@@ -286,6 +288,11 @@
             self.timers.every(
                 CRASH_CHECK_SECONDS, self.crashes.check, name="check crashes"
             )
+            self.timers.every(
+                VERSIONS_CHECK_SECONDS,
+                self.versions_recorder.check,
+                name="record services with several versions",
+            )
             self.timers.every(
                 QUEUE_LOG_SECONDS, self.stages.log_queues, name="log stage queues"
             )
@@ -322,7 +329,6 @@
             self.stages.run,
             self.crashes.run,
             self.versions.run,
-            self.versions_recorder.run,
             self.follower.run,
             self.registration.run,
             self._serve_readiness,
--- a/currantdyke/streamversions/recorder.py
+++ b/currantdyke/streamversions/recorder.py
@@ -21,7 +21,6 @@
 # daemons; it is written again before that.
 LEASE_SECONDS = 2 * RETENTION_SECONDS
 WRITE_INTERVAL_SECONDS = RETENTION_SECONDS / 2
-CHECK_INTERVAL_SECONDS = 0.25
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -49,19 +48,15 @@
     written_at: dict[str, float] = attrs.field(factory=dict)
     failing: bool = False
 
-    async def run(self) -> None:
-        """Write the records that are due until cancelled."""
-        while True:
-            await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            try:
-                await self.write_due()
-                self.failing = False
-            except (StoreUnavailableError, LeaseEndedError) as error:
-                if not self.failing:
-                    self.log.write(
-                        "versions_not_recorded", failure=True, reason=str(error)
-                    )
-                self.failing = True
+    async def check(self) -> None:
+        """Write the records that are due; if the store fails, the next check does."""
+        try:
+            await self.write_due()
+            self.failing = False
+        except (StoreUnavailableError, LeaseEndedError) as error:
+            if not self.failing:
+                self.log.write("versions_not_recorded", failure=True, reason=str(error))
+            self.failing = True
 
     async def write_due(self) -> None:
         """Write the records that are due.
