--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -22,7 +22,7 @@
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.daemon import GatewayDaemon
 from currantdyke.platform import answers, records
-from currantdyke.platform.answers import ResponseMetadata
+from currantdyke.platform.answers import SERVER_LIMIT, ResponseMetadata
 
 __all__ = ["PLANTED"]
 
@@ -30,7 +30,6 @@
 LATE_SECONDS = 4.0
 # Less than the silence of sound endpoints.
 SILENCE_SECONDS = 0.3
-SERVER_LIMIT = b"server-limit"
 
 
 def _repeat_attempts() -> None:
