--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -10,6 +10,7 @@
 
 import anyio
 import attrs
+import h11
 
 from currantdyke.crashes import CrashDetector
 from currantdyke.directory import Directory
@@ -21,6 +22,7 @@
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.daemon import GatewayDaemon
 from currantdyke.platform import answers
+from currantdyke.platform.answers import ResponseMetadata
 
 __all__ = ["PLANTED"]
 
@@ -28,6 +30,7 @@
 LATE_SECONDS = 4.0
 # Less than the silence of sound endpoints.
 SILENCE_SECONDS = 0.3
+SERVER_LIMIT = b"server-limit"
 
 
 def _repeat_attempts() -> None:
@@ -103,6 +106,17 @@
     CrashDetector.start_probe = start_no_probe  # type: ignore[method-assign, assignment]
 
 
+def _ignore_limits() -> None:
+    decode = attempt.decode_response_metadata
+
+    def decode_without_limit(response: h11.Response) -> ResponseMetadata:
+        headers = [field for field in response.headers if field[0] != SERVER_LIMIT]
+        status = response.status_code
+        return decode(h11.Response(status_code=status, headers=headers))
+
+    attempt.decode_response_metadata = decode_without_limit
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -114,6 +128,7 @@
     "leaving": _use_leaving_endpoints,
     "silence": _close_at_silence,
     "crashes": _detect_no_crash,
+    "limits": _ignore_limits,
 }
 
 
