--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -16,6 +16,7 @@
 from currantdyke.directory import Directory, Follower
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
+from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.gateway.background import keep_running, run_logged
@@ -75,6 +76,9 @@
 EXPIRY_CHECK_SECONDS = 0.25
 SETTINGS_CHECK_SECONDS = 1.0
 CRASH_CHECK_SECONDS = 0.25
+# Part of the retries of a window that a new owner of stage calls may send at once. Five
+# owners in turn, and what is refilled meanwhile, stay within the window's retries.
+NEW_OWNER_RETRY_SHARE = 0.08
 # The daemon that owns a stage queue logs it this often while there is work.
 QUEUE_LOG_SECONDS = 1.0
 
@@ -157,7 +161,7 @@
             request=self.peers.request,
             send=self.peers.send,
             broadcast=functools.partial(self.peers.broadcast, protocol=PROTOCOL),
-            ranked_daemons=self._limit_owners,
+            owners=LimitOwners(ranked_daemons=self._limit_owners),
             count_daemons=self.count_daemons,
         )
         self.versions = FleetStreamVersions(
@@ -171,7 +175,7 @@
             versions=self.versions,
             store=self.crashes.recorder.store,
             log=log,
-            is_owner=lambda service: self._limit_owners(service, False)[0] == "",
+            is_owner=lambda service: not self.endpoint_limits.owners.find(service).ip,
         )
         self.context = ForwardContext(
             versions=self.versions,
@@ -450,8 +454,8 @@
         """Return the retry budget for stage calls to a service.
 
         Only the owner of the service, the daemon that schedules its stage calls, spends
-        it, so it is not divided among the daemons. It is empty at the first call: what
-        the owner before has spent is not known.
+        it, so it is not divided among the daemons. A new owner has a part of a window's
+        retries at once: what the owner before has spent is not known.
         """
         budget = self.stage_retry_budgets.get(service)
         if budget is None:
@@ -459,7 +463,7 @@
                 ratio=0.0,
                 window=self.settings.retry_window,
                 slack=self.settings.retry_slack,
-                allowance=0.0,
+                allowance=NEW_OWNER_RETRY_SHARE * self.settings.retry_slack,
                 refilled_at=anyio.current_time(),
             )
         return budget
@@ -478,6 +482,7 @@
         if isinstance(content, PlacementRequest) and self.directory.complete:
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
+            self.endpoint_limits.owners.record_contact()
             answer = await self.scheduler.place(content)
             self._forget_ended(link, content.attempt_id)
             return answer
