--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -16,6 +16,7 @@
 from currantdyke.directory import Directory, Follower
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
+from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.gateway.background import keep_running, run_logged
@@ -57,6 +58,7 @@
 
 __all__ = ["GatewayDaemon"]
 
+SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 # Share of the file descriptors that is reserved for files, links, endpoints and the
 # store; callers get the rest.
 RESERVED_DESCRIPTOR_SHARE = 0.5
@@ -160,7 +162,9 @@
             request=self.peers.request,
             send=self.peers.send,
             broadcast=functools.partial(self.peers.broadcast, protocol=PROTOCOL),
-            ranked_daemons=self._limit_owners,
+            owners=LimitOwners(
+                ranked_daemons=self._limit_owners, check=self.peers.check
+            ),
             count_daemons=self.count_daemons,
         )
         self.versions = FleetStreamVersions(
@@ -174,7 +178,7 @@
             versions=self.versions,
             store=self.crashes.recorder.store,
             log=log,
-            is_owner=lambda service: self._limit_owners(service, False)[0] == "",
+            is_owner=lambda service: not self.endpoint_limits.owners.find(service).ip,
         )
         self.context = ForwardContext(
             versions=self.versions,
@@ -301,6 +305,9 @@
                 tasks.start_soon(self._watch_signals, self.settings_file)
             await self.stop_requested.wait()
             await self._stop()
+            if self.settings_file is not None:
+                # The handler of signals may end before the other tasks.
+                signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
             tasks.cancel_scope.cancel()
         if self.settings_file is not None:
             self._ignore_signals()
@@ -367,7 +374,7 @@
         return Page(status=200, body=metrics.render())
 
     async def _watch_signals(self, settings_file: SettingsFile) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
             async for number in signals:
                 if number == signal.SIGTERM:
                     self.stop_requested.set()
@@ -376,8 +383,9 @@
 
     def _ignore_signals(self) -> None:
         """Ignore further signals, whose default would change the exit status."""
-        for number in (signal.SIGTERM, signal.SIGHUP):
+        for number in SIGNALS:
             signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs."""
@@ -481,6 +489,7 @@
         if isinstance(content, PlacementRequest) and self.directory.complete:
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
+            self.endpoint_limits.owners.record_contact()
             answer = await self.scheduler.place(content)
             self._forget_ended(link, content.attempt_id)
             return answer
