--- a/currantdyke/soak/tests/test_patterns.py
+++ b/currantdyke/soak/tests/test_patterns.py
@@ -44,7 +44,8 @@
             soak, SEED, 10.0, pattern="versions", planted="versions"
         )
         report = anyio.run(run)
-        self.assertIn("hold events of two versions", " ".join(report.broken))
+        broken = " ".join(report.broken)
+        self.assertIn("hold events of two versions", broken, report.text())
 
     def test_ignored_limits_are_detected(self):
         run = functools.partial(soak, SEED, 14.0, pattern="limits", planted="limits")
