Look at one engine's limit, not at all, before a stream is placed

Cause: before each placement the scheduler looked up the limits of all engines of the service, and, if only some of them had one, worked out the time of the stages to find that nothing is to be refused. A request is refused for limits only if every engine has one, so that the first engine without a limit ends the check. Behaviour is as it was; the modules test_endpoint_limits, test_stages, test_engines, test_client of the scheduler and test_streams pass.

--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -206,7 +206,9 @@
     def _check_limits(self, request: PlacementRequest, now: float) -> Refusal | None:
         """Refuse a request that no engine could take once its stages have run."""
         endpoints = self._engines(request).values()
-        if request.is_retry or not any(map(self.limits.rate, endpoints)):
+        if request.is_retry or not endpoints:
+            return None
+        if any(self.limits.rate(endpoint) is None for endpoint in endpoints):
             return None
         waiting = sum(
             chain.request.service == request.service
