Log when a relay is behind

Why a daemon in a large fleet reads the store itself could not be told from its log: its relay had an old state, did not respond, or the daemon had no relay. One line now, until a relay is up to date again.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -57,6 +57,8 @@
     lost_since : float or None
         Time of the first failed read since the store last answered; None if it answered
         the last read.
+    relay_behind : bool
+        Whether the relay that answered last was behind.
     watching : bool
         Whether only changes are read; if not, the next read lists all items.
     read_requested : anyio.Event
@@ -72,6 +74,7 @@
     answered_at: float = -1.0
     lost_since: float | None = None
     watching: bool = False
+    relay_behind: bool = False
     read_requested: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -129,6 +132,7 @@
                 is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
                 if is_recent:
                     self._record_answer(changes.age)
+                self._record_relay(changes.age, behind=not is_recent)
                 self.directory.apply(changes, source="store")
                 if is_recent:
                     return
@@ -165,6 +169,12 @@
         self.directory.endpoints.start_grace_period()
         self.log.write("store_regained", seconds_away=round(outage, 3))
 
+    def _record_relay(self, age: float, *, behind: bool) -> None:
+        """Log that a relay is behind, unless the one before was."""
+        if behind and not self.relay_behind:
+            self.log.write("relay_behind", failure=True, age=round(age, 3))
+        self.relay_behind = behind
+
     def _record_outage(self, reason: str) -> None:
         if self.lost_since is not None:
             return
