Send large values between daemons as differences, and in parts

Cause: each change of one route or key travelled as the whole document, 35 to 50 KB compressed, and small changes were in the same frame. Class: a small, urgent fact waits behind a large transfer, and a large one is sent whole again for a small change.

Earlier builds get whole values as before. Of several versions in one answer only the last is decoded. Of two daemons the more current one is asked.

--- a/currantdyke/directory/__init__.py
+++ b/currantdyke/directory/__init__.py
@@ -3,7 +3,7 @@
 from currantdyke.directory.directory import Directory
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.directory.follow import Follower
-from currantdyke.directory.ranking import rank_daemons, relay_ips
+from currantdyke.directory.ranking import rank_daemons, reader_ips, relay_ips
 from currantdyke.directory.replica import ChangeSet, Replica
 
 __all__ = [
@@ -13,5 +13,6 @@
     "Follower",
     "Replica",
     "rank_daemons",
+    "reader_ips",
     "relay_ips",
 ]
--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -1,5 +1,6 @@
 """The configuration, endpoints and daemons that are known to this daemon."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -107,10 +108,12 @@
             All changes after the revision of the replica, or all items.
         """
         self.endpoints.extend_grace_period(changes.grace_period)
-        # A sender that knows less than this daemon proves nothing about the rest.
-        if changes.revision >= max(1, self.replica.revision):
-            self.current_at = max(self.current_at, self.clock() - changes.age)
+        known = self.replica.revision
         new = self.replica.apply(changes)
+        # A sender that knows less than this daemon proves nothing about the rest, and a
+        # value that is still to be fetched is not known.
+        if changes.revision >= max(1, known) and not self.replica.pending:
+            self.current_at = max(self.current_at, self.clock() - changes.age)
         for change in new:
             try:
                 self._apply(change, source)
@@ -121,6 +124,13 @@
         self.listed = self.listed or changes.is_snapshot
         return len(new)
 
+    def apply_value(self, key: str, revision: int, value: bytes) -> None:
+        """Apply a large value that peers have offered and sent."""
+        change = Change(key=key, value=value, revision=revision)
+        # The rest of the changes up to the revision came with the offer.
+        changes = ChangeSet(changes=(change,), revision=0, age=math.inf)
+        self.apply(changes, source="peer")
+
     def changes_since(self, revision: int) -> ChangeSet:
         """Return the changes after a revision, to be sent to a peer."""
         return attrs.evolve(
--- a/currantdyke/directory/ranking.py
+++ b/currantdyke/directory/ranking.py
@@ -6,7 +6,7 @@
 
 from currantdyke.platform.records import DaemonEntry
 
-__all__ = ["rank_daemons", "relay_ips"]
+__all__ = ["rank_daemons", "reader_ips", "relay_ips"]
 
 # VMs with at least this share of the processor time of the fastest one count as
 # fastest.
@@ -51,10 +51,19 @@
 
 def relay_ips(own: DaemonEntry, daemons: Collection[DaemonEntry]) -> set[str]:
     """Return the IPs of the relays; empty if this daemon reads the store itself."""
+    relays = reader_ips(own, daemons)
+    return set() if own.ip in relays else relays
+
+
+def reader_ips(own: DaemonEntry, daemons: Collection[DaemonEntry]) -> set[str]:
+    """Return the IPs of the relays, with that of this daemon if it is one.
+
+    Empty in a fleet in which each daemon reads the store.
+    """
     known = {daemon.name: daemon for daemon in daemons if not daemon.leaving}
     known[own.name] = own
     if len(known) <= MAX_READERS:
         return set()
     cores = {name: daemon.cores for name, daemon in known.items()}
     relays = rank_daemons("read the store", cores)[:RELAY_COUNT]
-    return set() if own.name in relays else {known[name].ip for name in relays}
+    return {known[name].ip for name in relays}
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -4,6 +4,11 @@
 
 import attrs
 
+from currantdyke.decisionlog import DecisionLog
+from currantdyke.largevalues.encoding import MIN_LARGE_BYTES
+from currantdyke.largevalues.fetch import decode_offer
+from currantdyke.largevalues.history import ValueHistory
+from currantdyke.largevalues.messages import ValueOffer
 from currantdyke.platform.store import Change
 
 __all__ = ["ChangeSet", "Replica"]
@@ -26,6 +31,8 @@
     age : float
         Seconds since the changes up to the revision were all that the store had
         acknowledged.
+    offers : tuple of ValueOffer
+        Items whose values must be decoded or fetched first.
     """
 
     changes: tuple[Change, ...]
@@ -33,11 +40,21 @@
     is_snapshot: bool = False
     grace_period: float = 0.0
     age: float = 0.0
+    offers: tuple[ValueOffer, ...] = ()
 
 
 class Replica:
     """Items by key, each with its revision, and tombstones of removed items.
 
+    Attributes
+    ----------
+    pending : dict of str to ValueOffer
+        Items by key of which a newer value exists than the one that is known.
+    large_values : ValueHistory
+        The large values that were known last.
+    large_items : dict of str to bytes
+        Digests of the values of the items that have a large one, by key.
+
     Examples
     --------
     >>> replica = Replica()
@@ -55,17 +72,51 @@
         self.tombstones: collections.OrderedDict[str, Change] = (
             collections.OrderedDict()
         )
-        self.revision = 0
+        self.pending: dict[str, ValueOffer] = {}
+        self.large_values = ValueHistory()
+        self.large_items: dict[str, bytes] = {}
+        self.listed_revision = 0
         # Removals at or below this revision may have no tombstone: it was dropped, or a
         # complete list was applied, which does not show the removal of items unknown
         # here.
         self.tombstones_complete_after = 0
 
+    @property
+    def revision(self) -> int:
+        """The revision up to which every change is contained."""
+        oldest = min(
+            (offer.revision for offer in self.pending.values()),
+            default=self.listed_revision + 1,
+        )
+        return min(self.listed_revision, oldest - 1)
+
+    @property
+    def bases(self) -> tuple[bytes, ...]:
+        """Digests of the large values of which changes may be sent as differences."""
+        known = self.large_values.values
+        return tuple(name for name in self.large_items.values() if name in known)
+
+    @property
+    def answers(self) -> bool:
+        """Whether peers may ask this replica: no item is known by its key alone."""
+        return self.revision > 0 and self.pending.keys() <= self.items.keys()
+
     def apply(self, changes: ChangeSet) -> list[Change]:
-        """Apply changes; return the new ones, ordered by revision."""
-        new = [change for change in changes.changes if self._is_new(change)]
+        """Apply changes; return the new ones, ordered by revision.
+
+        Of several changes of an item only the last one is returned.
+        """
+        latest: dict[str, Change] = {}
+        for change in changes.changes:
+            other = latest.get(change.key)
+            if self._is_new(change) and (
+                other is None or other.revision < change.revision
+            ):
+                latest[change.key] = change
+        new = list(latest.values())
         if changes.is_snapshot:
             listed = {change.key for change in changes.changes}
+            listed |= {offer.key for offer in changes.offers}
             new += [
                 Change(key=key, value=None, revision=changes.revision)
                 for key, item in self.items.items()
@@ -77,7 +128,9 @@
         new.sort(key=lambda change: change.revision)
         for change in new:
             self._store(change)
-        self.revision = max(self.revision, changes.revision)
+        for offer in changes.offers:
+            self._await_value(offer)
+        self.listed_revision = max(self.listed_revision, changes.revision)
         return new
 
     def changes_since(self, revision: int) -> ChangeSet:
@@ -98,15 +151,67 @@
         ]
         return ChangeSet(changes=tuple(changes), revision=self.revision)
 
+    def offer_large(self, changes: ChangeSet, bases: tuple[bytes, ...]) -> ChangeSet:
+        """Return changes with offers in place of large values.
+
+        Parameters
+        ----------
+        bases : tuple of bytes
+            Digests of the large values that the receiver has.
+        """
+        offers = [
+            self.large_values.offer(change.key, change.revision, name, bases)
+            for change in changes.changes
+            if (name := self.large_items.get(change.key)) is not None
+            and name in self.large_values.values
+        ]
+        keys = {offer.key for offer in offers}
+        small = tuple(c for c in changes.changes if c.key not in keys)
+        return attrs.evolve(changes, changes=small, offers=tuple(offers))
+
+    def decode_offers(self, changes: ChangeSet, log: DecisionLog) -> ChangeSet:
+        """Return changes with the values of those offers that contain them."""
+        decoded = [
+            Change(key=offer.key, value=value, revision=offer.revision)
+            for offer in changes.offers
+            if offer.data and (value := self._decode_offer(offer, log)) is not None
+        ]
+        if not decoded:
+            return changes
+        keys = {change.key for change in decoded}
+        rest = tuple(offer for offer in changes.offers if offer.key not in keys)
+        return attrs.evolve(
+            changes, changes=changes.changes + tuple(decoded), offers=rest
+        )
+
+    def _decode_offer(self, offer: ValueOffer, log: DecisionLog) -> bytes | None:
+        base = self.large_values.find(offer.base)
+        return None if base is None else decode_offer(offer, offer.data, base, log)
+
     def _is_new(self, change: Change) -> bool:
         known = self.items.get(change.key) or self.tombstones.get(change.key)
         return known is None or change.revision > known.revision
 
+    def _await_value(self, offer: ValueOffer) -> None:
+        pending = self.pending.get(offer.key)
+        if self._is_new(Change(key=offer.key, value=b"", revision=offer.revision)) and (
+            pending is None or pending.revision < offer.revision
+        ):
+            self.pending[offer.key] = offer
+
     def _store(self, change: Change) -> None:
+        pending = self.pending.get(change.key)
+        if pending is not None and pending.revision <= change.revision:
+            del self.pending[change.key]
         if change.value is not None:
             self.tombstones.pop(change.key, None)
             self.items[change.key] = change
+            if len(change.value) >= MIN_LARGE_BYTES:
+                self.large_items[change.key] = self.large_values.add(change.value)
+            else:
+                self.large_items.pop(change.key, None)
             return
+        self.large_items.pop(change.key, None)
         self.items.pop(change.key, None)
         self.tombstones[change.key] = change
         self.tombstones.move_to_end(change.key)
--- a/currantdyke/directory/tests/builders.py
+++ b/currantdyke/directory/tests/builders.py
@@ -36,6 +36,7 @@
     def __init__(self, *, list_all, watch=None):
         self.list_all = list_all
         self.watch = watch
+        self.answer_seconds = 0.0
 
 
 async def no_changes(revision):
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -28,6 +28,7 @@
 from currantdyke.gateway.registration import Registration
 from currantdyke.gateway.reload import SettingsFile
 from currantdyke.gateway.settings import GatewaySettings
+from currantdyke.largevalues.messages import PartRequest
 from currantdyke.links import (
     ChangesRequest,
     Content,
@@ -38,6 +39,7 @@
     Peers,
     Unknown,
 )
+from currantdyke.links.changes import answer_changes
 from currantdyke.links.codec import PROTOCOL
 from currantdyke.platform.names import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from currantdyke.platform.records import DaemonEntry
@@ -490,8 +492,8 @@
             return Unknown()
 
     async def _dispatch_peer_request(self, link: Link, content: Content) -> Content:
-        if isinstance(content, ChangesRequest) and self.directory.replica.revision:
-            return self.directory.changes_since(content.revision)
+        if isinstance(content, ChangesRequest | PartRequest):
+            return answer_changes(self.directory, content)
         if isinstance(content, PlacementRequest) and self.directory.complete:
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
--- /dev/null
+++ b/currantdyke/largevalues/__init__.py
@@ -0,0 +1,1 @@
+"""Transfer large values between daemons as differences, and in parts."""
--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -8,11 +8,13 @@
 
 from currantdyke.core import boot_time
 from currantdyke.decisionlog import DecisionLog
-from currantdyke.directory import ChangeSet
-from currantdyke.links.codec import ChangesRequest
+from currantdyke.directory import ChangeSet, Directory
+from currantdyke.largevalues.fetch import ValueFetcher
+from currantdyke.largevalues.messages import PartRequest, ValuePart
+from currantdyke.links.codec import ChangesRequest, Unknown
 from currantdyke.links.link import Link, LinkLostError, LossReason, PendingRequest
 
-__all__ = ["ChangesClient"]
+__all__ = ["ChangesClient", "answer_changes"]
 
 # Time without progress after which another daemon is asked.
 CHANGES_TIMEOUT_SECONDS = 0.6
@@ -21,6 +23,23 @@
 MAX_TRANSFERS = 2
 # Time without progress after which a response is no longer expected.
 ABANDON_SECONDS = 5.0
+# For this long, a daemon that was behind is probably still behind.
+LAG_SECONDS = 3.0
+
+
+def answer_changes(
+    directory: Directory, request: ChangesRequest | PartRequest
+) -> ChangeSet | ValuePart | Unknown:
+    """Return what another daemon has requested of the state that this one knows."""
+    replica = directory.replica
+    if isinstance(request, PartRequest):
+        return replica.large_values.part(request)
+    if not replica.answers:
+        return Unknown()
+    changes = directory.changes_since(request.revision)
+    if request.accepts_offers:
+        return replica.offer_large(changes, request.bases)
+    return changes
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -60,18 +79,29 @@
         By IP of the daemon that was asked.
     losses : dict of str to LossReason
         Why the last request to a daemon failed, by IP, if it did.
+    directory : Directory
+        Names the bases of differences, and decodes them.
+    fetcher : ValueFetcher
+        Requests the values that are sent in parts.
+    lags : dict of str to (float, float)
+        Age in seconds of the state of each daemon that responded, and when it did.
     """
 
     log: DecisionLog
+    directory: Directory
+    fetcher: ValueFetcher
     connect: Callable[[str], Awaitable[Link]]
     on_response: Callable[[str], None]
     on_failure: Callable[[str], None]
     transfers: dict[str, Transfer] = attrs.field(factory=dict)
     losses: dict[str, LossReason] = attrs.field(factory=dict)
+    lags: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     start_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     random_source: random.Random = attrs.field(factory=random.Random)
 
-    async def ask(self, revision: int, ips: set[str]) -> ChangeSet | None:
+    async def ask(
+        self, revision: int, ips: set[str], preferred: set[str] | None = None
+    ) -> ChangeSet | None:
         """Return the changes after a revision, or None if they were not received.
 
         Their age and grace period take account of the time since they were requested.
@@ -81,13 +111,18 @@
         revision : int
             Not less than in any earlier call.
         ips : set of str
-            Daemons of which a random one is asked, unless a response to an earlier
-            request has arrived or is arriving.
+            Daemons of which one is asked, unless a response to an earlier request has
+            arrived or is arriving: the one of two random daemons that was more current
+            when it responded last.
+        preferred : set of str, optional
+            Some of them, of which one of the two is chosen.
         """
         if not ips:
             return None
         async with self.start_lock:
-            ip = self._find_transfer(revision) or await self._start(revision, ips)
+            ip = self._find_transfer(revision)
+            if ip is None:
+                ip = await self._start(revision, ips, preferred or ips)
             if ip is None:
                 return None
             transfer = self.transfers[ip]
@@ -106,10 +141,13 @@
         if not isinstance(content, ChangeSet):
             return None
         elapsed = boot_time() - transfer.asked_at
+        age = content.age + elapsed
+        self.lags[ip] = (age, anyio.current_time())
+        content = self.directory.replica.decode_offers(content, self.log)
+        for offer in content.offers:
+            self.fetcher.consider(offer, ip)
         return attrs.evolve(
-            content,
-            age=content.age + elapsed,
-            grace_period=max(0.0, content.grace_period - elapsed),
+            content, age=age, grace_period=max(0.0, content.grace_period - elapsed)
         )
 
     def _find_transfer(self, revision: int) -> str | None:
@@ -128,18 +166,27 @@
                 self._remove(ip, transfer)
         return None
 
-    async def _start(self, revision: int, ips: set[str]) -> str | None:
-        """Send a request to a random daemon; return its IP, or None if none is free."""
+    async def _start(
+        self, revision: int, ips: set[str], preferred: set[str]
+    ) -> str | None:
+        """Send a request to a daemon; return its IP, or None if none is free."""
         free = sorted(ips - self.transfers.keys())
         if not free or len(self.transfers) >= MAX_TRANSFERS:
             return None
-        ip = self.random_source.choice(free)
+        first = sorted(preferred & set(free)) or free
+        pair = (self.random_source.choice(first), self.random_source.choice(free))
+        ip = min(pair, key=self._lag)
         started = anyio.current_time()
         asked_at = boot_time()
         try:
             link = await self.connect(ip)
             request = link.send_request(
-                ChangesRequest(revision=revision, accepts_compressed=True)
+                ChangesRequest(
+                    revision=revision,
+                    accepts_compressed=True,
+                    accepts_offers=True,
+                    bases=self.directory.replica.bases,
+                )
             )
         except LinkLostError as error:
             self._record_loss(ip, error, started)
@@ -147,6 +194,10 @@
         self.transfers[ip] = Transfer(link=link, request=request, asked_at=asked_at)
         return ip
 
+    def _lag(self, ip: str) -> float:
+        age, at = self.lags.get(ip, (0.0, 0.0))
+        return age if anyio.current_time() < at + LAG_SECONDS else 0.0
+
     def _remove(self, ip: str, transfer: Transfer) -> None:
         if self.transfers.get(ip) is transfer:
             del self.transfers[ip]
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -11,6 +11,7 @@
 from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
+from currantdyke.largevalues.messages import PartRequest, ValueOffer, ValuePart
 from currantdyke.links.compression import compress, decompress
 from currantdyke.links.fleet_state import (
     MAX_UINT32,
@@ -90,10 +91,16 @@
     ----------
     accepts_compressed : bool
         Whether large values of the response may be compressed.
+    accepts_offers : bool
+        Whether the response may contain offers of large values.
+    bases : tuple of bytes
+        Digests of the large values that the sender has.
     """
 
     revision: int
     accepts_compressed: bool = False
+    accepts_offers: bool = False
+    bases: tuple[bytes, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -156,6 +163,8 @@
     | StreamVersions
     | VersionRequest
     | VersionAnswer
+    | PartRequest
+    | ValuePart
 )
 
 # Types of content that are responses; a response that arrives too late is dropped.
@@ -167,6 +176,7 @@
     Refusal,
     TokenGrant,
     VersionAnswer,
+    ValuePart,
 )
 
 
@@ -221,6 +231,8 @@
         case ChangesRequest():
             builder.changesAfter = content.revision
             builder.acceptsCompressed = content.accepts_compressed
+            builder.acceptsOffers = content.accepts_offers
+            builder.bases = list(content.bases)
         case CrashReport() | KeysCleared() | GroupCondemned():
             _encode_crashed(builder.init("crashed"), content)
         case PlacementRequest():
@@ -247,6 +259,14 @@
             encode_limit(builder, content)
         case StreamVersions() | VersionRequest() | VersionAnswer():
             encode_version(builder, content)
+        case PartRequest():
+            request = builder.init("partRequest")
+            request.digest = content.digest
+            request.base = content.base
+            request.encodedDigest = content.encoded_digest
+            request.start = content.start
+        case ValuePart():
+            builder.part = content.data
 
 
 def _encode_crashed(
@@ -283,6 +303,16 @@
         items[index].removed = change.value is None
         if change.value is not None:
             _encode_value(items[index], change.value, compressed)
+    offers = builder.init("offers", len(changes.offers))
+    for index, offer in enumerate(changes.offers):
+        offers[index].key = offer.key
+        offers[index].revision = offer.revision
+        offers[index].digest = offer.digest
+        offers[index].size = offer.size
+        offers[index].base = offer.base
+        offers[index].encodedDigest = offer.encoded_digest
+        offers[index].encodedSize = offer.encoded_size
+        offers[index].data = offer.data
 
 
 def _encode_value(item: Any, value: bytes, compressed: bool) -> None:
@@ -332,6 +362,8 @@
             return ChangesRequest(
                 revision=reader.changesAfter,
                 accepts_compressed=reader.acceptsCompressed,
+                accepts_offers=reader.acceptsOffers,
+                bases=tuple(map(bytes, reader.bases)),
             )
         case "crashed":
             return _decode_crashed(reader.crashed)
@@ -363,6 +395,16 @@
             return decode_limit(reader)
         case "streamVersions" | "versionRequest" | "versionAnswer":
             return decode_version(reader)
+        case "partRequest":
+            request = reader.partRequest
+            return PartRequest(
+                digest=bytes(request.digest),
+                base=bytes(request.base),
+                encoded_digest=bytes(request.encodedDigest),
+                start=request.start,
+            )
+        case "part":
+            return ValuePart(data=bytes(reader.part))
         case _:
             return Unknown()
 
@@ -408,6 +450,20 @@
             )
             for item in reader.items
         ),
+        offers=tuple(map(_decode_offer, reader.offers)),
+    )
+
+
+def _decode_offer(reader: Any) -> ValueOffer:
+    return ValueOffer(
+        key=reader.key,
+        revision=reader.revision,
+        digest=bytes(reader.digest),
+        size=reader.size,
+        base=bytes(reader.base),
+        encoded_digest=bytes(reader.encodedDigest),
+        encoded_size=reader.encodedSize,
+        data=bytes(reader.data),
     )
 
 
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -23,9 +23,16 @@
     streamVersions @15 :StreamVersions;
     versionRequest @16 :VersionRequest;
     versionAnswer @17 :VersionAnswer;
+    # A daemon sends this only to daemons that have offered the value.
+    partRequest @20 :PartRequest;
+    part @21 :Data;
   }
   # Of a request: the response may contain compressed values.
   acceptsCompressed @11 :Bool;
+  # Of a request: the response may contain offers of large values, as differences from
+  # those with these digests.
+  acceptsOffers @18 :Bool;
+  bases @19 :List(Data);
 }
 
 struct Changes {
@@ -36,6 +43,26 @@
   ageMilliseconds @4 :UInt32;
   # What is left of the grace period if settling is set.
   settlingMilliseconds @5 :UInt32;
+  offers @6 :List(Offer);
+}
+
+struct Offer {
+  key @0 :Text;
+  revision @1 :UInt64;
+  digest @2 :Data;
+  size @3 :UInt32;
+  base @4 :Data;
+  encodedDigest @5 :Data;
+  encodedSize @6 :UInt32;
+  # Empty if the value must be requested in parts.
+  data @7 :Data;
+}
+
+struct PartRequest {
+  digest @0 :Data;
+  base @1 :Data;
+  encodedDigest @2 :Data;
+  start @3 :UInt32;
 }
 
 struct Item {
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -8,7 +8,8 @@
 import attrs
 
 from currantdyke.decisionlog import DecisionLog
-from currantdyke.directory import ChangeSet, Directory, relay_ips
+from currantdyke.directory import ChangeSet, Directory, reader_ips, relay_ips
+from currantdyke.largevalues.fetch import ValueFetcher
 from currantdyke.links.changes import ChangesClient
 from currantdyke.links.codec import Content, Ping
 from currantdyke.links.link import (
@@ -64,6 +65,8 @@
         Daemons that did not respond, by IP.
     changes : ChangesClient
         Requests the changes of the store from other daemons.
+    fetcher : ValueFetcher
+        Requests the large values that they offer.
     """
 
     own: DaemonEntry
@@ -79,10 +82,20 @@
     connect_locks: dict[str, anyio.Lock] = attrs.field(factory=dict)
     suspects: dict[str, Suspicion] = attrs.field(factory=dict)
     changes: ChangesClient = attrs.field(init=False)
+    fetcher: ValueFetcher = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.fetcher = ValueFetcher(
+            log=self.log,
+            history=self.directory.replica.large_values,
+            request=self.request,
+            on_value=self.directory.apply_value,
+            errors=(LinkLostError,),
+        )
         self.changes = ChangesClient(
             log=self.log,
+            directory=self.directory,
+            fetcher=self.fetcher,
             connect=self._connect,
             on_response=self._trust,
             on_failure=self._suspect,
@@ -95,6 +108,7 @@
         )
         async with anyio.create_task_group() as tasks, listener:
             self.tasks = tasks
+            tasks.start_soon(self.fetcher.run)
             await listener.serve(self._serve)
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
@@ -177,11 +191,15 @@
                 self.send(daemon.ip, content)
 
     async def ask_changes(self, revision: int) -> ChangeSet | None:
-        """Return the changes after a revision from a random daemon, or None."""
+        """Return the changes after a revision from another daemon, or None.
+
+        In a large fleet a relay is preferred.
+        """
         ips = {daemon.ip for daemon in self.others()}
         if not ips:
             ips = set(self.seed_ips) - {self.own.ip}
-        return await self.changes.ask(revision, ips)
+        readers = reader_ips(self.own, self.directory.daemons.values())
+        return await self.changes.ask(revision, ips, readers & ips)
 
     async def ask_relay(self, revision: int) -> ChangeSet | None:
         """Return the changes after a revision from a relay.
--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -147,6 +147,7 @@
     def __init__(self, *, address: str):
         self.connection: Http1Connection | None = None
         self.lock = anyio.Lock()
+        self.transfer: _Transfer | None = None
         self.calls = 0
         self.use(address)
 
@@ -155,6 +156,13 @@
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
 
+    @property
+    def answer_seconds(self) -> float:
+        """Seconds since the head of an answer that is arriving; 0 if none is."""
+        if self.transfer is None or math.isinf(self.transfer.head_at):
+            return 0.0
+        return anyio.current_time() - self.transfer.head_at
+
     async def list_all(self) -> tuple[list[Change], int]:
         """Return all items, and the revision after which to watch.
 
@@ -297,7 +305,7 @@
         """Send a request within its time limit; return the status and the body."""
         now = anyio.current_time()
         scope = anyio.CancelScope(deadline=now + CALL_TIMEOUT_SECONDS + extra_timeout)
-        transfer = _Transfer(started_at=now, scope=scope)
+        transfer = self.transfer = _Transfer(started_at=now, scope=scope)
         complete = False
         try:
             with scope:
@@ -312,6 +320,7 @@
         except h11.ProtocolError as error:
             raise StoreUnavailableError(f"malformed response: {error}") from error
         finally:
+            self.transfer = None
             # A connection cannot be used again after an answer on it was lost.
             if not complete:
                 await self.close()
