Ask peers beside a slow answer of the store, and another relay after one that is behind

Cause: a follower whose relay was behind read the store itself, 530 KB for each version, 0.9 s of a link of 5 Mbit/s and more beside traffic; a reader that was behind got all versions in one answer. Peers were asked only once the store's last answer was 1.2 s old.

Change: if an answer of the store arrives for over 0.2 s, or the store refuses, peers are asked; an answer that they have overtaken is ended. After a relay that is behind another one is asked first.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -1,7 +1,8 @@
 """Keep the directory up to date from the store or from other daemons.
 
 In a large fleet a few daemons, the relays, read the store and the others ask them.
-While the store is unavailable, any peer is asked.
+While the store is unavailable, or its answer takes long to transfer, any peer is asked:
+peers send differences between large values, which the store sends whole.
 """
 
 from collections.abc import Awaitable, Callable
@@ -33,6 +34,13 @@
 # answer of that age the store is read.
 MAX_ANSWER_AGE_SECONDS = 1.2
 PEER_POLL_SECONDS = 0.4
+# Relays that are asked in one round; a relay that is behind may not know it yet.
+MAX_RELAYS_ASKED = 2
+# An answer of the store that arrives for longer than this is large for the link. Peers
+# may bring what it contains sooner,
+SLOW_ANSWER_SECONDS = 0.2
+# and after that are asked first for this time.
+PREFER_PEERS_SECONDS = 30.0
 # Retry interval for an unavailable store in a large fleet; peers pass on the changes
 # that other daemons receive.
 STORE_RETRY_SECONDS = 1.5
@@ -42,8 +50,8 @@
 class Follower:
     """Reads the store, directly or through a relay.
 
-    Peers are asked if the last answer of the store is too old or the directory is not
-    complete.
+    Peers are asked if the last answer of the store is too old or arrives slowly, or the
+    directory is not complete.
 
     Attributes
     ----------
@@ -61,6 +69,11 @@
         Whether the relay that answered last was behind.
     watching : bool
         Whether only changes are read; if not, the next read lists all items.
+    reading : CancelScope
+        Of the current read of the store; cancelled if peers bring the same sooner.
+    peers_first_until : float
+        Until when peers are asked before the store is read, since its answers arrive
+        slowly.
     read_requested : anyio.Event
         Set to read the store without delay.
     """
@@ -75,6 +88,8 @@
     lost_since: float | None = None
     watching: bool = False
     relay_behind: bool = False
+    reading: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    peers_first_until: float = -1.0
     read_requested: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -126,23 +141,40 @@
 
     async def _read(self) -> None:
         """Ask a relay for the changes; without a recent answer, read the store."""
-        if self.watching:
-            changes = await self.ask_relay(self.directory.replica.revision)
-            if changes is not None:
-                is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
-                if is_recent:
-                    self._record_answer(changes.age)
-                self._record_relay(changes.age, behind=not is_recent)
-                self.directory.apply(changes, source="store")
-                if is_recent:
-                    return
+        if self.watching and await self._ask_for_recent():
+            return
         asked_at = self.directory.clock()
-        changes = await self._read_store()
+        changes = None
+        with anyio.CancelScope() as self.reading:
+            changes = await self._read_store()
+        if changes is None:
+            # A peer's state is at least as new as the answer that was arriving.
+            self._record_answer(self.directory.age)
+            self.watching = True
+            return
         self._record_answer()
         age = self.directory.clock() - asked_at
         self.directory.apply(attrs.evolve(changes, age=age), source="store")
         self.watching = True
 
+    async def _ask_for_recent(self) -> bool:
+        """Ask relays or peers for the changes; return whether one was up to date."""
+        for _ in range(MAX_RELAYS_ASKED):
+            revision = self.directory.replica.revision
+            changes = await self.ask_relay(revision)
+            if changes is None and anyio.current_time() < self.peers_first_until:
+                changes = await self.ask_peer(revision)
+            if changes is None:
+                return False
+            is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
+            if is_recent:
+                self._record_answer(changes.age)
+            self._record_relay(changes.age, behind=not is_recent)
+            self.directory.apply(changes, source="store")
+            if is_recent:
+                return True
+        return False
+
     async def _read_store(self) -> ChangeSet:
         if not self.watching:
             items, revision = await self.store.list_all()
@@ -186,7 +218,7 @@
     async def _follow_peers(self) -> None:
         while True:
             await anyio.sleep(PEER_POLL_SECONDS)
-            if self.store_age < MAX_ANSWER_AGE_SECONDS and self.directory.complete:
+            if not self._needs_peers():
                 continue
             changes = await self.ask_peer(self.directory.replica.revision)
             if changes is not None:
@@ -198,3 +230,22 @@
                         revision=changes.revision,
                         age=round(changes.age, 3),
                     )
+                self._end_overtaken_read()
+
+    def _needs_peers(self) -> bool:
+        return (
+            self.lost_since is not None
+            or self.store_age >= MAX_ANSWER_AGE_SECONDS
+            or self.store.answer_seconds > SLOW_ANSWER_SECONDS
+            or not self.directory.complete
+        )
+
+    def _end_overtaken_read(self) -> None:
+        """End a read of the store whose answer contains nothing new any more."""
+        arriving = self.store.answer_seconds
+        if arriving > SLOW_ANSWER_SECONDS and (
+            self.directory.listed and self.directory.age <= arriving
+        ):
+            self.peers_first_until = anyio.current_time() + PREFER_PEERS_SECONDS
+            self.log.write("store_read_overtaken", seconds=round(arriving, 3))
+            self.reading.cancel()
