--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -57,8 +57,15 @@
         anywhere but last; empty for none. Stages don't use it.
     server_limit : str
         The limit on requests per second that its answers name; empty for none.
+    says_leaving : bool
+        Whether its answers say that it leaves.
+    retry_after : str
+        If not empty, it turns all requests away and asks for a pause of so many
+        seconds.
     arrived_at : list of float
         Times of the arrivals, in monotonic seconds.
+    turned_away : list of (float, str)
+        Times at which it turned requests away, and the addresses they came from.
     crashed_on : list of str
         Attempt ids of the requests that crashed it.
     on_crash : callable
@@ -87,7 +94,10 @@
     plan_answer: Callable[[Request], AnswerPlan] = plan_sound
     crash_part: str = ""
     server_limit: str = ""
+    says_leaving: bool = False
+    retry_after: str = ""
     arrived_at: list[float] = attrs.field(factory=list)
+    turned_away: list[tuple[float, str]] = attrs.field(factory=list)
     crashed_on: list[str] = attrs.field(factory=list)
     on_crash: Callable[[], None] = lambda: None
     version: str = "v1"
@@ -137,24 +147,35 @@
         return {
             "x-attempt-id": request.headers.get("x-attempt-id", ""),
             "x-server-signature": f"signed.{self.instance}",
-        } | self.limit_headers()
+        } | self.state_headers()
 
-    def limit_headers(self) -> dict[str, str]:
-        """Return the header by which all answers name a limit, if there is one."""
-        return {"server-limit": self.server_limit} if self.server_limit else {}
+    def state_headers(self) -> dict[str, str]:
+        """Return the headers by which all answers state a limit or that it leaves."""
+        headers = {"server-limit": self.server_limit} if self.server_limit else {}
+        return headers | ({"server-leaving": "1"} if self.says_leaving else {})
 
     async def _handle(self, request: Request, reply: Reply) -> None:
         self.arrivals.append(request)
         self.arrived_at.append(anyio.current_time())
         expected = request.headers.get("x-expect-instance")
         if expected is not None and expected != self.instance:
-            headers = {"x-instance-id": self.instance} | self.limit_headers()
+            headers = {"x-instance-id": self.instance} | self.state_headers()
             await reply.send_response(421, headers)
             return
         if await self.handle_first(request, reply):
             return
+        if self.retry_after:
+            await self._turn_away(reply)
+            return
         await self._serve(request, reply)
 
+    async def _turn_away(self, reply: Reply) -> None:
+        """Answer that the request was not run."""
+        self.turned_away.append((anyio.current_time(), reply.remote_host))
+        pause = {"retry-after": self.retry_after} if self.retry_after else {}
+        headers = {"x-not-executed": "1"} | pause | self.state_headers()
+        await reply.send_response(503, headers)
+
     async def _serve(self, request: Request, reply: Reply) -> None:
         raise NotImplementedError
 
@@ -265,7 +286,7 @@
             self.freed += document["handles"]
             for handle in document["handles"]:
                 self.results.pop(handle, None)
-            await reply.send_response(200, self.limit_headers())
+            await reply.send_response(200, self.state_headers())
             return
         await anyio.sleep(self.work_seconds)
         results = []
@@ -276,4 +297,4 @@
             self.results[handle] = piece
             results.append({"handle": handle})
         body = msgspec.json.encode({"entries": results})
-        await reply.send_response(200, self.limit_headers(), body)
+        await reply.send_response(200, self.state_headers(), body)
--- a/currantdyke/emulator/http.py
+++ b/currantdyke/emulator/http.py
@@ -59,6 +59,12 @@
     def __init__(self, connection: Http1Connection):
         self.connection = connection
 
+    @property
+    def remote_host(self) -> str:
+        """The address of the caller; empty if the caller has reset the connection."""
+        stream = self.connection.stream
+        return stream.extra(anyio.abc.SocketAttribute.remote_address, ("", 0))[0]
+
     async def send_response(
         self, status: int, headers: dict[str, str] | None = None, body: bytes = b""
     ) -> None:
--- a/currantdyke/emulator/store.py
+++ b/currantdyke/emulator/store.py
@@ -119,9 +119,7 @@
 
     async def _handle(self, request: Request, reply: Reply) -> None:
         self.calls[request.path] += 1
-        stream = reply.connection.stream
-        # A connection that its client has reset has no remote address any more.
-        host = stream.extra(anyio.abc.SocketAttribute.remote_address, ("", 0))[0]
+        host = reply.remote_host
         if self.fault and (not self.affected_hosts or host in self.affected_hosts):
             await self._serve_fault(reply)
             return
--- a/currantdyke/gateway/tests/limit_builders.py
+++ b/currantdyke/gateway/tests/limit_builders.py
@@ -20,7 +20,11 @@
 
 # Time after which a limit that an endpoint has named binds the fleet.
 CONTACT_SECONDS = 2.0
-HEADERS = {"/plain/": KEY, "/stream/": STREAM_HEADERS}
+HEADERS = {
+    "/plain/": KEY,
+    "/stream/": STREAM_HEADERS,
+    "/staged/": STREAM_HEADERS | {"x-chunk-count": "2", "x-chunk-key": "k"},
+}
 
 
 async def start_gateways(deployment, count: int) -> None:
