Send nothing to endpoints that say in their answers that they leave

Cause: the header was not read. A daemon learned it from the store only, and the owner, which places streams, has no answer of its own.

Change: the head of every answer marks the lifetime of its endpoint; the owner is told, and tells all others. The mark outlasts what the store says. Earlier builds get no report (protocol 2).

--- a/currantdyke/directory/endpoints.py
+++ b/currantdyke/directory/endpoints.py
@@ -1,5 +1,6 @@
 """The announced endpoints, and which of them may receive new work."""
 
+import collections
 from collections.abc import Callable
 
 import attrs
@@ -11,6 +12,8 @@
 # User requirement: entries that expired during a store outage reappear within this
 # time after its end, or not at all.
 GRACE_PERIOD_SECONDS = 2.0
+# An endpoint leaves within seconds of saying so; many more than leave in that time.
+MAX_MARKS = 4_096
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -24,12 +27,18 @@
     lapsed : set of str
         Instances whose entries were removed in the grace period after a store outage;
         they stay in use until it ends.
+    marked_leaving : OrderedDict of str to int
+        Start of the lifetime of each endpoint that says that it is leaving, whatever
+        its entry says, by instance.
     """
 
     now: Callable[[], float]
     known: dict[str, Endpoint] = attrs.field(factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = attrs.field(factory=dict)
     lapsed: set[str] = attrs.field(factory=set)
+    marked_leaving: collections.OrderedDict[str, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
     grace_period_end: float = 0.0
     watchers: list[Callable[[str, Endpoint | None], None]] = attrs.field(factory=list)
 
@@ -48,10 +57,25 @@
         """Add or update an endpoint."""
         previous = self.known.get(endpoint.instance)
         self.lapsed.discard(endpoint.instance)
+        if self.marked_leaving.get(endpoint.instance) == endpoint.born:
+            endpoint = attrs.evolve(endpoint, leaving=True)
         if previous == endpoint:
             return
         self._add(endpoint)
 
+    def mark_leaving(self, instance: str, born: int) -> bool:
+        """Give no new work to a lifetime of an endpoint; return whether that is new."""
+        if self.marked_leaving.get(instance, born - 1) >= born:
+            return False
+        self.marked_leaving[instance] = born
+        if len(self.marked_leaving) > MAX_MARKS:
+            self.marked_leaving.popitem(last=False)
+        endpoint = self.known.get(instance)
+        if endpoint is None or endpoint.born != born or endpoint.leaving:
+            return False
+        self._add(attrs.evolve(endpoint, leaving=True))
+        return True
+
     def remove(self, instance: str) -> None:
         """Remove an endpoint; in the grace period, only mark it as lapsed."""
         if instance not in self.known:
--- /dev/null
+++ b/currantdyke/endpointstates/__init__.py
@@ -0,0 +1,1 @@
+"""What endpoints say of themselves in their answers."""
--- a/currantdyke/forward/context.py
+++ b/currantdyke/forward/context.py
@@ -11,6 +11,8 @@
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import Directory
 from currantdyke.endpointlimits.client import EndpointLimits
+from currantdyke.endpointstates.pauses import PauseTable
+from currantdyke.endpointstates.states import EndpointStates
 from currantdyke.forward.attempt import OutgoingRequest
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.connections import EndpointConnections
@@ -32,8 +34,8 @@
         Bounds of the retry budgets, as in ``FleetRetryBudget``.
     count_daemons : callable
         Returns the number of daemons that share the fleet's budgets.
-    limits : EndpointLimits
-        The limits that endpoints name, within which requests are sent.
+    states : EndpointStates
+        What endpoints say of themselves, by which requests are sent or not.
     versions : FleetStreamVersions
         The versions that began streams, at which they go on.
     """
@@ -46,7 +48,7 @@
     retry_slack: float
     count_daemons: Callable[[], int]
     crashes: CrashDetector
-    limits: EndpointLimits
+    states: EndpointStates
     versions: FleetStreamVersions
     connections: EndpointConnections = attrs.field(factory=EndpointConnections)
     health: HealthTable = attrs.field(factory=HealthTable)
@@ -54,8 +56,18 @@
     random_source: random.Random = attrs.field(factory=random.Random)
 
     def __attrs_post_init__(self) -> None:
-        """Have the limits learned from all responses."""
-        self.connections.on_response = self.limits.record_response
+        """Record what all responses say of their endpoints."""
+        self.connections.on_response = self.states.record_response
+
+    @property
+    def limits(self) -> EndpointLimits:
+        """The limits that endpoints name, within which requests are sent."""
+        return self.states.limits
+
+    @property
+    def pauses(self) -> PauseTable:
+        """The endpoints that have asked for a pause."""
+        return self.states.pauses
 
     def set_retry_bounds(self, *, ratio: float, window: float, slack: float) -> None:
         """Set the bounds of the retry budgets; a change resets the budgets."""
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -17,6 +17,10 @@
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
 from currantdyke.endpointlimits.owners import LimitOwners
+from currantdyke.endpointstates.leaving import LeavingEndpoints
+from currantdyke.endpointstates.messages import EndpointLeaving
+from currantdyke.endpointstates.pauses import PauseTable
+from currantdyke.endpointstates.states import EndpointStates
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.gateway.background import keep_running, run_logged
@@ -40,7 +44,7 @@
     Unknown,
 )
 from currantdyke.links.changes import answer_changes
-from currantdyke.links.codec import PROTOCOL
+from currantdyke.links.codec import LEAVING_PROTOCOL, LIMITS_PROTOCOL, PROTOCOL
 from currantdyke.platform.names import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from currantdyke.platform.records import DaemonEntry
 from currantdyke.platform.store import StoreClient
@@ -165,7 +169,7 @@
             log=log,
             request=self.peers.request,
             send=self.peers.send,
-            broadcast=functools.partial(self.peers.broadcast, protocol=PROTOCOL),
+            broadcast=functools.partial(self.peers.broadcast, protocol=LIMITS_PROTOCOL),
             owners=LimitOwners(
                 ranked_daemons=self._limit_owners, check=self.peers.check
             ),
@@ -184,9 +188,21 @@
             log=log,
             is_owner=lambda service: not self.endpoint_limits.owners.find(service).ip,
         )
+        self.leaving = LeavingEndpoints(
+            endpoints=self.directory.endpoints,
+            log=log,
+            send=functools.partial(self.peers.send, protocol=LEAVING_PROTOCOL),
+            broadcast=functools.partial(
+                self.peers.broadcast, protocol=LEAVING_PROTOCOL
+            ),
+            owners=self.endpoint_limits.owners,
+        )
+        self.endpoint_states = EndpointStates(
+            limits=self.endpoint_limits, leaving=self.leaving, pauses=PauseTable()
+        )
         self.context = ForwardContext(
             versions=self.versions,
-            limits=self.endpoint_limits,
+            states=self.endpoint_states,
             crashes=self.crashes,
             directory=self.directory,
             log=log,
@@ -249,7 +265,7 @@
     def _limit_owners(self, service: str, suspected: bool) -> list[str]:
         """Return the IPs of the daemons that own the limits of a service, in order."""
         ranked = self.scheduler_client.ranked_daemons(
-            service, protocol=PROTOCOL, suspected=suspected
+            service, protocol=LIMITS_PROTOCOL, suspected=suspected
         )
         return [ip for _, ip in ranked]
 
@@ -258,7 +274,7 @@
         return [
             daemon.ip
             for daemon in self.peers.others()
-            if not daemon.leaving and daemon.protocol >= PROTOCOL
+            if not daemon.leaving and daemon.protocol >= LIMITS_PROTOCOL
         ]
 
     async def run(self) -> None:
@@ -458,6 +474,7 @@
         self.versions.on_endpoint_change(instance, endpoint)
         if endpoint is None:
             self.context.health.forget(instance)
+            self.endpoint_states.pauses.forget(instance)
             self.scheduler.remove_endpoint(instance)
             self.tasks.start_soon(
                 run_logged, self.log, self.context.connections.forget, instance
@@ -519,6 +536,8 @@
             self.endpoint_limits.handle_report(content, service)
         elif isinstance(content, StreamVersions):
             self.versions.handle(content)
+        elif isinstance(content, EndpointLeaving):
+            self.leaving.handle(content)
 
     def _forget_ended(self, link: Link, attempt_id: str) -> None:
         # A refused placement or the end of a run may leave another run.
--- a/currantdyke/gateway/tests/test_endpoint_limits.py
+++ b/currantdyke/gateway/tests/test_endpoint_limits.py
@@ -1,10 +1,11 @@
-import types
 import unittest
+from unittest import mock
 
 import anyio
 
 from currantdyke.directory import rank_daemons
 from currantdyke.emulator import EngineEmulator, PlainEmulator
+from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.gateway.tests.builders import (
     KEY,
     plain_configuration,
@@ -92,7 +93,7 @@
             await reply.send_raw(body)
             return True
 
-        async def admit_late(endpoint, *, sheddable):
+        async def admit_late(limits, endpoint, *, sheddable):
             await anyio.sleep(0.3)
             return 0.0
 
@@ -102,12 +103,12 @@
             caller = deployment.caller()
             await caller.send("POST", "/plain/", headers=KEY)
             await wait_until(lambda: silent.arrivals)
-            gateway.context.limits = types.SimpleNamespace(admit=admit_late)
-            other = await deployment.endpoint(PlainEmulator, "plain-9", "plain")
-            await wait_until(
-                lambda: "plain-9" in gateway.directory.endpoints.of_service("plain")
-            )
-            answer = await caller.answer()
+            with mock.patch.object(EndpointLimits, "admit", admit_late):
+                other = await deployment.endpoint(PlainEmulator, "plain-9", "plain")
+                await wait_until(
+                    lambda: "plain-9" in gateway.directory.endpoints.of_service("plain")
+                )
+                answer = await caller.answer()
         self.assertEqual((answer.complete, len(answer.body)), (True, 2 * len(body)))
         self.assertEqual(other.arrivals, [])
 
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -11,6 +11,7 @@
 from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
+from currantdyke.endpointstates.messages import EndpointLeaving
 from currantdyke.largevalues.messages import PartRequest, ValueOffer, ValuePart
 from currantdyke.links.compression import compress, decompress
 from currantdyke.links.fleet_state import (
@@ -37,6 +38,8 @@
 )
 
 __all__ = [
+    "LEAVING_PROTOCOL",
+    "LIMITS_PROTOCOL",
     "MAX_FRAME_BYTES",
     "PROTOCOL",
     "RESPONSE_TYPES",
@@ -55,8 +58,12 @@
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("link.capnp")))
 
-# Raised with each type of content that daemons of an earlier build don't know.
-PROTOCOL = 1
+# Raised with each type of content that daemons of an earlier build don't know, and the
+# one from which on they know the limits of endpoints and the versions of streams,
+PROTOCOL = 2
+LIMITS_PROTOCOL = 1
+# and which endpoints say that they are leaving.
+LEAVING_PROTOCOL = 2
 MAX_UINT16 = 2**16 - 1
 # Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
 # Limits also what the compressed values of a frame take after decompression.
@@ -165,6 +172,7 @@
     | VersionAnswer
     | PartRequest
     | ValuePart
+    | EndpointLeaving
 )
 
 # Types of content that are responses; a response that arrives too late is dropped.
@@ -267,6 +275,10 @@
             request.start = content.start
         case ValuePart():
             builder.part = content.data
+        case EndpointLeaving():
+            leaving = builder.init("endpointLeaving")
+            leaving.instance = content.instance
+            leaving.born = content.born
 
 
 def _encode_crashed(
@@ -405,6 +417,9 @@
             )
         case "part":
             return ValuePart(data=bytes(reader.part))
+        case "endpointLeaving":
+            leaving = reader.endpointLeaving
+            return EndpointLeaving(instance=leaving.instance, born=leaving.born)
         case _:
             return Unknown()
 
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -26,6 +26,8 @@
     # A daemon sends this only to daemons that have offered the value.
     partRequest @20 :PartRequest;
     part @21 :Data;
+    # A daemon sends this only to daemons whose entries name protocol 2 or later.
+    endpointLeaving @22 :EndpointLeaving;
   }
   # Of a request: the response may contain compressed values.
   acceptsCompressed @11 :Bool;
@@ -58,6 +60,11 @@
   data @7 :Data;
 }
 
+struct EndpointLeaving {
+  instance @0 :Text;
+  born @1 :Int64;
+}
+
 struct PartRequest {
   digest @0 :Data;
   base @1 :Data;
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -173,8 +173,19 @@
         if self.tasks is not None:
             self.tasks.start_soon(self._check, ip)
 
-    def send(self, ip: str, content: Content) -> None:
-        """Send a notification to a daemon, to which a link is opened if necessary."""
+    def send(self, ip: str, content: Content, *, protocol: int = 0) -> None:
+        """Send a notification to a daemon, to which a link is opened if necessary.
+
+        Parameters
+        ----------
+        protocol : int
+            Nothing is sent to a daemon that knows only an earlier protocol.
+        """
+        if protocol and not any(
+            daemon.ip == ip and daemon.protocol >= protocol
+            for daemon in self.directory.daemons.values()
+        ):
+            return
         if self.tasks is not None:
             self.tasks.start_soon(self._connect_and_notify, ip, content)
 
--- a/currantdyke/platform/answers.py
+++ b/currantdyke/platform/answers.py
@@ -21,6 +21,8 @@
 SIGNATURE = b"x-server-signature"
 NOT_EXECUTED = b"x-not-executed"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
 MISDIRECTED = 421
 # Statuses that guarantee to a caller that its request has not run and never will. An
@@ -51,6 +53,10 @@
         lowest of several values; None if it names no limit.
     unreadable_limit : str or None
         What it names instead of a number.
+    leaving : bool
+        Whether the endpoint says that it is leaving.
+    pause : float or None
+        Seconds for which the endpoint wants no requests from this daemon.
     """
 
     status: int
@@ -62,6 +68,8 @@
     keep_alive: float | None
     request_rate_limit: float | None = None
     unreadable_limit: str | None = None
+    leaving: bool = False
+    pause: float | None = None
 
     @property
     def success(self) -> bool:
@@ -86,9 +94,20 @@
         keep_alive=_decode_keep_alive(header_values(headers, b"keep-alive")),
         request_rate_limit=limit,
         unreadable_limit=unreadable,
+        leaving=b"1" in header_values(headers, SERVER_LEAVING),
+        pause=_decode_pause(response),
     )
 
 
+def _decode_pause(response: h11.Response) -> float | None:
+    """Return the pause that an endpoint which turns a request away asks for."""
+    if response.status_code != UNAVAILABLE:
+        return None
+    values = header_values(response.headers, RETRY_AFTER)
+    seconds = [float(value) for value in values if DECIMAL_PATTERN.fullmatch(value)]
+    return max(seconds, default=None)
+
+
 def _decode_limit(values: list[bytes]) -> tuple[float | None, str | None]:
     """Return the lowest limit, or else the text that names none."""
     if not values:
@@ -136,7 +155,7 @@
     if attempt_id:
         headers.append((ATTEMPT_ID, attempt_id.encode("latin-1")))
     if failure.retry_after is not None and status in NOT_RUN_STATUSES:
-        headers.append((b"retry-after", b"%.2f" % failure.retry_after))
+        headers.append((RETRY_AFTER, b"%.2f" % failure.retry_after))
     if status == 401:
         headers.append((b"www-authenticate", b"Token"))
     return status, headers, body
