--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import itertools
+import math
 import os
 import socket
 import unittest
@@ -27,6 +28,7 @@
 from currantdyke.gateway.settings import GatewaySettings, StoreSettings
 from currantdyke.testing.throttle import (
     Bandwidth,
+    Cut,
     limit_bandwidth,
     throttle_connections,
 )
@@ -176,10 +178,19 @@
     ----------
     lines : dict of str to list of dict
         Lines of the decision log, by gateway.
+    may_cut : bool
+        Whether gateways that start may be cut off from endpoints later.
+    links : dict of str to Bandwidth
+        Links of the gateways that have limited ones or may be cut off.
+    endpoint_ports : list of int
+        Ports of the endpoints.
     """
 
     store: StoreEmulator
     tasks: anyio.abc.TaskGroup
+    may_cut: bool = False
+    links: dict[str, Bandwidth] = attrs.field(factory=dict)
+    endpoint_ports: list[int] = attrs.field(factory=list)
     gateways: list[GatewayDaemon] = attrs.field(factory=list)
     lines: dict[str, list[dict]] = attrs.field(factory=dict)
 
@@ -205,6 +216,7 @@
             self.store.put(f"servers/{instance}", endpoint.entry())
         else:
             await self.tasks.start(run_with_restarts, endpoint, self.store, restarts)
+        self.endpoint_ports.append(endpoint.port)
         return endpoint
 
     async def gateway(
@@ -245,14 +257,22 @@
         daemon = GatewayDaemon(settings=settings, log=log)
         self.lines[settings.name] = record_lines(log)
         self.gateways.append(daemon)
-        if bytes_per_second is None:
+        if bytes_per_second is None and not self.may_cut:
             self.tasks.start_soon(daemon.run)
             return daemon
-        bandwidth = Bandwidth(bytes_per_second=bytes_per_second, local_host=settings.ip)
+        bandwidth = Bandwidth(
+            bytes_per_second=bytes_per_second or math.inf, local_host=settings.ip
+        )
+        self.links[settings.name] = bandwidth
         with limit_bandwidth(bandwidth):
             self.tasks.start_soon(daemon.run)
         return daemon
 
+    def cut_off(self, gateways: list[GatewayDaemon], cut: Cut | None) -> None:
+        """Cut gateways off from the endpoints that have been started, or end this."""
+        for gateway in gateways:
+            self.links[gateway.settings.name].set_cut(cut, set(self.endpoint_ports))
+
     def caller(self, number: int = 0) -> Caller:
         """Return a caller that connects to a gateway."""
         return Caller(address=self.gateways[number].settings.caller_address)
