Build the follower without an event loop

The gateway process did not start since: its components are built before the event loop runs, and a cancel scope can't be. Tests in one process build them inside it; those with processes had not run yet.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -69,8 +69,8 @@
         Whether the relay that answered last was behind.
     watching : bool
         Whether only changes are read; if not, the next read lists all items.
-    reading : CancelScope
-        Of the current read of the store; cancelled if peers bring the same sooner.
+    reading : CancelScope or None
+        Of the last read of the store; cancelled if peers bring the same sooner.
     peers_first_until : float
         Until when peers are asked before the store is read, since its answers arrive
         slowly.
@@ -88,7 +88,7 @@
     lost_since: float | None = None
     watching: bool = False
     relay_behind: bool = False
-    reading: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    reading: anyio.CancelScope | None = None
     peers_first_until: float = -1.0
     read_requested: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -145,7 +145,8 @@
             return
         asked_at = self.directory.clock()
         changes = None
-        with anyio.CancelScope() as self.reading:
+        with anyio.CancelScope() as scope:
+            self.reading = scope
             changes = await self._read_store()
         if changes is None:
             # A peer's state is at least as new as the answer that was arriving.
@@ -243,8 +244,11 @@
     def _end_overtaken_read(self) -> None:
         """End a read of the store whose answer contains nothing new any more."""
         arriving = self.store.answer_seconds
-        if arriving > SLOW_ANSWER_SECONDS and (
-            self.directory.listed and self.directory.age <= arriving
+        if (
+            self.reading is not None
+            and arriving > SLOW_ANSWER_SECONDS
+            and self.directory.listed
+            and self.directory.age <= arriving
         ):
             self.peers_first_until = anyio.current_time() + PREFER_PEERS_SECONDS
             self.log.write("store_read_overtaken", seconds=round(arriving, 3))
