Serve through other daemons what this one can't reach

Cause: a daemon had no other path to an endpoint than its own, and reported sound endpoints as crashed. Class: a daemon takes its own view for the state of the world, and one that can't do the work takes it all the same.

Change: connections to endpoints that fail, or take over 0.1 s, are opened through another daemon as well; a tunnel carries the bytes of one request, and all decisions stay where they are. A crash is reported only with a proof that this daemon, or the one it asks, reaches other endpoints. Earlier builds are not asked (protocol 3).

--- a/currantdyke/crashes/detector.py
+++ b/currantdyke/crashes/detector.py
@@ -21,7 +21,6 @@
 # Delay before a probe; an endpoint that only lost a connection accepts a new one by
 # then.
 PROBE_DELAY_SECONDS = 0.1
-PROBE_TIMEOUT_SECONDS = 0.5
 # Time in which the directory shows that a lost run belonged to a lifetime that has
 # ended; entries of crashed endpoints leave the store after three heartbeats.
 PENDING_SECONDS = 6.0
@@ -59,7 +58,7 @@
     find_endpoint : callable
         Returns the announced endpoint of an instance, or None.
     refuses_connections : callable
-        Returns whether nothing listens at an address.
+        Returns whether nothing listens at an endpoint.
     pending : list
         Lost runs whose endpoints accepted a connection, or gave no sign, after the
         loss.
@@ -70,9 +69,7 @@
     log: DecisionLog
     broadcast: Callable[[CrashReport | KeysCleared | GroupCondemned], None]
     find_endpoint: Callable[[str], Endpoint | None]
-    refuses_connections: Callable[[str], Awaitable[bool]] = attrs.field(
-        default=lambda address: _refuses_connections(address)
-    )
+    refuses_connections: Callable[[Endpoint], Awaitable[bool]]
     tasks: anyio.abc.TaskGroup | None = None
     pending: list[_LostRun] = attrs.field(factory=list)
 
@@ -208,7 +205,7 @@
     async def _probe(self, lost: _LostRun) -> None:
         try:
             await anyio.sleep(PROBE_DELAY_SECONDS)
-            if await self.refuses_connections(lost.run.endpoint.address):
+            if await self.refuses_connections(lost.run.endpoint):
                 self._report(lost)
             else:
                 self._keep_pending(lost)
@@ -279,17 +276,3 @@
     if instance == lost.instance:
         return endpoint is None or endpoint.born != lost.born
     return endpoint is not None and endpoint.address == lost.address
-
-
-async def _refuses_connections(address: str) -> bool:
-    """Whether nothing listens at an address; a time-out is no sign of that."""
-    host, _, port = address.rpartition(":")
-    try:
-        with anyio.fail_after(PROBE_TIMEOUT_SECONDS):
-            stream = await anyio.connect_tcp(host, int(port))
-    except TimeoutError:
-        return False
-    except OSError:
-        return True
-    await anyio.aclose_forcefully(stream)
-    return False
--- a/currantdyke/crashes/tests/memory.py
+++ b/currantdyke/crashes/tests/memory.py
@@ -135,7 +135,7 @@
         log = quiet_log(self.lines)
         table = CrashTable(now=anyio.current_time, log=log)
 
-        async def refuses(address: str) -> bool:
+        async def refuses(endpoint) -> bool:
             return not self.listening
 
         detector = CrashDetector(
--- a/currantdyke/endpointstates/messages.py
+++ b/currantdyke/endpointstates/messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["EndpointLeaving"]
+__all__ = ["EndpointLeaving", "EndpointPaused"]
 
 
 @attrs.frozen(kw_only=True)
@@ -17,3 +17,15 @@
 
     instance: str
     born: int
+
+
+@attrs.frozen(kw_only=True)
+class EndpointPaused:
+    """Tells a daemon that an endpoint wants nothing from it for ``seconds``.
+
+    The endpoint has said so in an answer that went through the daemon's tunnel.
+    """
+
+    instance: str
+    born: int
+    seconds: float
--- a/currantdyke/endpointstates/states.py
+++ b/currantdyke/endpointstates/states.py
@@ -1,11 +1,14 @@
 """Record what endpoints say of themselves in their answers."""
 
+from collections.abc import Callable
+
 import anyio
 import attrs
 
 from currantdyke.catalog import Endpoint
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointstates.leaving import LeavingEndpoints
+from currantdyke.endpointstates.messages import EndpointPaused
 from currantdyke.endpointstates.pauses import PauseTable
 from currantdyke.platform.answers import ResponseMetadata
 
@@ -17,16 +20,31 @@
     """Passes on what the heads of answers say, except of misdirected requests.
 
     Those were answered by another endpoint, which has the address now.
+
+    Attributes
+    ----------
+    send : callable
+        Sends a notification to a daemon by its IP.
     """
 
     limits: EndpointLimits
     leaving: LeavingEndpoints
     pauses: PauseTable
+    send: Callable[[str, EndpointPaused], None]
 
     def record_response(
-        self, endpoint: Endpoint, facts: ResponseMetadata, sent_at: float
+        self, endpoint: Endpoint, facts: ResponseMetadata, sent_at: float, via: str
     ) -> None:
-        """Record the head of an answer to a request that was sent at a time."""
+        """Record the head of an answer.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time at which the request was sent.
+        via : str
+            IP of the daemon through whose tunnel it was; empty for none. What the
+            endpoint asks of its sender binds that daemon too.
+        """
         if facts.misdirected:
             return
         self.limits.record_response(endpoint, facts, sent_at)
@@ -34,3 +52,8 @@
             self.leaving.record(endpoint)
         if facts.pause is not None:
             self.pauses.record(endpoint, facts.pause, now=anyio.current_time())
+            if via:
+                paused = EndpointPaused(
+                    instance=endpoint.instance, born=endpoint.born, seconds=facts.pause
+                )
+                self.send(via, paused)
--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -12,6 +12,7 @@
 from currantdyke.forward.connections import EndpointConnections
 from currantdyke.http1 import ConnectionLostError, Http1Connection
 from currantdyke.platform.answers import ResponseMetadata, decode_response_metadata
+from currantdyke.tunnels.stream import TunnelStream
 
 __all__ = [
     "EndpointResponse",
@@ -164,7 +165,9 @@
             written = anyio.Event()
             await _write_request(connection, head, request.body, tasks, written)
             response = await _read_head(connection, request)
-            connections.on_response(endpoint, response.facts, sent_at)
+            stream = connection.stream
+            via = stream.peer_ip if isinstance(stream, TunnelStream) else ""
+            connections.on_response(endpoint, response.facts, sent_at, via)
             yield response
             response.written = written.is_set()
             tasks.cancel_scope.cancel()
--- a/currantdyke/forward/connections.py
+++ b/currantdyke/forward/connections.py
@@ -1,14 +1,17 @@
 """Pool of reusable connections to endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.abc
 import attrs
 import h11
 
 from currantdyke.catalog import Endpoint
-from currantdyke.http1 import ConnectionLostError, Http1Connection, set_socket_options
+from currantdyke.http1 import ConnectionLostError, Http1Connection
 from currantdyke.platform.answers import ResponseMetadata
+from currantdyke.tunnels.paths import connect_directly
+from currantdyke.tunnels.stream import TunnelStream
 
 __all__ = [
     "EndpointConnections",
@@ -16,9 +19,6 @@
     "ONCE_MAX_IDLE_SECONDS",
 ]
 
-# One-way latency between availability zones is 1 ms. A lost SYN is retransmitted after
-# a second, by which time another endpoint would have responded.
-CONNECT_TIMEOUT_SECONDS = 0.4
 # Assumed idle time-out of endpoints that announce none.
 DEFAULT_IDLE_TIMEOUT_SECONDS = 3.0
 # A request that may run only once is not sent on a connection that its endpoint may be
@@ -45,13 +45,17 @@
     Attributes
     ----------
     on_response : callable
-        Called with the endpoint, the decoded head of each of its responses, and the
-        time at which the request was sent.
+        Called with the endpoint, the decoded head of each of its responses, the time at
+        which the request was sent, and the IP of the daemon through whose tunnel it
+        was, empty for none.
+    connect : callable
+        Opens a connection to an endpoint; raises OSError or TimeoutError.
     """
 
-    on_response: Callable[[Endpoint, ResponseMetadata, float], None] = (
-        lambda endpoint, facts, sent_at: None
+    on_response: Callable[[Endpoint, ResponseMetadata, float, str], None] = (
+        lambda endpoint, facts, sent_at, via: None
     )
+    connect: Callable[[Endpoint], Awaitable[anyio.abc.ByteStream]] = connect_directly
     idle: dict[str, list[IdleConnection]] = attrs.field(factory=dict)
     opened: int = 0
     reused: int = 0
@@ -89,6 +93,8 @@
         kept = self.idle.setdefault(endpoint.instance, [])
         if (
             not connection.reusable
+            # The other daemon lets each tunnel be opened by what it knows then.
+            or isinstance(connection.stream, TunnelStream)
             or facts.closes
             or len(kept) >= (MAX_IDLE_PER_ENDPOINT)
         ):
@@ -133,12 +139,9 @@
             await entry.connection.close()
 
     async def _open(self, endpoint: Endpoint) -> Http1Connection:
-        host, _, port = endpoint.address.rpartition(":")
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(host, int(port))
+            stream = await self.connect(endpoint)
         except (OSError, TimeoutError) as error:
             raise ConnectionLostError(str(error) or "time-out") from error
         self.opened += 1
-        set_socket_options(stream)
         return Http1Connection(stream=stream, role=h11.CLIENT)
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -18,7 +18,7 @@
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
 from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.endpointstates.leaving import LeavingEndpoints
-from currantdyke.endpointstates.messages import EndpointLeaving
+from currantdyke.endpointstates.messages import EndpointLeaving, EndpointPaused
 from currantdyke.endpointstates.pauses import PauseTable
 from currantdyke.endpointstates.states import EndpointStates
 from currantdyke.forward.budget import FleetRetryBudget
@@ -44,7 +44,13 @@
     Unknown,
 )
 from currantdyke.links.changes import answer_changes
-from currantdyke.links.codec import LEAVING_PROTOCOL, LIMITS_PROTOCOL, PROTOCOL
+from currantdyke.links.codec import (
+    LEAVING_PROTOCOL,
+    LIMITS_PROTOCOL,
+    PROTOCOL,
+    TUNNELS_PROTOCOL,
+)
+from currantdyke.links.tunnels import open_tunnel, serve_tunnel
 from currantdyke.platform.names import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from currantdyke.platform.records import DaemonEntry
 from currantdyke.platform.store import StoreClient
@@ -61,6 +67,9 @@
 from currantdyke.streamversions.messages import StreamVersions, VersionRequest
 from currantdyke.streamversions.recorder import VersionsRecorder
 from currantdyke.timers import TimerService
+from currantdyke.tunnels.client import TunnelClient
+from currantdyke.tunnels.paths import EndpointPaths
+from currantdyke.tunnels.server import TunnelServer
 
 __all__ = ["GatewayDaemon"]
 
@@ -69,6 +78,8 @@
 # store; callers get the rest.
 RESERVED_DESCRIPTOR_SHARE = 0.5
 BODY_MEMORY_SHARE = 0.25
+# Of the descriptors, for the two connections of each tunnel of another daemon.
+TUNNEL_DESCRIPTOR_SHARE = 0.2
 # The platform takes a daemon out of rotation after two failed probes, 1 s apart.
 ROTATION_REMOVAL_SECONDS = 3.0
 # A stopping daemon accepts streams of any length for this long. The users allow that
@@ -164,6 +175,7 @@
             log=log,
             broadcast=self.peers.broadcast,
             find_endpoint=lambda instance: self.directory.endpoints.known.get(instance),
+            refuses_connections=lambda endpoint: self.paths.refuses(endpoint),
         )
         self.endpoint_limits = EndpointLimits(
             log=log,
@@ -198,8 +210,29 @@
             owners=self.endpoint_limits.owners,
         )
         self.endpoint_states = EndpointStates(
-            limits=self.endpoint_limits, leaving=self.leaving, pauses=PauseTable()
+            limits=self.endpoint_limits,
+            leaving=self.leaving,
+            pauses=PauseTable(),
+            send=functools.partial(self.peers.send, protocol=TUNNELS_PROTOCOL),
+        )
+        self.paths = EndpointPaths(
+            endpoints=self.directory.endpoints,
+            tunnels=TunnelClient(
+                availability_zone=settings.availability_zone,
+                daemons=self._tunnel_daemons,
+                open_tunnel=functools.partial(open_tunnel, port=settings.peer_port),
+            ),
+            log=log,
+            on_blocked=self._close_idle_connections,
+        )
+        self.tunnels = TunnelServer(
+            endpoints=self.directory.endpoints,
+            paths=self.paths,
+            pauses=self.endpoint_states.pauses,
+            is_stopping=lambda: self.caller_server.draining,
+            max_open=int(settings.file_descriptors * TUNNEL_DESCRIPTOR_SHARE / 2),
         )
+        self.peers.serve_tunnel = functools.partial(serve_tunnel, server=self.tunnels)
         self.context = ForwardContext(
             versions=self.versions,
             states=self.endpoint_states,
@@ -212,6 +245,7 @@
             retry_slack=settings.retry_slack,
             count_daemons=self.count_daemons,
         )
+        self.context.connections.connect = self.paths.connect
         self.stages = StageQueues(
             directory=self.directory,
             run_pieces=functools.partial(run_pieces, self.context.connections),
@@ -270,6 +304,19 @@
         )
         return [ip for _, ip in ranked]
 
+    def _tunnel_daemons(self) -> list[DaemonEntry]:
+        """Return the daemons that may open tunnels."""
+        return [
+            daemon
+            for daemon in self.peers.others()
+            if not daemon.leaving and daemon.protocol >= TUNNELS_PROTOCOL
+        ]
+
+    def _close_idle_connections(self, instance: str) -> None:
+        self.tasks.start_soon(
+            run_logged, self.log, self.context.connections.forget, instance
+        )
+
     def _version_replicas(self) -> list[str]:
         """Return the IPs of the daemons that may hold versions of streams."""
         return [
@@ -348,6 +395,7 @@
             self.stages.run,
             self.crashes.run,
             self.versions.run,
+            self.paths.run,
             self.follower.run,
             self.registration.run,
             self._serve_readiness,
@@ -394,6 +442,9 @@
         metrics.limit_refusals.set(limits.denied)
         metrics.limit_requests.set(limits.asked)
         metrics.version_requests.set(self.versions.asked)
+        metrics.cut_off.set(self.paths.cut_off)
+        metrics.tunnels_opened.set(self.paths.tunnels.opened)
+        metrics.tunnels_served.set(self.tunnels.served)
         metrics.resumptions_refused.set(self.versions.refused)
         metrics.log_lines_dropped.set(self.log.dropped)
         return Page(status=200, body=metrics.render())
@@ -454,7 +505,8 @@
             min(ROTATION_REMOVAL_SECONDS, max(0.0, drain_deadline - started))
         )
         while anyio.current_time() < drain_deadline:
-            if self.caller_server.is_idle() and not self.scheduler.chains:
+            in_progress = self.scheduler.chains or self.tunnels.open
+            if self.caller_server.is_idle() and not in_progress:
                 break
             self.caller_server.close_idle()
             await anyio.sleep(DRAIN_CHECK_SECONDS)
@@ -539,6 +591,14 @@
             self.versions.handle(content)
         elif isinstance(content, EndpointLeaving):
             self.leaving.handle(content)
+        elif isinstance(content, EndpointPaused):
+            self._record_pause(content)
+
+    def _record_pause(self, paused: EndpointPaused) -> None:
+        endpoint = self.directory.endpoints.known.get(paused.instance)
+        if endpoint is not None and endpoint.born == paused.born:
+            now = anyio.current_time()
+            self.endpoint_states.pauses.record(endpoint, paused.seconds, now=now)
 
     def _forget_ended(self, link: Link, attempt_id: str) -> None:
         # A refused placement or the end of a run may leave another run.
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -104,6 +104,15 @@
         self.resumptions_refused = self.gauge(
             "resumptions_refused", "Streams whose version is not known or has no engine"
         )
+        self.cut_off = self.gauge(
+            "cut_off", "Whether this daemon reaches no endpoint that others reach"
+        )
+        self.tunnels_opened = self.gauge(
+            "tunnels_opened", "Connections to endpoints through other daemons"
+        )
+        self.tunnels_served = self.gauge(
+            "tunnels_served", "Connections to endpoints for other daemons"
+        )
         self.log_lines_dropped = self.gauge(
             "log_lines_dropped", "Lines dropped since the last were told of"
         )
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -11,7 +11,7 @@
 from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
-from currantdyke.endpointstates.messages import EndpointLeaving
+from currantdyke.endpointstates.messages import EndpointLeaving, EndpointPaused
 from currantdyke.largevalues.messages import PartRequest, ValueOffer, ValuePart
 from currantdyke.links.compression import compress, decompress
 from currantdyke.links.fleet_state import (
@@ -36,6 +36,7 @@
     VersionAnswer,
     VersionRequest,
 )
+from currantdyke.tunnels.messages import TunnelAnswer, TunnelRequest, TunnelResult
 
 __all__ = [
     "LEAVING_PROTOCOL",
@@ -43,6 +44,7 @@
     "MAX_FRAME_BYTES",
     "PROTOCOL",
     "RESPONSE_TYPES",
+    "TUNNELS_PROTOCOL",
     "ChangesRequest",
     "CrashReport",
     "Frame",
@@ -60,10 +62,12 @@
 
 # Raised with each type of content that daemons of an earlier build don't know, and the
 # one from which on they know the limits of endpoints and the versions of streams,
-PROTOCOL = 2
+PROTOCOL = 3
 LIMITS_PROTOCOL = 1
-# and which endpoints say that they are leaving.
+# which endpoints say that they are leaving,
 LEAVING_PROTOCOL = 2
+# and tunnels to endpoints.
+TUNNELS_PROTOCOL = 3
 MAX_UINT16 = 2**16 - 1
 # Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
 # Limits also what the compressed values of a frame take after decompression.
@@ -173,6 +177,9 @@
     | PartRequest
     | ValuePart
     | EndpointLeaving
+    | EndpointPaused
+    | TunnelRequest
+    | TunnelAnswer
 )
 
 # Types of content that are responses; a response that arrives too late is dropped.
@@ -279,6 +286,17 @@
             leaving = builder.init("endpointLeaving")
             leaving.instance = content.instance
             leaving.born = content.born
+        case EndpointPaused():
+            paused = builder.init("endpointPaused")
+            paused.instance = content.instance
+            paused.born = content.born
+            paused.milliseconds = milliseconds(content.seconds)
+        case TunnelRequest():
+            tunnel = builder.init("tunnelRequest")
+            tunnel.instance = content.instance
+            tunnel.born = content.born
+        case TunnelAnswer():
+            builder.tunnelAnswer = content.result.value
 
 
 def _encode_crashed(
@@ -420,6 +438,18 @@
         case "endpointLeaving":
             leaving = reader.endpointLeaving
             return EndpointLeaving(instance=leaving.instance, born=leaving.born)
+        case "endpointPaused":
+            paused = reader.endpointPaused
+            return EndpointPaused(
+                instance=paused.instance,
+                born=paused.born,
+                seconds=paused.milliseconds / 1_000,
+            )
+        case "tunnelRequest":
+            tunnel = reader.tunnelRequest
+            return TunnelRequest(instance=tunnel.instance, born=tunnel.born)
+        case "tunnelAnswer":
+            return TunnelAnswer(result=TunnelResult(reader.tunnelAnswer))
         case _:
             return Unknown()
 
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -28,6 +28,11 @@
     part @21 :Data;
     # A daemon sends this only to daemons whose entries name protocol 2 or later.
     endpointLeaving @22 :EndpointLeaving;
+    # A daemon sends this only to daemons whose entries name protocol 3 or later.
+    endpointPaused @23 :EndpointPaused;
+    # At the beginning of a tunnel, never on a link.
+    tunnelRequest @24 :TunnelRequest;
+    tunnelAnswer @25 :UInt8;
   }
   # Of a request: the response may contain compressed values.
   acceptsCompressed @11 :Bool;
@@ -65,6 +70,17 @@
   born @1 :Int64;
 }
 
+struct EndpointPaused {
+  instance @0 :Text;
+  born @1 :Int64;
+  milliseconds @2 :UInt32;
+}
+
+struct TunnelRequest {
+  instance @0 :Text;
+  born @1 :Int64;
+}
+
 struct PartRequest {
   digest @0 :Data;
   base @1 :Data;
--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -240,10 +240,6 @@
     async def _receive_frames(self, tasks: anyio.abc.TaskGroup) -> None:
         buffer = self.incoming
         while True:
-            try:
-                buffer += await self.stream.receive(READ_BYTES)
-            except CONNECTION_ERRORS:
-                return
             now = self.silent_since = anyio.current_time()
             while len(buffer) >= LENGTH_PREFIX_BYTES:
                 end = LENGTH_PREFIX_BYTES + int.from_bytes(
@@ -260,6 +256,10 @@
                 self._dispatch(decoded.ok, tasks)
             if buffer:
                 self.received_at = now
+            try:
+                buffer += await self.stream.receive(READ_BYTES)
+            except CONNECTION_ERRORS:
+                return
 
     def _dispatch(self, frame: Frame, tasks: anyio.abc.TaskGroup) -> None:
         if frame.number == 0:
@@ -340,11 +340,18 @@
 async def serve_link(
     stream: anyio.abc.SocketStream,
     *,
+    received: bytes = b"",
     handle_request: Callable[[Link, Content], Awaitable[Content]],
     handle_notification: Callable[[Link, Content], None],
     on_lost: Callable[[Link], None],
 ) -> None:
-    """Serve a connection from a peer until it breaks."""
+    """Serve a connection from a peer until it breaks.
+
+    Parameters
+    ----------
+    received : bytes
+        What was already read of it.
+    """
     set_socket_options(stream)
     remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
     link = Link(
@@ -352,6 +359,7 @@
         stream=stream,
         handle_request=handle_request,
         handle_notification=handle_notification,
+        incoming=bytearray(received),
     )
     try:
         await link.run()
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -9,6 +9,7 @@
 
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet, Directory, reader_ips, relay_ips
+from currantdyke.http1 import CONNECTION_ERRORS
 from currantdyke.largevalues.fetch import ValueFetcher
 from currantdyke.links.changes import ChangesClient
 from currantdyke.links.codec import Content, Ping
@@ -20,6 +21,7 @@
     serve_link,
 )
 from currantdyke.platform.records import DaemonEntry
+from currantdyke.tunnels.messages import TUNNEL_PREFIX
 
 __all__ = ["Peers"]
 
@@ -61,6 +63,8 @@
         IPs of VMs to ask while no other daemon is known or all others are suspected.
     handle_request, handle_notification : callable
         Handlers of requests and notifications from peers.
+    serve_tunnel : callable or None
+        Serves a connection that is no link, with what was read of it.
     suspects : dict of str to Suspicion
         Daemons that did not respond, by IP.
     changes : ChangesClient
@@ -77,6 +81,9 @@
     handle_request: Callable[[Link, Content], Awaitable[Content]]
     handle_notification: Callable[[Link, Content], None]
     on_link_lost: Callable[[Link], None]
+    serve_tunnel: Callable[[anyio.abc.SocketStream, bytes], Awaitable[None]] | None = (
+        None
+    )
     tasks: anyio.abc.TaskGroup | None = None
     links: dict[str, Link] = attrs.field(factory=dict)
     connect_locks: dict[str, anyio.Lock] = attrs.field(factory=dict)
@@ -112,8 +119,20 @@
             await listener.serve(self._serve)
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        received = b""
+        try:
+            while len(received) < len(TUNNEL_PREFIX):
+                received += await stream.receive()
+        except CONNECTION_ERRORS:
+            # It was closed unused.
+            await anyio.aclose_forcefully(stream)
+            return
+        if received.startswith(TUNNEL_PREFIX) and self.serve_tunnel is not None:
+            await self.serve_tunnel(stream, received[len(TUNNEL_PREFIX) :])
+            return
         await serve_link(
             stream,
+            received=received,
             handle_request=self.handle_request,
             handle_notification=self.handle_notification,
             on_lost=self.on_link_lost,
