--- a/currantdyke/soak/gateways.py
+++ b/currantdyke/soak/gateways.py
@@ -1,5 +1,6 @@
 """Gateways whose processes are stopped, paused and killed by signals."""
 
+import math
 import os
 import pathlib
 import signal
@@ -194,19 +195,19 @@
         return (int(words[1]) if len(words) > 1 else 0), body
 
 
-def gateway_command(planted: str, bytes_per_second: float | None) -> list[str]:
+def gateway_command(planted: str, ip: str, bytes_per_second: float | None) -> list[str]:
     """Return the command line of a gateway.
 
     Parameters
     ----------
     planted : str
         Name of a fault to inject into its code; empty for none.
+    ip : str
+        Address that its connections come from.
     bytes_per_second : float or None
         Bandwidth of its connections; None for no limit.
     """
-    names = [planted] if planted else []
-    module = "currantdyke.soak.planted" if planted else "currantdyke.gateway"
-    if bytes_per_second is not None:
-        module = "currantdyke.soak.slow_link"
-        names = [str(bytes_per_second), *names]
-    return [sys.executable, "-m", module, *names]
+    arguments = [ip, str(bytes_per_second or math.inf)]
+    if planted:
+        arguments.append(planted)
+    return [sys.executable, "-m", "currantdyke.soak.link", *arguments]
--- a/currantdyke/soak/slow_link.py
+++ b/currantdyke/soak/link.py
@@ -1,6 +1,6 @@
-"""Run a gateway whose connections share a slow link.
+"""Run a gateway whose connections share a link, and come from its own address.
 
-``python -m currantdyke.soak.slow_link BYTES_PER_SECOND [PLANTED]``
+``python -m currantdyke.soak.link IP BYTES_PER_SECOND [PLANTED]``
 """
 
 import sys
@@ -16,9 +16,9 @@
 
 def main() -> int:
     """Run the gateway, with a planted fault if one is named; return its exit code."""
-    for name in sys.argv[2:]:
+    for name in sys.argv[3:]:
         PLANTED[name]()
-    bandwidth = Bandwidth(bytes_per_second=float(sys.argv[1]))
+    bandwidth = Bandwidth(local_host=sys.argv[1], bytes_per_second=float(sys.argv[2]))
     with throttle_connections(), limit_bandwidth(bandwidth):
         return run_gateway()
 
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -15,8 +15,14 @@
 )
 from currantdyke.emulator.answers import plan_sound
 from currantdyke.emulator.http import Request
-from currantdyke.soak.callers import ChooseRequest, choose_plain, choose_request
+from currantdyke.soak.callers import (
+    ChooseRequest,
+    choose_plain,
+    choose_request,
+    send_requests,
+)
 from currantdyke.soak.configurations import grow_configuration
+from currantdyke.soak.cuts import cut_gateways_off, cut_violations
 from currantdyke.soak.faults import FAULTS, GATEWAY_FAULTS
 from currantdyke.soak.limits import change_limits, limit_violations
 from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
@@ -25,6 +31,7 @@
     crash_violations,
     start_engines,
 )
+from currantdyke.soak.states import change_states, state_violations
 from currantdyke.soak.versions import (
     change_versions,
     resume_streams,
@@ -44,6 +51,9 @@
 UNDELIMITED_SHARE = 0.3
 # Callers that resume streams elsewhere.
 STREAM_CALLERS = 10
+# Half of 10 Mbit/s, and what may be left of it.
+SLOW_BYTES_PER_SECOND = 625_000.0
+BUSY_BYTES_PER_SECOND = 60_000.0
 # Longer than any time-out of the routes.
 SILENT_DEADLINE_SECONDS = 10.0
 
@@ -100,6 +110,11 @@
         Returns the violations that only the whole run shows.
     sound_endpoints : bool
         Whether no endpoint fails or breaks off an answer.
+    slow_bytes_per_second : float
+        Bandwidth of the gateways behind slow links.
+    transfers_excuse : bool
+        Whether a version may come into force later behind a slow link by the time that
+        the link takes for all versions as the store sends them.
     deadline_seconds, timeout_seconds : float
         Deadline of the callers, and the lowest time-out of the routes.
     """
@@ -115,6 +130,8 @@
     route_stages: bool = True
     find_violations: Callable[[Any], list[str]] = lambda world: []
     sound_endpoints: bool = False
+    slow_bytes_per_second: float = SLOW_BYTES_PER_SECOND
+    transfers_excuse: bool = True
     deadline_seconds: float = 3.0
     timeout_seconds: float = 2.0
 
@@ -142,6 +159,38 @@
         fault_series=2,
         find_violations=limit_violations,
     ),
+    "slow-links": Pattern(
+        endpoints=ENDPOINTS,
+        faults={
+            name: FAULTS[name]
+            for name in (
+                "connections of a gateway to the store",
+                "replace an endpoint",
+                "change the configuration",
+            )
+        },
+        think_seconds=0.5,
+        fault_series=2,
+        slow_bytes_per_second=BUSY_BYTES_PER_SECOND,
+        transfers_excuse=False,
+    ),
+    "states": Pattern(
+        endpoints=ENDPOINTS,
+        faults=GATEWAY_FAULTS,
+        activities=(grow_configuration, change_states, change_states),
+        fault_series=1,
+        find_violations=state_violations,
+    ),
+    "cut-off": Pattern(
+        endpoints=ENDPOINTS,
+        # Few, since bounds start anew after each.
+        faults={
+            name: FAULTS[name] for name in ("replace an endpoint", "stop a gateway")
+        },
+        activities=(grow_configuration, cut_gateways_off, *[send_requests] * 12),
+        fault_series=1,
+        find_violations=cut_violations,
+    ),
     "versions": Pattern(
         endpoints=ENDPOINTS[:1],
         start_endpoints=start_versions,
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -1,10 +1,6 @@
-"""Run a gateway with a fault injected into its code, which the soak must detect.
-
-``python -m currantdyke.soak.planted NAME``
-"""
+"""Faults that are injected into a gateway's code, which the soak must detect."""
 
 import asyncio
-import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -13,16 +9,22 @@
 import h11
 
 from currantdyke.crashes import CrashDetector
-from currantdyke.directory import Directory
+from currantdyke.directory import Directory, Follower
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.forward import attempt, plain
 from currantdyke.forward.attempt import EndpointResponse
 from currantdyke.forward.stream import StreamBrokenError
-from currantdyke.gateway.__main__ import main
 from currantdyke.gateway.caller import CallerConnection
 from currantdyke.gateway.daemon import GatewayDaemon
+from currantdyke.links import changes
 from currantdyke.platform import answers, records
-from currantdyke.platform.answers import SERVER_LIMIT, ResponseMetadata
+from currantdyke.platform.answers import (
+    RETRY_AFTER,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    ResponseMetadata,
+)
+from currantdyke.tunnels.client import TunnelClient
 
 __all__ = ["PLANTED"]
 
@@ -105,15 +107,41 @@
     CrashDetector.start_probe = start_no_probe  # type: ignore[method-assign, assignment]
 
 
-def _ignore_limits() -> None:
-    decode = attempt.decode_response_metadata
+def _ignore_headers(*names: bytes) -> Callable[[], None]:
+    """Return a fault by which headers of endpoints' answers are not read."""
+
+    def inject() -> None:
+        decode = attempt.decode_response_metadata
+
+        def decode_without(response: h11.Response) -> ResponseMetadata:
+            headers = [field for field in response.headers if field[0] not in names]
+            status = response.status_code
+            return decode(h11.Response(status_code=status, headers=headers))
+
+        attempt.decode_response_metadata = decode_without
+
+    return inject
+
+
+def _send_whole_values() -> None:
+    request: Any = changes.ChangesRequest
 
-    def decode_without_limit(response: h11.Response) -> ResponseMetadata:
-        headers = [field for field in response.headers if field[0] != SERVER_LIMIT]
-        status = response.status_code
-        return decode(h11.Response(status_code=status, headers=headers))
+    def request_whole(**fields: Any) -> Any:
+        return request(**(fields | {"accepts_offers": False, "bases": ()}))
 
-    attempt.decode_response_metadata = decode_without_limit
+    changes.ChangesRequest = request_whole  # type: ignore[assignment, misc]
+
+    def wait_for_store(self: Follower) -> None:
+        """Go on with the read."""
+
+    Follower._end_overtaken_read = wait_for_store  # type: ignore[method-assign]
+
+
+def _open_no_tunnel() -> None:
+    def choose_none(self: TunnelClient, *arguments: Any) -> list:
+        return []
+
+    TunnelClient._choose = choose_none  # type: ignore[method-assign, assignment]
 
 
 def _ignore_versions() -> None:
@@ -136,11 +164,9 @@
     "leaving": _use_leaving_endpoints,
     "silence": _close_at_silence,
     "crashes": _detect_no_crash,
-    "limits": _ignore_limits,
+    "limits": _ignore_headers(SERVER_LIMIT),
+    "states": _ignore_headers(SERVER_LEAVING, RETRY_AFTER),
+    "whole-values": _send_whole_values,
+    "cut-off": _open_no_tunnel,
     "versions": _ignore_versions,
 }
-
-
-if __name__ == "__main__":
-    PLANTED[sys.argv[1]]()
-    sys.exit(main())
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -31,8 +31,6 @@
 
 GATEWAY_COUNT = 3
 SLOW_GATEWAY_COUNT = 1
-# Half of 10 Mbit/s.
-SLOW_BYTES_PER_SECOND = 625_000.0
 FIRST_HOST_NUMBER = 200
 CALLERS_PER_GATEWAY = 4
 # The callers, the endpoints and the store of a run share one process.
@@ -64,6 +62,10 @@
         The limits that endpoints named.
     streams : list of StreamRecord
         Streams whose callers resume them elsewhere.
+    pauses : list of StatedPause
+        The pauses that endpoints asked for.
+    cuts : list of Cut
+        When gateways were cut off from the endpoints.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
@@ -78,6 +80,8 @@
     arrivals: list = attrs.field(factory=list)
     limits: list = attrs.field(factory=list)
     streams: list = attrs.field(factory=list)
+    pauses: list = attrs.field(factory=list)
+    cuts: list = attrs.field(factory=list)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
@@ -111,7 +115,11 @@
         for number, ip in enumerate(ips):
             slow = number >= gateways
             await self._start_gateway(
-                folder, ip, ips, planted, SLOW_BYTES_PER_SECOND if slow else None
+                folder,
+                ip,
+                ips,
+                planted,
+                self.pattern.slow_bytes_per_second if slow else None,
             )
         for gateway in self.gateways:
             if not await gateway.wait_ready(READY_TIMEOUT_SECONDS):
@@ -135,7 +143,7 @@
             store_proxy=store_proxy,
             store_addresses=[f"127.0.0.1:{store_proxy.port}", self.store.address],
             seed_ips=seed_ips[:MAX_SEEDS],
-            command=gateway_command(planted, bytes_per_second),
+            command=gateway_command(planted, ip, bytes_per_second),
             on_exit=self.checker.check_exit,
             bytes_per_second=bytes_per_second,
         )
@@ -181,11 +189,16 @@
             "endpoint": instance,
             "attempt_id": request.attempt_id,
             "gateway": "" if attempt is None else attempt.process_name,
+            "host": reply.remote_host,
             "in_touch": in_touch,
         }
         self.arrivals.append((anyio.current_time(), fields))
         name = "the owner of its stages" if attempt is None else attempt.gateway.name
-        self.checker.check_arrival(instance, request.attempt_id, name)
+        endpoint = self.endpoints.get(instance)
+        turned_away = endpoint is not None and bool(endpoint.retry_after)
+        self.checker.check_arrival(
+            instance, request.attempt_id, name, runs=not turned_away
+        )
         if in_touch and attempt is not None and attempt.kind == BAD:
             self.crashes.bad_arrivals.append(anyio.current_time())
         return False
@@ -211,10 +224,13 @@
     def _required_version(self, gateway: SupervisedGateway) -> int:
         """Return the lowest version that a gateway may have; 0 if undetermined.
 
-        A slow link transfers each write once, and after a disruption the last one.
+        A slow link transfers each write once, and after a disruption the last one,
+        unless the pattern holds gateways behind slow links to the same bound.
         """
         configurations = self.configurations
         rate = gateway.bytes_per_second or float("inf")
+        if not self.pattern.transfers_excuse:
+            rate = float("inf")
         transfer_seconds = configurations.writes[-1].size / rate
         undisrupted = self.checker.is_undisrupted(
             gateway, MAX_CONFIGURATION_DELAY_SECONDS + transfer_seconds
