--- a/currantdyke/soak/cuts.py
+++ b/currantdyke/soak/cuts.py
@@ -6,9 +6,10 @@
 import attrs
 
 from currantdyke.soak.completeness import CONTACT_SECONDS
-from currantdyke.soak.proxy import Mode
+from currantdyke.soak.link import format_cut
+from currantdyke.testing.throttle import Cut
 
-__all__ = ["Cut", "cut_gateways_off", "cut_violations"]
+__all__ = ["CutPeriod", "cut_gateways_off", "cut_violations"]
 
 # Bounds of the users: from `CONTACT_SECONDS` after the cut on, first attempts are
 # served at these gateways at least two thirds as often as at the others, unless no more
@@ -17,12 +18,11 @@
 MAX_FAILED, MAX_FAILED_SHARE = 10, 1 / 50
 MIN_SECONDS, MAX_SECONDS = 5.0, 8.0
 MAX_INTERVAL_SECONDS = 2.0
-# Connections hang, are reset while new ones are refused, or live on while those are.
-KINDS = ("hang", "reset", "refuse")
+UPDATE_INTERVAL_SECONDS = 0.2
 
 
 @attrs.frozen(kw_only=True)
-class Cut:
+class CutPeriod:
     """A time in which some gateways were cut off, from `start` to `end`."""
 
     kind: str
@@ -37,34 +37,30 @@
         await anyio.sleep(rng.uniform(0.0, MAX_INTERVAL_SECONDS))
         count = rng.choice((1, len(world.gateways) - 1, rng.randint(1, 2)))
         chosen = rng.sample(world.gateways, max(1, count))
-        kind = rng.choice(KINDS)
-        for gateway in chosen:
-            world.checker.record_unplanned(gateway)
-        world.checker.record_event(f"cut off: {kind} {[g.name for g in chosen]}")
+        kind = rng.choice(list(Cut))
+        world.checker.record_event(f"cut off: {kind.value} {[g.name for g in chosen]}")
         start = anyio.current_time()
-        hosts = {gateway.ip for gateway in chosen}
-        mode = Mode.SILENT if kind == "hang" else Mode.REFUSE
-        await _set_modes(world, hosts, mode, reset=kind == "reset")
         end = start + rng.uniform(MIN_SECONDS, MAX_SECONDS)
         while anyio.current_time() < end and not world.finished:
             # Endpoints that start meanwhile are cut off too.
-            await _set_modes(world, hosts, mode, reset=False)
+            ports = {proxy.port for proxy in world.proxies.values()}
             for gateway in chosen:
+                gateway.cut_file.write_text(format_cut(kind, ports))
                 world.checker.record_unplanned(gateway)
-            await anyio.sleep(0.2)
-        now = anyio.current_time()
-        world.cuts.append(Cut(kind=kind, ips=frozenset(hosts), start=start, end=now))
-        await _set_modes(world, hosts, None, reset=False)
+            await anyio.sleep(UPDATE_INTERVAL_SECONDS)
+        for gateway in chosen:
+            gateway.cut_file.write_text("")
+        world.cuts.append(
+            CutPeriod(
+                kind=kind.value,
+                ips=frozenset(gateway.ip for gateway in chosen),
+                start=start,
+                end=anyio.current_time(),
+            )
+        )
         world.checker.record_event("end of the cut")
 
 
-async def _set_modes(world, hosts: set[str], mode: Mode | None, *, reset: bool) -> None:
-    for proxy in world.proxies.values():
-        proxy.set_host_modes(hosts, mode)
-        if reset:
-            await proxy.reset_hosts(hosts)
-
-
 def cut_violations(world) -> list[str]:
     """Return the cuts in which gateways served too little, and count cases."""
     violations = []
--- a/currantdyke/soak/gateways.py
+++ b/currantdyke/soak/gateways.py
@@ -140,6 +140,11 @@
             self.record_event(f"exited with {code}")
             self.on_exit(self, self.incarnation, code)
 
+    @property
+    def cut_file(self) -> pathlib.Path:
+        """The file that says which ports it is cut off from."""
+        return self.folder / f"{self.name}.cut"
+
     def write_settings(self) -> None:
         """Write the settings file, as the platform does when they change."""
         path = self.folder / f"{self.name}.yaml"
@@ -195,7 +200,9 @@
         return (int(words[1]) if len(words) > 1 else 0), body
 
 
-def gateway_command(planted: str, ip: str, bytes_per_second: float | None) -> list[str]:
+def gateway_command(
+    planted: str, ip: str, bytes_per_second: float | None, cut_file: pathlib.Path
+) -> list[str]:
     """Return the command line of a gateway.
 
     Parameters
@@ -206,8 +213,10 @@
         Address that its connections come from.
     bytes_per_second : float or None
         Bandwidth of its connections; None for no limit.
+    cut_file : Path
+        Says which ports it is cut off from, and how; see `soak.link`.
     """
-    arguments = [ip, str(bytes_per_second or math.inf)]
+    arguments = [ip, str(bytes_per_second or math.inf), str(cut_file)]
     if planted:
         arguments.append(planted)
     return [sys.executable, "-m", "currantdyke.soak.link", *arguments]
--- a/currantdyke/soak/proxy.py
+++ b/currantdyke/soak/proxy.py
@@ -41,19 +41,15 @@
     ----------
     target_port : int
         The server's port on loopback.
-    open_streams : dict
-        The address of the client, by the streams of all open connections, on both
-        sides.
-    host_modes : dict of str to Mode
-        Modes of clients that differ from the others', by address.
+    open_streams : set
+        The streams of all open connections, on both sides.
     """
 
     target_port: int
     port: int = 0
     mode: Mode = Mode.PASS
     mode_changed: anyio.Event = attrs.field(factory=anyio.Event)
-    open_streams: dict[anyio.abc.SocketStream, str] = attrs.field(factory=dict)
-    host_modes: dict[str, Mode] = attrs.field(factory=dict)
+    open_streams: set[anyio.abc.SocketStream] = attrs.field(factory=set)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Forward connections until cancelled."""
@@ -66,42 +62,19 @@
     def set_mode(self, mode: Mode) -> None:
         """Change the mode, also for open connections."""
         self.mode = mode
-        self._notify()
-
-    def set_host_modes(self, hosts: set[str], mode: Mode | None) -> None:
-        """Change the mode of some clients; None for that of all others."""
-        if all(self.host_modes.get(host) is mode for host in hosts):
-            return
-        for host in hosts:
-            if mode is None:
-                self.host_modes.pop(host, None)
-            else:
-                self.host_modes[host] = mode
-        self._notify()
-
-    def _notify(self) -> None:
         self.mode_changed.set()
         self.mode_changed = anyio.Event()
 
-    def _mode_of(self, host: str) -> Mode:
-        return self.host_modes.get(host, self.mode)
-
-    async def reset_hosts(self, hosts: set[str]) -> None:
-        """Reset the open connections of some clients."""
-        for stream, host in list(self.open_streams.items()):
-            if host in hosts:
-                await _reset(stream)
-
     async def reset_all(self) -> None:
         """Reset all open connections."""
         for stream in list(self.open_streams):
             await _reset(stream)
 
     async def _serve(self, client: anyio.abc.SocketStream) -> None:
-        host = client.extra(anyio.abc.SocketAttribute.remote_address, ("", 0))[0]
-        if self._mode_of(host) is Mode.REFUSE:
+        if self.mode is Mode.REFUSE:
             await _reset(client)
             return
+        host = client.extra(anyio.abc.SocketAttribute.remote_address, ("", 0))[0]
         try:
             # The server sees the address of the client.
             server = await anyio.connect_tcp(
@@ -111,32 +84,30 @@
             # The server is down; the caller gets a reset.
             await _reset(client)
             return
-        self.open_streams |= {client: host, server: host}
+        self.open_streams |= {client, server}
         try:
             async with client, server, anyio.create_task_group() as tasks:
                 tasks.start_soon(
-                    self._forward, client, server, host, False, tasks.cancel_scope
+                    self._forward, client, server, False, tasks.cancel_scope
                 )
                 tasks.start_soon(
-                    self._forward, server, client, host, True, tasks.cancel_scope
+                    self._forward, server, client, True, tasks.cancel_scope
                 )
         finally:
-            for stream in (client, server):
-                self.open_streams.pop(stream, None)
+            self.open_streams -= {client, server}
 
     async def _forward(
         self,
         source: anyio.abc.SocketStream,
         sink: anyio.abc.SocketStream,
-        host: str,
         from_server: bool,
         scope: anyio.CancelScope,
     ) -> None:
         try:
             while True:
                 data = await source.receive(READ_BYTES)
-                await self._wait_to_forward(host, from_server)
-                if from_server and self._mode_of(host) is Mode.RESET_ANSWERS:
+                await self._wait_to_forward(from_server)
+                if from_server and self.mode is Mode.RESET_ANSWERS:
                     await _reset(sink)
                     scope.cancel()
                     return
@@ -145,12 +116,12 @@
             # One side closed or failed, so both are closed.
             scope.cancel()
 
-    async def _wait_to_forward(self, host: str, from_server: bool) -> None:
+    async def _wait_to_forward(self, from_server: bool) -> None:
         """Wait while the mode delays or blocks bytes in this direction."""
-        if self._mode_of(host) is Mode.DELAY:
+        if self.mode is Mode.DELAY:
             await anyio.sleep(DELAY_SECONDS)
-        while self._mode_of(host) is Mode.SILENT or (
-            from_server and self._mode_of(host) is Mode.NO_ANSWERS
+        while self.mode is Mode.SILENT or (
+            from_server and self.mode is Mode.NO_ANSWERS
         ):
             await self.mode_changed.wait()
 
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -64,7 +64,7 @@
         Streams whose callers resume them elsewhere.
     pauses : list of StatedPause
         The pauses that endpoints asked for.
-    cuts : list of Cut
+    cuts : list of CutPeriod
         When gateways were cut off from the endpoints.
     replacement_lock : Lock
         Held while an endpoint is replaced.
@@ -136,14 +136,17 @@
     ) -> None:
         store_proxy = Proxy(target_port=self.store.port)
         await self.tasks.start(store_proxy.run)
+        name = f"gateway-{len(self.gateways) + 1}"
         gateway = SupervisedGateway(
-            name=f"gateway-{len(self.gateways) + 1}",
+            name=name,
             ip=ip,
             folder=folder,
             store_proxy=store_proxy,
             store_addresses=[f"127.0.0.1:{store_proxy.port}", self.store.address],
             seed_ips=seed_ips[:MAX_SEEDS],
-            command=gateway_command(planted, ip, bytes_per_second),
+            command=gateway_command(
+                planted, ip, bytes_per_second, folder / f"{name}.cut"
+            ),
             on_exit=self.checker.check_exit,
             bytes_per_second=bytes_per_second,
         )
