--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -64,6 +64,16 @@
         seconds.
     arrived_at : list of float
         Times of the arrivals, in monotonic seconds.
+    places : int or None
+        Number of requests that may wait beside those in its slots; others are turned
+        away. None for any number, all of which run at once.
+    brittle : int
+        If not 0, its answers say that it is brittle, and it crashes when it turns more
+        requests than this away for want of room within a second.
+    in_progress : int
+        Requests that run or wait, if its places are limited.
+    falls : list of float
+        Times at which it crashed for this reason.
     turned_away : list of (float, str)
         Times at which it turned requests away, and the addresses they came from.
     crashed_on : list of str
@@ -96,6 +106,10 @@
     server_limit: str = ""
     says_leaving: bool = False
     retry_after: str = ""
+    places: int | None = None
+    brittle: int = 0
+    in_progress: int = 0
+    falls: list[float] = attrs.field(factory=list)
     arrived_at: list[float] = attrs.field(factory=list)
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
     crashed_on: list[str] = attrs.field(factory=list)
@@ -104,6 +118,7 @@
     incarnation: int = 1
     born: int = 1
     streams: set[anyio.abc.SocketStream] = attrs.field(factory=set)
+    slot_limiter: anyio.CapacityLimiter = attrs.field(init=False)
     cancel_scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
     @property
@@ -128,6 +143,7 @@
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled or crashed."""
         handler: Handler = self._handle
+        self.slot_limiter = anyio.CapacityLimiter(self.slots)
         self.cancel_scope = anyio.CancelScope()
         with self.cancel_scope:
             async with anyio.create_task_group() as tasks:
@@ -152,6 +168,8 @@
     def state_headers(self) -> dict[str, str]:
         """Return the headers by which all answers state a limit or that it leaves."""
         headers = {"server-limit": self.server_limit} if self.server_limit else {}
+        if self.brittle:
+            headers["server-brittle"] = str(self.brittle)
         return headers | ({"server-leaving": "1"} if self.says_leaving else {})
 
     async def _handle(self, request: Request, reply: Reply) -> None:
@@ -167,7 +185,32 @@
         if self.retry_after:
             await self._turn_away(reply)
             return
-        await self._serve(request, reply)
+        if self.places is None:
+            await self._serve(request, reply)
+        else:
+            await self._serve_in_slot(request, reply, self.slots + self.places)
+
+    async def _serve_in_slot(self, request: Request, reply: Reply, room: int) -> None:
+        """Serve a request once a slot is free, if there is room for it to wait."""
+        if self.in_progress >= room:
+            await self._turn_away(reply)
+            self._fall_if_brittle()
+            return
+        self.in_progress += 1
+        try:
+            async with self.slot_limiter:
+                await self._serve(request, reply)
+        finally:
+            self.in_progress -= 1
+
+    def _fall_if_brittle(self) -> None:
+        now = anyio.current_time()
+        recent = sum(now - 1.0 < at for at, _ in self.turned_away)
+        if self.brittle and recent > self.brittle:
+            self.falls.append(now)
+            self.turned_away.clear()
+            self.on_crash()
+            self.crash()
 
     async def _turn_away(self, reply: Reply) -> None:
         """Answer that the request was not run."""
