Keep the fleet's requests to brittle endpoints within their slots

Cause: the header was not read; each daemon filled the endpoints by what it saw alone. Class: a bound on the fleet that one daemon counts for itself.

Change: the first answer that says so makes the service brittle at all daemons; the owner grants slots, as many as the endpoint has and one that waits, fewer after a rejection, and step by step to one that is back. Without a slot a request is refused at once.

Streams do not count slots yet.

The soak counted a request that an endpoint turns away on arrival as run; it no longer does.

--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -76,6 +76,8 @@
         Times at which it crashed for this reason.
     turned_away : list of (float, str)
         Times at which it turned requests away, and the addresses they came from.
+    on_turn_away : callable
+        Called with each request that it turns away.
     crashed_on : list of str
         Attempt ids of the requests that crashed it.
     on_crash : callable
@@ -112,6 +114,7 @@
     falls: list[float] = attrs.field(factory=list)
     arrived_at: list[float] = attrs.field(factory=list)
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
+    on_turn_away: Callable[[Request], None] = lambda request: None
     crashed_on: list[str] = attrs.field(factory=list)
     on_crash: Callable[[], None] = lambda: None
     version: str = "v1"
@@ -183,7 +186,7 @@
         if await self.handle_first(request, reply):
             return
         if self.retry_after:
-            await self._turn_away(reply)
+            await self._turn_away(request, reply)
             return
         if self.places is None:
             await self._serve(request, reply)
@@ -193,7 +196,7 @@
     async def _serve_in_slot(self, request: Request, reply: Reply, room: int) -> None:
         """Serve a request once a slot is free, if there is room for it to wait."""
         if self.in_progress >= room:
-            await self._turn_away(reply)
+            await self._turn_away(request, reply)
             self._fall_if_brittle()
             return
         self.in_progress += 1
@@ -212,8 +215,9 @@
             self.on_crash()
             self.crash()
 
-    async def _turn_away(self, reply: Reply) -> None:
+    async def _turn_away(self, request: Request, reply: Reply) -> None:
         """Answer that the request was not run."""
+        self.on_turn_away(request)
         self.turned_away.append((anyio.current_time(), reply.remote_host))
         pause = {"retry-after": self.retry_after} if self.retry_after else {}
         headers = {"x-not-executed": "1"} | pause | self.state_headers()
--- /dev/null
+++ b/currantdyke/endpointslots/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps the fleet's requests to brittle endpoints within their slots."""
--- /dev/null
+++ b/currantdyke/endpointslots/tests/test_slots.py
@@ -0,0 +1,201 @@
+import unittest
+
+import anyio
+
+from currantdyke.catalog import Endpoint
+from currantdyke.directory import EndpointTable
+from currantdyke.endpointlimits.owners import LimitOwners
+from currantdyke.endpointslots.brittle import KEPT_SECONDS, BrittleServices
+from currantdyke.endpointslots.client import BEGINNING_SECONDS, EndpointSlots, Slot
+from currantdyke.endpointslots.messages import (
+    ServiceBrittle,
+    SlotGrant,
+    SlotRelease,
+    SlotRequest,
+)
+from currantdyke.endpointslots.pool import SlotPools
+from currantdyke.links import Frame
+from currantdyke.links.codec import decode_frame, encode_frame
+from currantdyke.testing.stage_fleet import silent_log
+from currantdyke.testing.virtual import run_virtual
+
+ENDPOINT = Endpoint(
+    instance="i", service="s", address="a:1", availability_zone="z", born=1, slots=2
+)
+
+
+def build_slots(*, owners=(("",), ("",)), request=None):
+    """Return a daemon's slots, and what it sends and broadcasts.
+
+    Parameters
+    ----------
+    owners : pair of tuple of str
+        IPs of the owners in order, without and with those that are suspected.
+    """
+    sent, broadcast = [], []
+    limit_owners = LimitOwners(
+        ranked_daemons=lambda service, suspected: list(owners[suspected]),
+        check=lambda ip: None,
+    )
+    table = EndpointTable(now=anyio.current_time)
+    table.announce(ENDPOINT)
+    brittle = BrittleServices(
+        log=silent_log(),
+        send=lambda ip, content: sent.append((ip, content)),
+        broadcast=broadcast.append,
+        owners=limit_owners,
+    )
+    slots = EndpointSlots(
+        brittle=brittle,
+        endpoints=table,
+        log=silent_log(),
+        request=request,
+        send=lambda ip, content: sent.append((ip, content)),
+        owners=limit_owners,
+    )
+    return slots, sent, broadcast
+
+
+class TestSlots(unittest.TestCase):
+    # A fleet without brittle endpoints pays one look into an empty table.
+    def test_sound_endpoint_needs_no_slot(self):
+        async def acquire():
+            slots, sent, _ = build_slots()
+            return await slots.acquire(ENDPOINT, 1.0), sent, slots.pools.pools
+
+        self.assertEqual(run_virtual(acquire), (Slot(), [], {}))
+
+    def test_brittle_endpoint_gets_as_many_requests_as_it_has_slots(self):
+        async def acquire():
+            slots, _, _ = build_slots()
+            slots.brittle.record(ENDPOINT)
+            found = [await slots.acquire(ENDPOINT, 5.0) for _ in range(3)]
+            slots.release(found[0])
+            return found, await slots.acquire(ENDPOINT, 5.0)
+
+        found, after = run_virtual(acquire)
+        self.assertIsInstance(found[2], float)
+        self.assertTrue(after.lease)
+
+    # A daemon that is killed releases nothing.
+    def test_slot_is_free_after_the_time_of_its_request(self):
+        async def acquire():
+            slots, _, _ = build_slots()
+            slots.brittle.record(ENDPOINT)
+            for _ in range(2):
+                await slots.acquire(ENDPOINT, 1.0)
+            await anyio.sleep(1.1)
+            return await slots.acquire(ENDPOINT, 1.0)
+
+        self.assertTrue(run_virtual(acquire).lease)
+
+    def test_endpoint_that_is_back_gets_requests_step_by_step(self):
+        async def acquire():
+            slots, _, _ = build_slots()
+            slots.brittle.record(ENDPOINT)
+            await anyio.sleep(BEGINNING_SECONDS + 0.1)
+            slots.brittle.record(ENDPOINT)
+            return [await slots.acquire(ENDPOINT, 5.0) for _ in range(2)]
+
+        first, second = run_virtual(acquire)
+        self.assertTrue(first.lease)
+        self.assertIsInstance(second, float)
+
+    # Two owners that grant the same slots would fill the endpoint twice.
+    def test_daemon_that_is_cut_off_from_the_owner_grants_nothing(self):
+        async def acquire():
+            slots, _, _ = build_slots(owners=(("",), ("10.0.0.9", "")))
+            slots.brittle.record(ENDPOINT)
+            return await slots.acquire(ENDPOINT, 5.0)
+
+        self.assertIsInstance(run_virtual(acquire), float)
+
+    def test_owner_that_does_not_respond_grants_nothing(self):
+        async def never(ip, content):
+            await anyio.sleep_forever()
+
+        async def acquire():
+            owners = (("10.0.0.9", ""), ("10.0.0.9", ""))
+            slots, _, _ = build_slots(owners=owners, request=never)
+            slots.brittle.record(ENDPOINT)
+            started = anyio.current_time()
+            return await slots.acquire(ENDPOINT, 5.0), anyio.current_time() - started
+
+        wait, seconds = run_virtual(acquire)
+        self.assertIsInstance(wait, float)
+        self.assertLess(seconds, 0.2)
+
+    def test_slot_of_another_daemon_is_released_there(self):
+        async def grant(ip, content):
+            return SlotGrant(lease=7)
+
+        async def acquire():
+            owners = (("10.0.0.9", ""), ("10.0.0.9", ""))
+            slots, sent, _ = build_slots(owners=owners, request=grant)
+            slots.brittle.record(ENDPOINT)
+            slot = await slots.acquire(ENDPOINT, 5.0)
+            slots.release(slot, rejected=True)
+            return sent
+
+        report, release = run_virtual(acquire)
+        self.assertEqual(report, ("10.0.0.9", ServiceBrittle(service="s")))
+        self.assertEqual(
+            release, ("10.0.0.9", SlotRelease(instance="i", lease=7, rejected=True))
+        )
+
+
+class TestPools(unittest.TestCase):
+    def ask(self, pools, now, **changes):
+        fields = {"born": 1, "slots": 4, "first": 4, "seconds": 60.0} | changes
+        return pools.grant("i", now=now, **fields)
+
+    def test_rejection_leaves_the_endpoint_fewer_requests(self):
+        pools = SlotPools()
+        leases = [self.ask(pools, 0.0).lease for _ in range(4)]
+        for lease in leases:
+            pools.release("i", lease, rejected=True, now=0.1)
+        granted = [self.ask(pools, 0.2).lease for _ in range(3)]
+        self.assertEqual([bool(lease) for lease in granted], [True, False, False])
+
+    def test_allowance_rises_by_one_a_second_to_one_that_waits(self):
+        pools = SlotPools()
+        for second in range(10):
+            self.ask(pools, 1.1 * second, first=1)
+        self.assertEqual(pools.pools["i"].capacity, 5)
+
+    # Callers that are refused one after another come back one after another.
+    def test_refused_callers_get_later_and_later_times(self):
+        pools = SlotPools()
+        waits = [self.ask(pools, 0.0, first=1).wait for _ in range(4)]
+        self.assertEqual(waits[0], 0.0)
+        self.assertEqual(waits[1:], sorted(set(waits[1:])))
+
+
+class TestBrittleServices(unittest.TestCase):
+    def test_owner_tells_all_once_and_it_ends_without_answers(self):
+        async def run():
+            slots, sent, broadcast = build_slots()
+            for _ in range(3):
+                slots.brittle.handle(ServiceBrittle(service="s"))
+            first = slots.brittle.is_brittle("s")
+            await anyio.sleep(KEPT_SECONDS + 0.1)
+            return sent, broadcast, first, slots.brittle.is_brittle("s")
+
+        self.assertEqual(
+            run_virtual(run), ([], [ServiceBrittle(service="s")], True, False)
+        )
+
+    def test_messages_are_read_as_they_were_sent(self):
+        for content in (
+            ServiceBrittle(service="s"),
+            SlotRequest(instance="i", service="s", born=5, seconds=1.5),
+            SlotGrant(lease=0, wait=0.25),
+            SlotGrant(lease=2**40),
+            SlotRelease(instance="i", lease=3, rejected=True),
+        ):
+            data = encode_frame(Frame(number=1, content=content))
+            self.assertEqual(decode_frame(data).ok.content, content)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/forward/context.py
+++ b/currantdyke/forward/context.py
@@ -11,6 +11,7 @@
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import Directory
 from currantdyke.endpointlimits.client import EndpointLimits
+from currantdyke.endpointslots.client import EndpointSlots
 from currantdyke.endpointstates.pauses import PauseTable
 from currantdyke.endpointstates.states import EndpointStates
 from currantdyke.forward.attempt import OutgoingRequest
@@ -36,6 +37,8 @@
         Returns the number of daemons that share the fleet's budgets.
     states : EndpointStates
         What endpoints say of themselves, by which requests are sent or not.
+    slots : EndpointSlots
+        Slots of brittle endpoints.
     versions : FleetStreamVersions
         The versions that began streams, at which they go on.
     """
@@ -50,6 +53,7 @@
     crashes: CrashDetector
     states: EndpointStates
     versions: FleetStreamVersions
+    slots: EndpointSlots
     connections: EndpointConnections = attrs.field(factory=EndpointConnections)
     health: HealthTable = attrs.field(factory=HealthTable)
     budgets: dict[str, FleetRetryBudget] = attrs.field(factory=dict)
--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -9,6 +9,7 @@
 from currantdyke.catalog import Endpoint
 from currantdyke.core import FailureKind
 from currantdyke.crashes import EndpointRun
+from currantdyke.endpointslots.client import Slot
 from currantdyke.forward.attempt import (
     EndpointResponse,
     MaybeRanError,
@@ -86,6 +87,8 @@
         Why a long response that has started can't be completed; empty if it can.
     retry_after : float
         Seconds after which the caller of a refused request should come back.
+    slots : dict of str to Slot
+        Slots of the endpoints to which a run is about to be sent, by instance.
     """
 
     def __init__(self, exchange: Exchange, context: ForwardContext):
@@ -97,6 +100,7 @@
         self.kept_failure: BufferedResponse | None = None
         self.broken = ""
         self.retry_after = RETRY_AFTER_SECONDS
+        self.slots: dict[str, Slot] = {}
         self.silence_seconds = SILENCE_TARGETS * exchange.route.target_latency
 
     async def serve(self) -> None:
@@ -137,6 +141,7 @@
             return False
         if self.final is not None or self.exchange.caller.response_started:
             # A run has served the request while the owner of a limit was asked.
+            self._release_slot(endpoint, rejected=False)
             return True
         self.exchange.excluded.add(endpoint.instance)
         self.race.start(functools.partial(self._run, endpoint))
@@ -165,10 +170,26 @@
                 self.retry_after = min(delays, default=RETRY_AFTER_SECONDS)
                 return None
             wait = await context.limits.admit(endpoint, sheddable=exchange.sheddable)
+            wait = wait or await self._take_slot(endpoint)
             if not wait and context.directory.endpoints.usable(endpoint.instance):
                 return endpoint
+            self._release_slot(endpoint, rejected=False)
             waits[endpoint.instance] = wait or RETRY_AFTER_SECONDS
 
+    async def _take_slot(self, endpoint: Endpoint) -> float:
+        """Take a slot of a brittle endpoint; return the seconds to wait for one."""
+        left = self.exchange.deadline_at - anyio.current_time()
+        slot = await self.context.slots.acquire(endpoint, left)
+        if isinstance(slot, float):
+            return slot
+        self.slots[endpoint.instance] = slot
+        return 0.0
+
+    def _release_slot(self, endpoint: Endpoint, *, rejected: bool) -> None:
+        slot = self.slots.pop(endpoint.instance, None)
+        if slot is not None:
+            self.context.slots.release(slot, rejected=rejected)
+
     async def _handle_silence(self) -> None:
         """Send the request elsewhere too, if that is allowed; the live runs go on."""
         if self.kept_failure is not None:
@@ -210,11 +231,13 @@
         outcome = CANCELLED
         evidence = start_run(self.exchange, self.context, endpoint)
         health.in_flight += 1
+        rejected = False
         try:
             response = await self._send(endpoint, run, evidence)
             outcome = "passed on"
             if response is not None:
                 outcome = str(response.facts.status)
+                rejected = response.facts.not_run and response.facts.status == 503
                 self._record_response(response, endpoint, started)
                 if response.facts.success:
                     evidence.finish()
@@ -236,6 +259,7 @@
             outcome = INTERNAL_ERROR
             raise
         finally:
+            self._release_slot(endpoint, rejected=rejected)
             health.in_flight -= 1
             self.exchange.record_attempt(
                 endpoint.instance, outcome, anyio.current_time() - started
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -17,6 +17,13 @@
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
 from currantdyke.endpointlimits.owners import LimitOwners
+from currantdyke.endpointslots.brittle import BrittleServices
+from currantdyke.endpointslots.client import EndpointSlots
+from currantdyke.endpointslots.messages import (
+    ServiceBrittle,
+    SlotRelease,
+    SlotRequest,
+)
 from currantdyke.endpointstates.leaving import LeavingEndpoints
 from currantdyke.endpointstates.messages import EndpointLeaving, EndpointPaused
 from currantdyke.endpointstates.pauses import PauseTable
@@ -48,6 +55,7 @@
     LEAVING_PROTOCOL,
     LIMITS_PROTOCOL,
     PROTOCOL,
+    SLOTS_PROTOCOL,
     TUNNELS_PROTOCOL,
 )
 from currantdyke.links.tunnels import open_tunnel, serve_tunnel
@@ -183,7 +191,10 @@
             send=self.peers.send,
             broadcast=functools.partial(self.peers.broadcast, protocol=LIMITS_PROTOCOL),
             owners=LimitOwners(
-                ranked_daemons=self._limit_owners, check=self.peers.check
+                ranked_daemons=functools.partial(
+                    self._ranked_owners, protocol=LIMITS_PROTOCOL
+                ),
+                check=self.peers.check,
             ),
             count_daemons=self.count_daemons,
         )
@@ -200,6 +211,12 @@
             log=log,
             is_owner=lambda service: not self.endpoint_limits.owners.find(service).ip,
         )
+        self.slot_owners = LimitOwners(
+            ranked_daemons=functools.partial(
+                self._ranked_owners, protocol=SLOTS_PROTOCOL
+            ),
+            check=self.peers.check,
+        )
         self.leaving = LeavingEndpoints(
             endpoints=self.directory.endpoints,
             log=log,
@@ -209,7 +226,23 @@
             ),
             owners=self.endpoint_limits.owners,
         )
+        self.slots = EndpointSlots(
+            brittle=BrittleServices(
+                log=log,
+                send=functools.partial(self.peers.send, protocol=SLOTS_PROTOCOL),
+                broadcast=functools.partial(
+                    self.peers.broadcast, protocol=SLOTS_PROTOCOL
+                ),
+                owners=self.slot_owners,
+            ),
+            endpoints=self.directory.endpoints,
+            log=log,
+            request=self.peers.request,
+            send=self.peers.send,
+            owners=self.slot_owners,
+        )
         self.endpoint_states = EndpointStates(
+            brittle=self.slots.brittle,
             limits=self.endpoint_limits,
             leaving=self.leaving,
             pauses=PauseTable(),
@@ -236,6 +269,7 @@
         self.context = ForwardContext(
             versions=self.versions,
             states=self.endpoint_states,
+            slots=self.slots,
             crashes=self.crashes,
             directory=self.directory,
             log=log,
@@ -297,10 +331,12 @@
         """Return how many daemons share the budgets of the fleet."""
         return max(1, len(self.directory.daemons))
 
-    def _limit_owners(self, service: str, suspected: bool) -> list[str]:
-        """Return the IPs of the daemons that own the limits of a service, in order."""
+    def _ranked_owners(
+        self, service: str, suspected: bool, *, protocol: int
+    ) -> list[str]:
+        """Return the IPs of the daemons that own a service's limits, in order."""
         ranked = self.scheduler_client.ranked_daemons(
-            service, protocol=LIMITS_PROTOCOL, suspected=suspected
+            service, protocol=protocol, suspected=suspected
         )
         return [ip for _, ip in ranked]
 
@@ -528,6 +564,7 @@
         if endpoint is None:
             self.context.health.forget(instance)
             self.endpoint_states.pauses.forget(instance)
+            self.slots.pools.forget(instance)
             self.scheduler.remove_endpoint(instance)
             self.tasks.start_soon(
                 run_logged, self.log, self.context.connections.forget, instance
@@ -571,6 +608,9 @@
             answer = await self.scheduler.place(content)
             self._forget_ended(link, content.attempt_id)
             return answer
+        if isinstance(content, SlotRequest):
+            self.slot_owners.record_contact()
+            return self.slots.grant(content)
         if isinstance(content, TokenRequest):
             return await self.endpoint_limits.handle_request(content)
         if isinstance(content, VersionRequest):
@@ -593,6 +633,10 @@
             self.leaving.handle(content)
         elif isinstance(content, EndpointPaused):
             self._record_pause(content)
+        elif isinstance(content, ServiceBrittle):
+            self.slots.brittle.handle(content)
+        elif isinstance(content, SlotRelease):
+            self.slots.handle_release(content)
 
     def _record_pause(self, paused: EndpointPaused) -> None:
         endpoint = self.directory.endpoints.known.get(paused.instance)
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -11,9 +11,19 @@
 from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
+from currantdyke.endpointslots.messages import (
+    ServiceBrittle,
+    SlotGrant,
+    SlotRelease,
+    SlotRequest,
+)
 from currantdyke.endpointstates.messages import EndpointLeaving, EndpointPaused
 from currantdyke.largevalues.messages import PartRequest, ValueOffer, ValuePart
 from currantdyke.links.compression import compress, decompress
+from currantdyke.links.endpoint_state import (
+    decode_endpoint_state,
+    encode_endpoint_state,
+)
 from currantdyke.links.fleet_state import (
     MAX_UINT32,
     decode_limit,
@@ -44,6 +54,7 @@
     "MAX_FRAME_BYTES",
     "PROTOCOL",
     "RESPONSE_TYPES",
+    "SLOTS_PROTOCOL",
     "TUNNELS_PROTOCOL",
     "ChangesRequest",
     "CrashReport",
@@ -66,8 +77,9 @@
 LIMITS_PROTOCOL = 1
 # which endpoints say that they are leaving,
 LEAVING_PROTOCOL = 2
-# and tunnels to endpoints.
+# and tunnels to endpoints and the slots of brittle ones.
 TUNNELS_PROTOCOL = 3
+SLOTS_PROTOCOL = 3
 MAX_UINT16 = 2**16 - 1
 # Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
 # Limits also what the compressed values of a frame take after decompression.
@@ -178,6 +190,10 @@
     | ValuePart
     | EndpointLeaving
     | EndpointPaused
+    | ServiceBrittle
+    | SlotRequest
+    | SlotGrant
+    | SlotRelease
     | TunnelRequest
     | TunnelAnswer
 )
@@ -192,6 +208,7 @@
     TokenGrant,
     VersionAnswer,
     ValuePart,
+    SlotGrant,
 )
 
 
@@ -282,15 +299,10 @@
             request.start = content.start
         case ValuePart():
             builder.part = content.data
-        case EndpointLeaving():
-            leaving = builder.init("endpointLeaving")
-            leaving.instance = content.instance
-            leaving.born = content.born
-        case EndpointPaused():
-            paused = builder.init("endpointPaused")
-            paused.instance = content.instance
-            paused.born = content.born
-            paused.milliseconds = milliseconds(content.seconds)
+        case EndpointLeaving() | EndpointPaused() | ServiceBrittle():
+            encode_endpoint_state(builder, content)
+        case SlotRequest() | SlotGrant() | SlotRelease():
+            encode_endpoint_state(builder, content)
         case TunnelRequest():
             tunnel = builder.init("tunnelRequest")
             tunnel.instance = content.instance
@@ -435,16 +447,10 @@
             )
         case "part":
             return ValuePart(data=bytes(reader.part))
-        case "endpointLeaving":
-            leaving = reader.endpointLeaving
-            return EndpointLeaving(instance=leaving.instance, born=leaving.born)
-        case "endpointPaused":
-            paused = reader.endpointPaused
-            return EndpointPaused(
-                instance=paused.instance,
-                born=paused.born,
-                seconds=paused.milliseconds / 1_000,
-            )
+        case "endpointLeaving" | "endpointPaused" | "serviceBrittle":
+            return decode_endpoint_state(reader)
+        case "slotRequest" | "slotGrant" | "slotRelease":
+            return decode_endpoint_state(reader)
         case "tunnelRequest":
             tunnel = reader.tunnelRequest
             return TunnelRequest(instance=tunnel.instance, born=tunnel.born)
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -30,6 +30,10 @@
     endpointLeaving @22 :EndpointLeaving;
     # A daemon sends this only to daemons whose entries name protocol 3 or later.
     endpointPaused @23 :EndpointPaused;
+    serviceBrittle @26 :Text;
+    slotRequest @27 :SlotRequest;
+    slotGrant @28 :SlotGrant;
+    slotRelease @29 :SlotRelease;
     # At the beginning of a tunnel, never on a link.
     tunnelRequest @24 :TunnelRequest;
     tunnelAnswer @25 :UInt8;
@@ -76,6 +80,24 @@
   milliseconds @2 :UInt32;
 }
 
+struct SlotRequest {
+  instance @0 :Text;
+  service @1 :Text;
+  born @2 :Int64;
+  milliseconds @3 :UInt32;
+}
+
+struct SlotGrant {
+  lease @0 :UInt64;
+  waitMilliseconds @1 :UInt32;
+}
+
+struct SlotRelease {
+  instance @0 :Text;
+  lease @1 :UInt64;
+  rejected @2 :Bool;
+}
+
 struct TunnelRequest {
   instance @0 :Text;
   born @1 :Int64;
--- a/currantdyke/platform/answers.py
+++ b/currantdyke/platform/answers.py
@@ -22,6 +22,7 @@
 NOT_EXECUTED = b"x-not-executed"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+SERVER_BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,18}(\.[0-9]{1,18})?")
 MISDIRECTED = 421
@@ -57,6 +58,8 @@
         Whether the endpoint says that it is leaving.
     pause : float or None
         Seconds for which the endpoint wants no requests from this daemon.
+    brittle : bool
+        Whether the endpoint crashes if it must turn many requests away.
     """
 
     status: int
@@ -70,6 +73,7 @@
     unreadable_limit: str | None = None
     leaving: bool = False
     pause: float | None = None
+    brittle: bool = False
 
     @property
     def success(self) -> bool:
@@ -96,6 +100,7 @@
         unreadable_limit=unreadable,
         leaving=b"1" in header_values(headers, SERVER_LEAVING),
         pause=_decode_pause(response),
+        brittle=any(map(bytes.isdigit, header_values(headers, SERVER_BRITTLE))),
     )
 
 
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -15,6 +15,11 @@
 )
 from currantdyke.emulator.answers import plan_sound
 from currantdyke.emulator.http import Request
+from currantdyke.soak.brittle import (
+    brittle_violations,
+    change_brittleness,
+    start_brittle,
+)
 from currantdyke.soak.callers import (
     ChooseRequest,
     choose_plain,
@@ -191,6 +196,14 @@
         fault_series=1,
         find_violations=cut_violations,
     ),
+    "brittle": Pattern(
+        start_endpoints=start_brittle,
+        faults=GATEWAY_FAULTS,
+        choose_request=choose_plain,
+        activities=(change_brittleness, *[send_requests] * 16),
+        fault_series=1,
+        find_violations=brittle_violations,
+    ),
     "versions": Pattern(
         endpoints=ENDPOINTS[:1],
         start_endpoints=start_versions,
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -20,6 +20,7 @@
 from currantdyke.platform import answers, records
 from currantdyke.platform.answers import (
     RETRY_AFTER,
+    SERVER_BRITTLE,
     SERVER_LEAVING,
     SERVER_LIMIT,
     ResponseMetadata,
@@ -166,6 +167,7 @@
     "crashes": _detect_no_crash,
     "limits": _ignore_headers(SERVER_LIMIT),
     "states": _ignore_headers(SERVER_LEAVING, RETRY_AFTER),
+    "brittle": _ignore_headers(SERVER_BRITTLE),
     "whole-values": _send_whole_values,
     "cut-off": _open_no_tunnel,
     "versions": _ignore_versions,
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -96,21 +96,10 @@
         self.unplanned_at[name] = anyio.current_time()
 
     def check_arrival(
-        self,
-        instance: str,
-        attempt_id: str,
-        gateway: str = "a gateway",
-        *,
-        runs: bool = True,
+        self, instance: str, attempt_id: str, gateway: str = "a gateway"
     ) -> None:
-        """Check that a request did not arrive long after an endpoint began to leave.
-
-        Parameters
-        ----------
-        runs : bool
-            Whether the endpoint runs it.
-        """
-        self.executions[attempt_id] += runs
+        """Check that a request did not arrive long after an endpoint began to leave."""
+        self.executions[attempt_id] += 1
         left = self.leaving_since.get(instance)
         if left is None:
             return
--- a/currantdyke/soak/tests/test_patterns.py
+++ b/currantdyke/soak/tests/test_patterns.py
@@ -89,6 +89,17 @@
         report = anyio.run(run)
         self.assertIn("that were cut off", " ".join(report.broken), report.text())
 
+    # Issue 32: endpoints that turned many requests away crashed one after the other.
+    def test_short_run_with_brittle_endpoints_has_no_violations(self):
+        report = anyio.run(functools.partial(soak, SEED, 14.0, pattern="brittle"))
+        self.assertEqual(report.broken, [], report.text())
+        self.assertGreater(count_answers(report), MIN_ANSWERS, report.text())
+
+    def test_ignored_brittleness_is_detected(self):
+        run = functools.partial(soak, SEED, 14.0, pattern="brittle", planted="brittle")
+        report = anyio.run(run)
+        self.assertIn("brittle endpoints crashed", " ".join(report.broken))
+
     def test_ignored_limits_are_detected(self):
         run = functools.partial(soak, SEED, 14.0, pattern="limits", planted="limits")
         report = anyio.run(run)
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -64,6 +64,8 @@
         Streams whose callers resume them elsewhere.
     pauses : list of StatedPause
         The pauses that endpoints asked for.
+    brittle_periods : list of (float, float)
+        When endpoints said that they are brittle.
     cuts : list of CutPeriod
         When gateways were cut off from the endpoints.
     replacement_lock : Lock
@@ -81,6 +83,7 @@
     limits: list = attrs.field(factory=list)
     streams: list = attrs.field(factory=list)
     pauses: list = attrs.field(factory=list)
+    brittle_periods: list = attrs.field(factory=list)
     cuts: list = attrs.field(factory=list)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
@@ -172,6 +175,7 @@
         endpoint.handle_first = functools.partial(
             self._record_arrival, endpoint.instance
         )
+        endpoint.on_turn_away = self._forget_run
 
     def announce(self, instance: str, *, state: str) -> None:
         """Write an endpoint's entry, with its proxy's address."""
@@ -197,15 +201,15 @@
         }
         self.arrivals.append((anyio.current_time(), fields))
         name = "the owner of its stages" if attempt is None else attempt.gateway.name
-        endpoint = self.endpoints.get(instance)
-        turned_away = endpoint is not None and bool(endpoint.retry_after)
-        self.checker.check_arrival(
-            instance, request.attempt_id, name, runs=not turned_away
-        )
+        self.checker.check_arrival(instance, request.attempt_id, name)
         if in_touch and attempt is not None and attempt.kind == BAD:
             self.crashes.bad_arrivals.append(anyio.current_time())
         return False
 
+    def _forget_run(self, request) -> None:
+        """Don't count a request as run that an endpoint turns away on its arrival."""
+        self.checker.executions[request.attempt_id] -= 1
+
     def _find_attempt(self, attempt_id: str) -> Attempt | None:
         recent = (a for a in reversed(self.attempts) if a.attempt_id == attempt_id)
         return next(recent, None)
