Say what ends a connection whose keep-alive probes are not answered

With TCP_USER_TIMEOUT set, Linux ignores the number of probes; the comment said that the third one ends the connection. Behaviour is as it was: 4 s without an answer.

--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -29,7 +29,8 @@
 )
 
 # Keep-alive probes detect an unresponsive peer: the first is sent after 2 s without
-# data, then one per second; the third unanswered probe ends the connection.
+# data, then one per second. The user time-out below decides when they give up, whatever
+# their number; the number counts where that option does not exist.
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 3
