Apply each of several small changes of an item

What callers would have seen: a daemon that had stopped was taken for one that lost its connection to the store, for 30 s, and asked as owner before another one.

Cause: since only the last of several changes of an item was applied; a daemon's entry that says that it leaves, and then ends, ends differently from one that just ends. Only large values are left out now, which nothing else depends on.

--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -1,6 +1,7 @@
 """A daemon's copy of the items of the store, from which it can answer its peers."""
 
 import collections
+from collections.abc import Iterable
 
 import attrs
 
@@ -104,16 +105,15 @@
     def apply(self, changes: ChangeSet) -> list[Change]:
         """Apply changes; return the new ones, ordered by revision.
 
-        Of several changes of an item only the last one is returned.
+        A large value that a later change replaces is left out.
         """
-        latest: dict[str, Change] = {}
-        for change in changes.changes:
-            other = latest.get(change.key)
-            if self._is_new(change) and (
-                other is None or other.revision < change.revision
-            ):
-                latest[change.key] = change
-        new = list(latest.values())
+        latest = {change.key: change for change in _by_revision(changes.changes)}
+        new = [
+            change
+            for change in changes.changes
+            if self._is_new(change)
+            and (latest[change.key] is change or not _is_large(change))
+        ]
         if changes.is_snapshot:
             listed = {change.key for change in changes.changes}
             listed |= {offer.key for offer in changes.offers}
@@ -125,7 +125,7 @@
             self.tombstones_complete_after = max(
                 self.tombstones_complete_after, changes.revision
             )
-        new.sort(key=lambda change: change.revision)
+        new = _by_revision(new)
         for change in new:
             self._store(change)
         for offer in changes.offers:
@@ -206,7 +206,7 @@
         if change.value is not None:
             self.tombstones.pop(change.key, None)
             self.items[change.key] = change
-            if len(change.value) >= MIN_LARGE_BYTES:
+            if _is_large(change):
                 self.large_items[change.key] = self.large_values.add(change.value)
             else:
                 self.large_items.pop(change.key, None)
@@ -220,3 +220,11 @@
             self.tombstones_complete_after = max(
                 self.tombstones_complete_after, dropped.revision
             )
+
+
+def _by_revision(changes: Iterable[Change]) -> list[Change]:
+    return sorted(changes, key=lambda change: change.revision)
+
+
+def _is_large(change: Change) -> bool:
+    return change.value is not None and len(change.value) >= MIN_LARGE_BYTES
--- a/currantdyke/largevalues/tests/test_large_values.py
+++ b/currantdyke/largevalues/tests/test_large_values.py
@@ -17,6 +17,7 @@
 )
 from currantdyke.links import Unknown
 from currantdyke.links.changes import answer_changes
+from currantdyke.platform.store import Change
 from currantdyke.testing.virtual import run_virtual
 
 # A change of one route is an event of this size, without the items beside it.
@@ -133,6 +134,15 @@
         new = self.asking.replica.apply(ChangeSet(changes=both, revision=2))
         self.assertEqual([change.value for change in new], [SECOND])
 
+    # A daemon's entry says that it leaves before it ends, which is told from an outage.
+    def test_each_of_several_small_changes_is_applied(self):
+        changes = tuple(
+            Change(key="daemons/d", value=value, revision=revision)
+            for revision, value in ((2, b"{}"), (3, b'{"leaving": true}'), (4, None))
+        )
+        new = self.asking.replica.apply(ChangeSet(changes=changes, revision=4))
+        self.assertEqual(new, list(changes))
+
     def test_bases_are_values_that_are_still_known(self):
         for number in range(MAX_VALUES):
             write(self.asking, number + 2, key=f"k{number}", value=build_value(-number))
