Call endpoints fragile, check cuts by the timer service, and close idle connections

The code's own word for endpoints that crash if they turn many requests away is fragile; the platform's name of the header stays in its adapter. The check of endpoints that only others reach is periodic work, which the timer service runs. A daemon that finds itself cut off closes its idle connections to all endpoints, since a request on one of them would wait for nothing.

--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -67,12 +67,12 @@
     places : int or None
         Number of requests that may wait beside those in its slots; others are turned
         away. None for any number, all of which run at once.
-    brittle : int
-        If not 0, its answers say that it is brittle, and it crashes when it turns more
+    fragile : int
+        If not 0, its answers say that it is fragile, and it crashes when it turns more
         requests than this away for want of room within a second.
     in_progress : int
         Requests that run or wait, if its places are limited.
-    falls : list of float
+    overload_crashes : list of float
         Times at which it crashed for this reason.
     turned_away : list of (float, str)
         Times at which it turned requests away, and the addresses they came from.
@@ -109,9 +109,9 @@
     says_leaving: bool = False
     retry_after: str = ""
     places: int | None = None
-    brittle: int = 0
+    fragile: int = 0
     in_progress: int = 0
-    falls: list[float] = attrs.field(factory=list)
+    overload_crashes: list[float] = attrs.field(factory=list)
     arrived_at: list[float] = attrs.field(factory=list)
     turned_away: list[tuple[float, str]] = attrs.field(factory=list)
     on_turn_away: Callable[[Request], None] = lambda request: None
@@ -171,8 +171,8 @@
     def state_headers(self) -> dict[str, str]:
         """Return the headers by which all answers state a limit or that it leaves."""
         headers = {"server-limit": self.server_limit} if self.server_limit else {}
-        if self.brittle:
-            headers["server-brittle"] = str(self.brittle)
+        if self.fragile:
+            headers["server-brittle"] = str(self.fragile)
         return headers | ({"server-leaving": "1"} if self.says_leaving else {})
 
     async def _handle(self, request: Request, reply: Reply) -> None:
@@ -197,7 +197,7 @@
         """Serve a request once a slot is free, if there is room for it to wait."""
         if self.in_progress >= room:
             await self._turn_away(request, reply)
-            self._fall_if_brittle()
+            self._crash_if_overloaded()
             return
         self.in_progress += 1
         try:
@@ -206,11 +206,11 @@
         finally:
             self.in_progress -= 1
 
-    def _fall_if_brittle(self) -> None:
+    def _crash_if_overloaded(self) -> None:
         now = anyio.current_time()
         recent = sum(now - 1.0 < at for at, _ in self.turned_away)
-        if self.brittle and recent > self.brittle:
-            self.falls.append(now)
+        if self.fragile and recent > self.fragile:
+            self.overload_crashes.append(now)
             self.turned_away.clear()
             self.on_crash()
             self.crash()
--- a/currantdyke/endpointslots/__init__.py
+++ b/currantdyke/endpointslots/__init__.py
@@ -1,1 +1,1 @@
-"""Keeps the fleet's requests to brittle endpoints within their slots."""
+"""Keeps the fleet's requests to fragile endpoints within their slots."""
--- a/currantdyke/endpointslots/client.py
+++ b/currantdyke/endpointslots/client.py
@@ -1,4 +1,4 @@
-"""Slots of brittle endpoints, asked of the daemon that grants them."""
+"""Slots of fragile endpoints, asked of the daemon that grants them."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -12,7 +12,7 @@
 from currantdyke.endpointlimits.client import ASK_TIMEOUT_SECONDS
 from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.endpointlimits.table import Role
-from currantdyke.endpointslots.brittle import BrittleServices
+from currantdyke.endpointslots.fragile import FragileServices
 from currantdyke.endpointslots.messages import SlotGrant, SlotRelease, SlotRequest
 from currantdyke.endpointslots.pool import SlotPools
 from currantdyke.links.link import LinkLostError
@@ -21,7 +21,7 @@
 
 # After an owner did not respond: by then another daemon is the owner.
 UNANSWERED_SECONDS = 0.5
-# An endpoint that is asked for later than this after its service became brittle has
+# An endpoint that is asked for later than this after its service became fragile has
 # started since, probably after a crash.
 BEGINNING_SECONDS = 2.0
 
@@ -33,7 +33,7 @@
     Attributes
     ----------
     instance : str
-        Empty if the endpoint is not brittle, so that there is nothing to release.
+        Empty if the endpoint is not fragile, so that there is nothing to release.
     owner : str
         IP of the daemon that granted it; empty for this daemon.
     """
@@ -45,7 +45,7 @@
 
 @attrs.define(kw_only=True, eq=False)
 class EndpointSlots:
-    """Slots of the endpoints of brittle services, for the whole fleet.
+    """Slots of the endpoints of fragile services, for the whole fleet.
 
     Attributes
     ----------
@@ -57,7 +57,7 @@
         Requests for which there was no slot.
     """
 
-    brittle: BrittleServices
+    fragile: FragileServices
     endpoints: EndpointTable
     log: DecisionLog
     request: Callable[[str, SlotRequest], Awaitable[Any]]
@@ -74,7 +74,7 @@
         seconds : float
             Time within which the request ends.
         """
-        if not self.brittle.is_brittle(endpoint.service):
+        if not self.fragile.is_fragile(endpoint.service):
             return Slot()
         request = SlotRequest(
             instance=endpoint.instance,
@@ -101,7 +101,7 @@
         if endpoint is None or endpoint.born != request.born:
             return SlotGrant(lease=0, wait=UNANSWERED_SECONDS)
         now = anyio.current_time()
-        began_at = self.brittle.began_at.get(request.service, now)
+        began_at = self.fragile.began_at.get(request.service, now)
         return self.pools.grant(
             request.instance,
             born=request.born,
--- a/currantdyke/endpointslots/messages.py
+++ b/currantdyke/endpointslots/messages.py
@@ -1,12 +1,12 @@
-"""Messages between daemons about brittle endpoints."""
+"""Messages between daemons about fragile endpoints."""
 
 import attrs
 
-__all__ = ["ServiceBrittle", "SlotGrant", "SlotRelease", "SlotRequest"]
+__all__ = ["ServiceFragile", "SlotGrant", "SlotRelease", "SlotRequest"]
 
 
 @attrs.frozen(kw_only=True)
-class ServiceBrittle:
+class ServiceFragile:
     """Reports a service whose endpoints crash if they must turn requests away."""
 
     service: str
--- a/currantdyke/endpointslots/pool.py
+++ b/currantdyke/endpointslots/pool.py
@@ -1,4 +1,4 @@
-"""The slots of brittle endpoints, as their owner grants them."""
+"""The slots of fragile endpoints, as their owner grants them."""
 
 import attrs
 
--- a/currantdyke/endpointslots/tests/test_slots.py
+++ b/currantdyke/endpointslots/tests/test_slots.py
@@ -5,10 +5,10 @@
 from currantdyke.catalog import Endpoint
 from currantdyke.directory import EndpointTable
 from currantdyke.endpointlimits.owners import LimitOwners
-from currantdyke.endpointslots.brittle import KEPT_SECONDS, BrittleServices
 from currantdyke.endpointslots.client import BEGINNING_SECONDS, EndpointSlots, Slot
+from currantdyke.endpointslots.fragile import KEPT_SECONDS, FragileServices
 from currantdyke.endpointslots.messages import (
-    ServiceBrittle,
+    ServiceFragile,
     SlotGrant,
     SlotRelease,
     SlotRequest,
@@ -39,14 +39,14 @@
     )
     table = EndpointTable(now=anyio.current_time)
     table.announce(ENDPOINT)
-    brittle = BrittleServices(
+    fragile = FragileServices(
         log=silent_log(),
         send=lambda ip, content: sent.append((ip, content)),
         broadcast=broadcast.append,
         owners=limit_owners,
     )
     slots = EndpointSlots(
-        brittle=brittle,
+        fragile=fragile,
         endpoints=table,
         log=silent_log(),
         request=request,
@@ -57,7 +57,7 @@
 
 
 class TestSlots(unittest.TestCase):
-    # A fleet without brittle endpoints pays one look into an empty table.
+    # A fleet without fragile endpoints pays one look into an empty table.
     def test_sound_endpoint_needs_no_slot(self):
         async def acquire():
             slots, sent, _ = build_slots()
@@ -65,10 +65,10 @@
 
         self.assertEqual(run_virtual(acquire), (Slot(), [], {}))
 
-    def test_brittle_endpoint_gets_as_many_requests_as_it_has_slots(self):
+    def test_fragile_endpoint_gets_as_many_requests_as_it_has_slots(self):
         async def acquire():
             slots, _, _ = build_slots()
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             found = [await slots.acquire(ENDPOINT, 5.0) for _ in range(3)]
             slots.release(found[0])
             return found, await slots.acquire(ENDPOINT, 5.0)
@@ -81,7 +81,7 @@
     def test_slot_is_free_after_the_time_of_its_request(self):
         async def acquire():
             slots, _, _ = build_slots()
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             for _ in range(2):
                 await slots.acquire(ENDPOINT, 1.0)
             await anyio.sleep(1.1)
@@ -92,9 +92,9 @@
     def test_endpoint_that_is_back_gets_requests_step_by_step(self):
         async def acquire():
             slots, _, _ = build_slots()
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             await anyio.sleep(BEGINNING_SECONDS + 0.1)
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             return [await slots.acquire(ENDPOINT, 5.0) for _ in range(2)]
 
         first, second = run_virtual(acquire)
@@ -105,7 +105,7 @@
     def test_daemon_that_is_cut_off_from_the_owner_grants_nothing(self):
         async def acquire():
             slots, _, _ = build_slots(owners=(("",), ("10.0.0.9", "")))
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             return await slots.acquire(ENDPOINT, 5.0)
 
         self.assertIsInstance(run_virtual(acquire), float)
@@ -117,7 +117,7 @@
         async def acquire():
             owners = (("10.0.0.9", ""), ("10.0.0.9", ""))
             slots, _, _ = build_slots(owners=owners, request=never)
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             started = anyio.current_time()
             return await slots.acquire(ENDPOINT, 5.0), anyio.current_time() - started
 
@@ -132,13 +132,13 @@
         async def acquire():
             owners = (("10.0.0.9", ""), ("10.0.0.9", ""))
             slots, sent, _ = build_slots(owners=owners, request=grant)
-            slots.brittle.record(ENDPOINT)
+            slots.fragile.record(ENDPOINT)
             slot = await slots.acquire(ENDPOINT, 5.0)
             slots.release(slot, rejected=True)
             return sent
 
         report, release = run_virtual(acquire)
-        self.assertEqual(report, ("10.0.0.9", ServiceBrittle(service="s")))
+        self.assertEqual(report, ("10.0.0.9", ServiceFragile(service="s")))
         self.assertEqual(
             release, ("10.0.0.9", SlotRelease(instance="i", lease=7, rejected=True))
         )
@@ -171,23 +171,23 @@
         self.assertEqual(waits[1:], sorted(set(waits[1:])))
 
 
-class TestBrittleServices(unittest.TestCase):
+class TestFragileServices(unittest.TestCase):
     def test_owner_tells_all_once_and_it_ends_without_answers(self):
         async def run():
             slots, sent, broadcast = build_slots()
             for _ in range(3):
-                slots.brittle.handle(ServiceBrittle(service="s"))
-            first = slots.brittle.is_brittle("s")
+                slots.fragile.handle(ServiceFragile(service="s"))
+            first = slots.fragile.is_fragile("s")
             await anyio.sleep(KEPT_SECONDS + 0.1)
-            return sent, broadcast, first, slots.brittle.is_brittle("s")
+            return sent, broadcast, first, slots.fragile.is_fragile("s")
 
         self.assertEqual(
-            run_virtual(run), ([], [ServiceBrittle(service="s")], True, False)
+            run_virtual(run), ([], [ServiceFragile(service="s")], True, False)
         )
 
     def test_messages_are_read_as_they_were_sent(self):
         for content in (
-            ServiceBrittle(service="s"),
+            ServiceFragile(service="s"),
             SlotRequest(instance="i", service="s", born=5, seconds=1.5),
             SlotGrant(lease=0, wait=0.25),
             SlotGrant(lease=2**40),
--- a/currantdyke/endpointstates/states.py
+++ b/currantdyke/endpointstates/states.py
@@ -7,7 +7,7 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.endpointlimits.client import EndpointLimits
-from currantdyke.endpointslots.brittle import BrittleServices
+from currantdyke.endpointslots.fragile import FragileServices
 from currantdyke.endpointstates.leaving import LeavingEndpoints
 from currantdyke.endpointstates.messages import EndpointPaused
 from currantdyke.endpointstates.pauses import PauseTable
@@ -32,7 +32,7 @@
     leaving: LeavingEndpoints
     pauses: PauseTable
     send: Callable[[str, EndpointPaused], None]
-    brittle: BrittleServices
+    fragile: FragileServices
 
     def record_response(
         self, endpoint: Endpoint, facts: ResponseMetadata, sent_at: float, via: str
@@ -52,8 +52,8 @@
         self.limits.record_response(endpoint, facts, sent_at)
         if facts.leaving:
             self.leaving.record(endpoint)
-        if facts.brittle:
-            self.brittle.record(endpoint)
+        if facts.fragile:
+            self.fragile.record(endpoint)
         if facts.pause is not None:
             self.pauses.record(endpoint, facts.pause, now=anyio.current_time())
             if via:
--- a/currantdyke/forward/context.py
+++ b/currantdyke/forward/context.py
@@ -38,7 +38,7 @@
     states : EndpointStates
         What endpoints say of themselves, by which requests are sent or not.
     slots : EndpointSlots
-        Slots of brittle endpoints.
+        Slots of fragile endpoints.
     versions : FleetStreamVersions
         The versions that began streams, at which they go on.
     """
--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -177,7 +177,7 @@
             waits[endpoint.instance] = wait or RETRY_AFTER_SECONDS
 
     async def _take_slot(self, endpoint: Endpoint) -> float:
-        """Take a slot of a brittle endpoint; return the seconds to wait for one."""
+        """Take a slot of a fragile endpoint; return the seconds to wait for one."""
         left = self.exchange.deadline_at - anyio.current_time()
         slot = await self.context.slots.acquire(endpoint, left)
         if isinstance(slot, float):
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import anyio
@@ -17,10 +17,10 @@
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
 from currantdyke.endpointlimits.owners import LimitOwners
-from currantdyke.endpointslots.brittle import BrittleServices
 from currantdyke.endpointslots.client import EndpointSlots
+from currantdyke.endpointslots.fragile import FragileServices
 from currantdyke.endpointslots.messages import (
-    ServiceBrittle,
+    ServiceFragile,
     SlotRelease,
     SlotRequest,
 )
@@ -102,6 +102,8 @@
 EXPIRY_CHECK_SECONDS = 0.25
 SETTINGS_CHECK_SECONDS = 1.0
 CRASH_CHECK_SECONDS = 0.25
+# The end of a cut is found within this time, by one connection each.
+PATHS_CHECK_SECONDS = 0.5
 # The record matters once all daemons have stopped.
 VERSIONS_CHECK_SECONDS = 0.5
 # Part of the retries of a window that a new owner of stage calls may send at once. Five
@@ -227,7 +229,7 @@
             owners=self.endpoint_limits.owners,
         )
         self.slots = EndpointSlots(
-            brittle=BrittleServices(
+            fragile=FragileServices(
                 log=log,
                 send=functools.partial(self.peers.send, protocol=SLOTS_PROTOCOL),
                 broadcast=functools.partial(
@@ -242,7 +244,7 @@
             owners=self.slot_owners,
         )
         self.endpoint_states = EndpointStates(
-            brittle=self.slots.brittle,
+            fragile=self.slots.fragile,
             limits=self.endpoint_limits,
             leaving=self.leaving,
             pauses=PauseTable(),
@@ -256,7 +258,10 @@
                 open_tunnel=functools.partial(open_tunnel, port=settings.peer_port),
             ),
             log=log,
-            on_blocked=self._close_idle_connections,
+            on_blocked=lambda instance: self._close_idle(
+                self.context.connections.forget, instance
+            ),
+            on_cut_off=lambda: self._close_idle(self.context.connections.close_all),
         )
         self.tunnels = TunnelServer(
             endpoints=self.directory.endpoints,
@@ -348,10 +353,11 @@
             if not daemon.leaving and daemon.protocol >= TUNNELS_PROTOCOL
         ]
 
-    def _close_idle_connections(self, instance: str) -> None:
-        self.tasks.start_soon(
-            run_logged, self.log, self.context.connections.forget, instance
-        )
+    def _close_idle(
+        self, close: Callable[..., Awaitable[None]], *instance: str
+    ) -> None:
+        """Close idle connections, whose path to their endpoints may be cut."""
+        self.tasks.start_soon(run_logged, self.log, close, *instance)
 
     def _version_replicas(self) -> list[str]:
         """Return the IPs of the daemons that may hold versions of streams."""
@@ -390,6 +396,11 @@
             self.timers.every(
                 CRASH_CHECK_SECONDS, self.crashes.check, name="check crashes"
             )
+            self.timers.every(
+                PATHS_CHECK_SECONDS,
+                self.paths.check_blocked,
+                name="check blocked endpoints",
+            )
             self.timers.every(
                 VERSIONS_CHECK_SECONDS,
                 self.versions_recorder.check,
@@ -431,7 +442,6 @@
             self.stages.run,
             self.crashes.run,
             self.versions.run,
-            self.paths.run,
             self.follower.run,
             self.registration.run,
             self._serve_readiness,
@@ -633,8 +643,8 @@
             self.leaving.handle(content)
         elif isinstance(content, EndpointPaused):
             self._record_pause(content)
-        elif isinstance(content, ServiceBrittle):
-            self.slots.brittle.handle(content)
+        elif isinstance(content, ServiceFragile):
+            self.slots.fragile.handle(content)
         elif isinstance(content, SlotRelease):
             self.slots.handle_release(content)
 
--- a/currantdyke/gateway/tests/test_brittle.py
+++ b/currantdyke/gateway/tests/test_fragile.py
@@ -11,14 +11,14 @@
 RATE = 40.0
 WORK_SECONDS = 0.2
 LOAD_SECONDS = 6.0
-# The users' bound on the crashes of brittle endpoints in one time in which they say so.
-MAX_FALLS = 2 + 0.1 * ENDPOINTS
+# The users' bound on the crashes of fragile endpoints in one time in which they say so.
+MAX_CRASHES = 2 + 0.1 * ENDPOINTS
 
 
-class TestBrittleEndpoints(unittest.TestCase):
+class TestFragileEndpoints(unittest.TestCase):
     # Issue 32: that endpoints crash when they turn many requests away was not read.
     @run_on_sockets
-    async def test_brittle_endpoints_are_not_overloaded(self):
+    async def test_fragile_endpoints_are_not_overloaded(self):
         async with run_deployment(plain_configuration()) as deployment:
             endpoints = [
                 await deployment.endpoint(
@@ -27,7 +27,7 @@
                     "plain",
                     slots=1,
                     places=2,
-                    brittle=3,
+                    fragile=3,
                     work_seconds=WORK_SECONDS,
                     restarts=Restarts(down_seconds=1.0),
                 )
@@ -35,8 +35,8 @@
             ]
             await start_gateways(deployment, GATEWAYS)
             await send_load(deployment, "/plain/", rate=RATE, seconds=LOAD_SECONDS)
-        falls = sum(len(endpoint.falls) for endpoint in endpoints)
-        self.assertLessEqual(falls, MAX_FALLS)
+        crashes = sum(len(endpoint.overload_crashes) for endpoint in endpoints)
+        self.assertLessEqual(crashes, MAX_CRASHES)
 
 
 if __name__ == "__main__":
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -12,7 +12,7 @@
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
 from currantdyke.endpointslots.messages import (
-    ServiceBrittle,
+    ServiceFragile,
     SlotGrant,
     SlotRelease,
     SlotRequest,
@@ -77,7 +77,7 @@
 LIMITS_PROTOCOL = 1
 # which endpoints say that they are leaving,
 LEAVING_PROTOCOL = 2
-# and tunnels to endpoints and the slots of brittle ones.
+# and tunnels to endpoints and the slots of fragile ones.
 TUNNELS_PROTOCOL = 3
 SLOTS_PROTOCOL = 3
 MAX_UINT16 = 2**16 - 1
@@ -190,7 +190,7 @@
     | ValuePart
     | EndpointLeaving
     | EndpointPaused
-    | ServiceBrittle
+    | ServiceFragile
     | SlotRequest
     | SlotGrant
     | SlotRelease
@@ -299,7 +299,7 @@
             request.start = content.start
         case ValuePart():
             builder.part = content.data
-        case EndpointLeaving() | EndpointPaused() | ServiceBrittle():
+        case EndpointLeaving() | EndpointPaused() | ServiceFragile():
             encode_endpoint_state(builder, content)
         case SlotRequest() | SlotGrant() | SlotRelease():
             encode_endpoint_state(builder, content)
@@ -447,7 +447,7 @@
             )
         case "part":
             return ValuePart(data=bytes(reader.part))
-        case "endpointLeaving" | "endpointPaused" | "serviceBrittle":
+        case "endpointLeaving" | "endpointPaused" | "serviceFragile":
             return decode_endpoint_state(reader)
         case "slotRequest" | "slotGrant" | "slotRelease":
             return decode_endpoint_state(reader)
--- a/currantdyke/links/endpoint_state.py
+++ b/currantdyke/links/endpoint_state.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from currantdyke.endpointslots.messages import (
-    ServiceBrittle,
+    ServiceFragile,
     SlotGrant,
     SlotRelease,
     SlotRequest,
@@ -16,7 +16,7 @@
 EndpointState = (
     EndpointLeaving
     | EndpointPaused
-    | ServiceBrittle
+    | ServiceFragile
     | SlotRequest
     | SlotGrant
     | SlotRelease
@@ -35,8 +35,8 @@
             paused.instance = content.instance
             paused.born = content.born
             paused.milliseconds = milliseconds(content.seconds)
-        case ServiceBrittle():
-            builder.serviceBrittle = content.service
+        case ServiceFragile():
+            builder.serviceFragile = content.service
         case SlotRequest():
             request = builder.init("slotRequest")
             request.instance = content.instance
@@ -67,8 +67,8 @@
                 born=paused.born,
                 seconds=paused.milliseconds / 1_000,
             )
-        case "serviceBrittle":
-            return ServiceBrittle(service=reader.serviceBrittle)
+        case "serviceFragile":
+            return ServiceFragile(service=reader.serviceFragile)
         case "slotRequest":
             request = reader.slotRequest
             return SlotRequest(
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -30,7 +30,7 @@
     endpointLeaving @22 :EndpointLeaving;
     # A daemon sends this only to daemons whose entries name protocol 3 or later.
     endpointPaused @23 :EndpointPaused;
-    serviceBrittle @26 :Text;
+    serviceFragile @26 :Text;
     slotRequest @27 :SlotRequest;
     slotGrant @28 :SlotGrant;
     slotRelease @29 :SlotRelease;
--- a/currantdyke/platform/answers.py
+++ b/currantdyke/platform/answers.py
@@ -58,7 +58,7 @@
         Whether the endpoint says that it is leaving.
     pause : float or None
         Seconds for which the endpoint wants no requests from this daemon.
-    brittle : bool
+    fragile : bool
         Whether the endpoint crashes if it must turn many requests away.
     """
 
@@ -73,7 +73,7 @@
     unreadable_limit: str | None = None
     leaving: bool = False
     pause: float | None = None
-    brittle: bool = False
+    fragile: bool = False
 
     @property
     def success(self) -> bool:
@@ -100,7 +100,7 @@
         unreadable_limit=unreadable,
         leaving=b"1" in header_values(headers, SERVER_LEAVING),
         pause=_decode_pause(response),
-        brittle=any(map(bytes.isdigit, header_values(headers, SERVER_BRITTLE))),
+        fragile=any(map(bytes.isdigit, header_values(headers, SERVER_BRITTLE))),
     )
 
 
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -15,11 +15,6 @@
 )
 from currantdyke.emulator.answers import plan_sound
 from currantdyke.emulator.http import Request
-from currantdyke.soak.brittle import (
-    brittle_violations,
-    change_brittleness,
-    start_brittle,
-)
 from currantdyke.soak.callers import (
     ChooseRequest,
     choose_plain,
@@ -29,6 +24,11 @@
 from currantdyke.soak.configurations import grow_configuration
 from currantdyke.soak.cuts import cut_gateways_off, cut_violations
 from currantdyke.soak.faults import FAULTS, GATEWAY_FAULTS
+from currantdyke.soak.fragile import (
+    change_fragility,
+    fragile_violations,
+    start_fragile,
+)
 from currantdyke.soak.limits import change_limits, limit_violations
 from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
 from currantdyke.soak.prompts import (
@@ -196,13 +196,13 @@
         fault_series=1,
         find_violations=cut_violations,
     ),
-    "brittle": Pattern(
-        start_endpoints=start_brittle,
+    "fragile": Pattern(
+        start_endpoints=start_fragile,
         faults=GATEWAY_FAULTS,
         choose_request=choose_plain,
-        activities=(change_brittleness, *[send_requests] * 16),
+        activities=(change_fragility, *[send_requests] * 16),
         fault_series=1,
-        find_violations=brittle_violations,
+        find_violations=fragile_violations,
     ),
     "versions": Pattern(
         endpoints=ENDPOINTS[:1],
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -167,7 +167,7 @@
     "crashes": _detect_no_crash,
     "limits": _ignore_headers(SERVER_LIMIT),
     "states": _ignore_headers(SERVER_LEAVING, RETRY_AFTER),
-    "brittle": _ignore_headers(SERVER_BRITTLE),
+    "fragile": _ignore_headers(SERVER_BRITTLE),
     "whole-values": _send_whole_values,
     "cut-off": _open_no_tunnel,
     "versions": _ignore_versions,
--- a/currantdyke/soak/tests/test_endpoint_patterns.py
+++ b/currantdyke/soak/tests/test_endpoint_patterns.py
@@ -60,15 +60,15 @@
         self.assertIn("that were cut off", " ".join(report.broken), report.text())
 
     # Issue 32: endpoints that turned many requests away crashed one after the other.
-    def test_short_run_with_brittle_endpoints_has_no_violations(self):
-        report = anyio.run(functools.partial(soak, SEED, 14.0, pattern="brittle"))
+    def test_short_run_with_fragile_endpoints_has_no_violations(self):
+        report = anyio.run(functools.partial(soak, SEED, 14.0, pattern="fragile"))
         self.assertEqual(report.broken, [], report.text())
         self.assertGreater(count_answers(report), MIN_ANSWERS, report.text())
 
-    def test_ignored_brittleness_is_detected(self):
-        run = functools.partial(soak, SEED, 14.0, pattern="brittle", planted="brittle")
+    def test_ignored_fragility_is_detected(self):
+        run = functools.partial(soak, SEED, 14.0, pattern="fragile", planted="fragile")
         report = anyio.run(run)
-        self.assertIn("brittle endpoints crashed", " ".join(report.broken))
+        self.assertIn("fragile endpoints crashed", " ".join(report.broken))
 
 
 if __name__ == "__main__":
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -64,8 +64,8 @@
         Streams whose callers resume them elsewhere.
     pauses : list of StatedPause
         The pauses that endpoints asked for.
-    brittle_periods : list of (float, float)
-        When endpoints said that they are brittle.
+    fragile_periods : list of (float, float)
+        When endpoints said that they are fragile.
     cuts : list of CutPeriod
         When gateways were cut off from the endpoints.
     replacement_lock : Lock
@@ -83,7 +83,7 @@
     limits: list = attrs.field(factory=list)
     streams: list = attrs.field(factory=list)
     pauses: list = attrs.field(factory=list)
-    brittle_periods: list = attrs.field(factory=list)
+    fragile_periods: list = attrs.field(factory=list)
     cuts: list = attrs.field(factory=list)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
--- a/currantdyke/tunnels/paths.py
+++ b/currantdyke/tunnels/paths.py
@@ -25,8 +25,6 @@
 MIN_BLOCKED = 2
 # An endpoint that only others reach is tried directly again after this time.
 BLOCKED_SECONDS = 5.0
-# Interval of direct connections, to one endpoint each, that show the end of a cut.
-CHECK_INTERVAL_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.5
 # Other endpoints that are tried to tell whether this daemon reaches any.
 MAX_OTHERS_TRIED = 2
@@ -68,6 +66,8 @@
         Whether this daemon takes itself for cut off from all endpoints.
     on_blocked : callable
         Called with the instance of an endpoint that only others reach.
+    on_cut_off : callable
+        Called when this daemon takes itself for cut off.
     """
 
     endpoints: EndpointTable
@@ -77,14 +77,9 @@
     connected_at: float = float("-inf")
     cut_off: bool = False
     on_blocked: Callable[[str], None] = lambda instance: None
+    on_cut_off: Callable[[], None] = lambda: None
     random_source: random.Random = attrs.field(factory=random.Random)
 
-    async def run(self) -> None:
-        """Check until cancelled whether blocked endpoints are reached again."""
-        while True:
-            await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            await self._check_blocked()
-
     async def connect(self, endpoint: Endpoint) -> anyio.abc.ByteStream:
         """Return a connection to an endpoint, the first of a direct one and a tunnel.
 
@@ -185,6 +180,7 @@
         found = [at for _, at in self.blocked.values() if at > self.connected_at]
         if len(found) >= MIN_BLOCKED and not self.cut_off:
             self.cut_off = True
+            self.on_cut_off()
             self.log.write(
                 "cut_off",
                 failure=True,
@@ -201,8 +197,13 @@
         recent = anyio.current_time() < at + BLOCKED_SECONDS
         return born == endpoint.born and recent
 
-    async def _check_blocked(self) -> None:
-        """Try one of the blocked endpoints directly, and forget those that are gone."""
+    async def check_blocked(self) -> None:
+        """Try one of the blocked endpoints directly, and forget those that are gone.
+
+        The timer service calls this.
+        """
+        if not self.blocked:
+            return
         oldest = anyio.current_time() - BLOCKED_SECONDS
         if not self.cut_off:
             self.blocked = {
