--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -17,6 +17,10 @@
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
 from currantdyke.endpointlimits.owners import LimitOwners
+from currantdyke.endpointstates.leaving import LeavingEndpoints
+from currantdyke.endpointstates.messages import EndpointLeaving
+from currantdyke.endpointstates.pauses import PauseTable
+from currantdyke.endpointstates.states import EndpointStates
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
 from currantdyke.gateway.background import keep_running, run_logged
@@ -28,6 +32,7 @@
 from currantdyke.gateway.registration import Registration
 from currantdyke.gateway.reload import SettingsFile
 from currantdyke.gateway.settings import GatewaySettings
+from currantdyke.largevalues.messages import PartRequest
 from currantdyke.links import (
     ChangesRequest,
     Content,
@@ -38,7 +43,8 @@
     Peers,
     Unknown,
 )
-from currantdyke.links.codec import PROTOCOL
+from currantdyke.links.changes import answer_changes
+from currantdyke.links.codec import LEAVING_PROTOCOL, LIMITS_PROTOCOL, PROTOCOL
 from currantdyke.platform.names import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from currantdyke.platform.records import DaemonEntry
 from currantdyke.platform.store import StoreClient
@@ -163,7 +169,7 @@
             log=log,
             request=self.peers.request,
             send=self.peers.send,
-            broadcast=functools.partial(self.peers.broadcast, protocol=PROTOCOL),
+            broadcast=functools.partial(self.peers.broadcast, protocol=LIMITS_PROTOCOL),
             owners=LimitOwners(
                 ranked_daemons=self._limit_owners, check=self.peers.check
             ),
@@ -182,9 +188,21 @@
             log=log,
             is_owner=lambda service: not self.endpoint_limits.owners.find(service).ip,
         )
+        self.leaving = LeavingEndpoints(
+            endpoints=self.directory.endpoints,
+            log=log,
+            send=functools.partial(self.peers.send, protocol=LEAVING_PROTOCOL),
+            broadcast=functools.partial(
+                self.peers.broadcast, protocol=LEAVING_PROTOCOL
+            ),
+            owners=self.endpoint_limits.owners,
+        )
+        self.endpoint_states = EndpointStates(
+            limits=self.endpoint_limits, leaving=self.leaving, pauses=PauseTable()
+        )
         self.context = ForwardContext(
             versions=self.versions,
-            limits=self.endpoint_limits,
+            states=self.endpoint_states,
             crashes=self.crashes,
             directory=self.directory,
             log=log,
@@ -204,6 +222,7 @@
             # calls.
             count_daemons=lambda: 1,
             endpoint_limits=self.endpoint_limits,
+            pauses=self.endpoint_states.pauses,
         )
         self.scheduler = Scheduler(
             directory=self.directory, stages=self.stages, log=log
@@ -247,7 +266,7 @@
     def _limit_owners(self, service: str, suspected: bool) -> list[str]:
         """Return the IPs of the daemons that own the limits of a service, in order."""
         ranked = self.scheduler_client.ranked_daemons(
-            service, protocol=PROTOCOL, suspected=suspected
+            service, protocol=LIMITS_PROTOCOL, suspected=suspected
         )
         return [ip for _, ip in ranked]
 
@@ -256,7 +275,7 @@
         return [
             daemon.ip
             for daemon in self.peers.others()
-            if not daemon.leaving and daemon.protocol >= PROTOCOL
+            if not daemon.leaving and daemon.protocol >= LIMITS_PROTOCOL
         ]
 
     async def run(self) -> None:
@@ -456,6 +475,7 @@
         self.versions.on_endpoint_change(instance, endpoint)
         if endpoint is None:
             self.context.health.forget(instance)
+            self.endpoint_states.pauses.forget(instance)
             self.scheduler.remove_endpoint(instance)
             self.tasks.start_soon(
                 run_logged, self.log, self.context.connections.forget, instance
@@ -490,8 +510,8 @@
             return Unknown()
 
     async def _dispatch_peer_request(self, link: Link, content: Content) -> Content:
-        if isinstance(content, ChangesRequest) and self.directory.replica.revision:
-            return self.directory.changes_since(content.revision)
+        if isinstance(content, ChangesRequest | PartRequest):
+            return answer_changes(self.directory, content)
         if isinstance(content, PlacementRequest) and self.directory.complete:
             attempt_ids = self.attempts_by_link.setdefault(link, set())
             attempt_ids.add(content.attempt_id)
@@ -517,6 +537,8 @@
             self.endpoint_limits.handle_report(content, service)
         elif isinstance(content, StreamVersions):
             self.versions.handle(content)
+        elif isinstance(content, EndpointLeaving):
+            self.leaving.handle(content)
 
     def _forget_ended(self, link: Link, attempt_id: str) -> None:
         # A refused placement or the end of a run may leave another run.
