--- a/currantdyke/soak/gateways.py
+++ b/currantdyke/soak/gateways.py
@@ -1,5 +1,6 @@
 """Gateways whose processes are stopped, paused and killed by signals."""
 
+import math
 import os
 import pathlib
 import signal
@@ -139,6 +140,11 @@
             self.record_event(f"exited with {code}")
             self.on_exit(self, self.incarnation, code)
 
+    @property
+    def cut_file(self) -> pathlib.Path:
+        """The file that says which ports it is cut off from."""
+        return self.folder / f"{self.name}.cut"
+
     def write_settings(self) -> None:
         """Write the settings file, as the platform does when they change."""
         path = self.folder / f"{self.name}.yaml"
@@ -194,19 +200,23 @@
         return (int(words[1]) if len(words) > 1 else 0), body
 
 
-def gateway_command(planted: str, bytes_per_second: float | None) -> list[str]:
+def gateway_command(
+    planted: str, ip: str, bytes_per_second: float | None, cut_file: pathlib.Path
+) -> list[str]:
     """Return the command line of a gateway.
 
     Parameters
     ----------
     planted : str
         Name of a fault to inject into its code; empty for none.
+    ip : str
+        Address that its connections come from.
     bytes_per_second : float or None
         Bandwidth of its connections; None for no limit.
+    cut_file : Path
+        Says which ports it is cut off from, and how; see `soak.link`.
     """
-    names = [planted] if planted else []
-    module = "currantdyke.soak.planted" if planted else "currantdyke.gateway"
-    if bytes_per_second is not None:
-        module = "currantdyke.soak.slow_link"
-        names = [str(bytes_per_second), *names]
-    return [sys.executable, "-m", module, *names]
+    arguments = [ip, str(bytes_per_second or math.inf), str(cut_file)]
+    if planted:
+        arguments.append(planted)
+    return [sys.executable, "-m", "currantdyke.soak.link", *arguments]
--- a/currantdyke/soak/proxy.py
+++ b/currantdyke/soak/proxy.py
@@ -74,8 +74,12 @@
         if self.mode is Mode.REFUSE:
             await _reset(client)
             return
+        host = client.extra(anyio.abc.SocketAttribute.remote_address, ("", 0))[0]
         try:
-            server = await anyio.connect_tcp("127.0.0.1", self.target_port)
+            # The server sees the address of the client.
+            server = await anyio.connect_tcp(
+                "127.0.0.1", self.target_port, local_host=host or None
+            )
         except OSError:
             # The server is down; the caller gets a reset.
             await _reset(client)
