Never send a short wait for a slot as none

What could happen: a daemon that was told to wait for less than a millisecond for a slot of a fragile endpoint read a wait of 0, and sent its request without one. Requests of a few milliseconds at an endpoint with several slots lead to such waits.

Cause: the wait was cut to whole milliseconds; the grant of a limit's token already rounds up. The new test guards it, as its twin does for tokens. Found by reading the change; not seen in a run.

--- a/currantdyke/endpointslots/tests/test_slots.py
+++ b/currantdyke/endpointslots/tests/test_slots.py
@@ -196,6 +196,12 @@
             data = encode_frame(Frame(number=1, content=content))
             self.assertEqual(decode_frame(data).ok.content, content)
 
+    # A daemon that has no slot must not read that it need not wait.
+    def test_short_wait_is_no_grant(self):
+        grant = SlotGrant(lease=0, wait=0.000_1)
+        data = encode_frame(Frame(number=1, content=grant))
+        self.assertGreater(decode_frame(data).ok.content.wait, 0.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/currantdyke/links/endpoint_state.py
+++ b/currantdyke/links/endpoint_state.py
@@ -46,7 +46,8 @@
         case SlotGrant():
             grant = builder.init("slotGrant")
             grant.lease = content.lease
-            grant.waitMilliseconds = milliseconds(content.wait)
+            # A wait of less than a millisecond is no grant.
+            grant.waitMilliseconds = milliseconds(content.wait + 0.000_999)
         case SlotRelease():
             release = builder.init("slotRelease")
             release.instance = content.instance
