Decode offers, list daemons and record pauses in one place each

Behaviour is as it was. ValueHistory.decode serves both the replica and the fetch of parts, which each looked up the base; one list of daemons by protocol serves tunnels and replicas of versions; the pause that came through a tunnel is recorded beside the others, not in the daemon. Streams build no list of engines while no endpoint has asked for a pause. An unused return value and constant of tests are gone.

--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -7,7 +7,6 @@
 
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.largevalues.encoding import MIN_LARGE_BYTES
-from currantdyke.largevalues.fetch import decode_offer
 from currantdyke.largevalues.history import ValueHistory
 from currantdyke.largevalues.messages import ValueOffer
 from currantdyke.platform.store import Change
@@ -174,7 +173,8 @@
         decoded = [
             Change(key=offer.key, value=value, revision=offer.revision)
             for offer in changes.offers
-            if offer.data and (value := self._decode_offer(offer, log)) is not None
+            if offer.data
+            and (value := self.large_values.decode(offer, offer.data, log)) is not None
         ]
         if not decoded:
             return changes
@@ -184,17 +184,13 @@
             changes, changes=changes.changes + tuple(decoded), offers=rest
         )
 
-    def _decode_offer(self, offer: ValueOffer, log: DecisionLog) -> bytes | None:
-        base = self.large_values.find(offer.base)
-        return None if base is None else decode_offer(offer, offer.data, base, log)
-
-    def _is_new(self, change: Change) -> bool:
+    def _is_new(self, change: Change | ValueOffer) -> bool:
         known = self.items.get(change.key) or self.tombstones.get(change.key)
         return known is None or change.revision > known.revision
 
     def _await_value(self, offer: ValueOffer) -> None:
         pending = self.pending.get(offer.key)
-        if self._is_new(Change(key=offer.key, value=b"", revision=offer.revision)) and (
+        if self._is_new(offer) and (
             pending is None or pending.revision < offer.revision
         ):
             self.pending[offer.key] = offer
--- a/currantdyke/endpointstates/states.py
+++ b/currantdyke/endpointstates/states.py
@@ -61,3 +61,9 @@
                     instance=endpoint.instance, born=endpoint.born, seconds=facts.pause
                 )
                 self.send(via, paused)
+
+    def handle_pause(self, paused: EndpointPaused) -> None:
+        """Record a pause that an endpoint asked for through this daemon's tunnel."""
+        endpoint = self.leaving.endpoints.known.get(paused.instance)
+        if endpoint is not None and endpoint.born == paused.born:
+            self.pauses.record(endpoint, paused.seconds, now=anyio.current_time())
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -1,5 +1,7 @@
 """Forward a request whose response is a stream of events."""
 
+from collections.abc import Iterator
+
 import anyio
 
 from currantdyke.catalog import Endpoint
@@ -169,17 +171,17 @@
     def _tried_engines(self) -> set[str]:
         return self.exchange.excluded | {run.instance for run in self.race.live}
 
-    def _engines(self) -> list[Endpoint]:
-        """Return the engines at which the stream may begin or go on."""
+    def _engines(self) -> Iterator[Endpoint]:
+        """Yield the engines at which the stream may begin or go on."""
         known = self.context.directory.endpoints.of_service(self.exchange.service)
-        return [engine for engine in known.values() if self._is_of_version(engine)]
+        return filter(self._is_of_version, known.values())
 
     def _has_other_engine(self) -> bool:
-        engines, tried = self._engines(), self._tried_engines()
-        paused = self.context.pauses.paused(engines, anyio.current_time())
+        tried = self._tried_engines()
+        paused = self.context.pauses.paused(self._engines(), anyio.current_time())
         return any(
             engine.instance not in tried and engine.instance not in paused
-            for engine in engines
+            for engine in self._engines()
         )
 
     def _is_of_version(self, engine: Endpoint) -> bool:
@@ -189,9 +191,8 @@
         exchange = self.exchange
         now = anyio.current_time()
         live = {run.instance for run in self.race.live if run.instance}
-        engines = self._engines()
-        paused = self.context.pauses.paused(engines, now)
-        if paused and all(engine.instance in paused for engine in engines):
+        paused = self.context.pauses.paused(self._engines(), now)
+        if paused and all(engine.instance in paused for engine in self._engines()):
             return Refusal(
                 code="paused",
                 detail="all engines have asked for a pause",
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -254,7 +254,7 @@
             endpoints=self.directory.endpoints,
             tunnels=TunnelClient(
                 availability_zone=settings.availability_zone,
-                daemons=self._tunnel_daemons,
+                daemons=functools.partial(self._staying_daemons, TUNNELS_PROTOCOL),
                 open_tunnel=functools.partial(open_tunnel, port=settings.peer_port),
             ),
             log=log,
@@ -345,12 +345,12 @@
         )
         return [ip for _, ip in ranked]
 
-    def _tunnel_daemons(self) -> list[DaemonEntry]:
-        """Return the daemons that may open tunnels."""
+    def _staying_daemons(self, protocol: int) -> list[DaemonEntry]:
+        """Return the others that know a protocol and are not about to leave."""
         return [
             daemon
             for daemon in self.peers.others()
-            if not daemon.leaving and daemon.protocol >= TUNNELS_PROTOCOL
+            if not daemon.leaving and daemon.protocol >= protocol
         ]
 
     def _close_idle(
@@ -361,11 +361,7 @@
 
     def _version_replicas(self) -> list[str]:
         """Return the IPs of the daemons that may hold versions of streams."""
-        return [
-            daemon.ip
-            for daemon in self.peers.others()
-            if not daemon.leaving and daemon.protocol >= LIMITS_PROTOCOL
-        ]
+        return [daemon.ip for daemon in self._staying_daemons(LIMITS_PROTOCOL)]
 
     async def run(self) -> None:
         """Serve until a stop is requested, then finish the requests in progress."""
@@ -642,18 +638,12 @@
         elif isinstance(content, EndpointLeaving):
             self.leaving.handle(content)
         elif isinstance(content, EndpointPaused):
-            self._record_pause(content)
+            self.endpoint_states.handle_pause(content)
         elif isinstance(content, ServiceFragile):
             self.slots.fragile.handle(content)
         elif isinstance(content, SlotRelease):
             self.slots.handle_release(content)
 
-    def _record_pause(self, paused: EndpointPaused) -> None:
-        endpoint = self.directory.endpoints.known.get(paused.instance)
-        if endpoint is not None and endpoint.born == paused.born:
-            now = anyio.current_time()
-            self.endpoint_states.pauses.record(endpoint, paused.seconds, now=now)
-
     def _forget_ended(self, link: Link, attempt_id: str) -> None:
         # A refused placement or the end of a run may leave another run.
         if not self.scheduler.has_request(attempt_id):
--- a/currantdyke/gateway/tests/test_cut_off.py
+++ b/currantdyke/gateway/tests/test_cut_off.py
@@ -59,23 +59,14 @@
             tasks.start_soon(count_served, others)
         deployment.cut_off(gateways, None)
         await anyio.sleep(1.0)
-        tunnels = [line for g in gateways for line in _tunnel_lines(deployment, g)]
         after = await send_load(deployment, target, rate=RATE, seconds=1.0)
         served_after = sum(answer.status == 200 for answer in after)
-    return counts[cut_off[0]], counts[others[0]], (served_after, int(RATE)), tunnels
-
-
-def _tunnel_lines(deployment, gateway):
-    return [
-        line["event"]
-        for line in deployment.lines[gateway.settings.name]
-        if line["event"] in ("cut_off", "reaches_endpoints")
-    ]
+    return counts[cut_off[0]], counts[others[0]], (served_after, int(RATE))
 
 
 class TestCutOff(unittest.TestCase):
     async def check(self, kind, service, target, *, cut, count):
-        cut_off, others, after, _ = await serve_cut_off(
+        cut_off, others, after = await serve_cut_off(
             kind, service, target, cut=cut, count=count
         )
         with self.subTest(at="cut off"):
--- a/currantdyke/gateway/tests/test_tunnels.py
+++ b/currantdyke/gateway/tests/test_tunnels.py
@@ -18,7 +18,6 @@
 
 # The users' bound on the time until an endpoint stops working for a caller that left.
 GONE_SECONDS = 0.5
-GRACE_SECONDS = 8.0
 NOTICE_SECONDS = 0.5
 
 
--- a/currantdyke/largevalues/fetch.py
+++ b/currantdyke/largevalues/fetch.py
@@ -7,11 +7,10 @@
 import attrs
 
 from currantdyke.decisionlog import DecisionLog
-from currantdyke.largevalues.encoding import decode_value, digest
 from currantdyke.largevalues.history import PART_BYTES, ValueHistory
 from currantdyke.largevalues.messages import PartRequest, ValueOffer, ValuePart
 
-__all__ = ["ValueFetcher", "decode_offer"]
+__all__ = ["ValueFetcher"]
 
 # Parts that are requested at once: enough to use a link whose queue delays each by
 # 0.1 s, few enough that other frames overtake the rest.
@@ -94,7 +93,9 @@
             if len(fetch.received) == before:
                 fetch.sources.discard(source)
         offer = fetch.offer
-        value = self._decode(fetch)
+        value = None
+        if not fetch.missing:
+            value = self.history.decode(offer, bytes(fetch.received), self.log)
         self.log.write(
             "value_fetched",
             failure=value is None,
@@ -140,26 +141,3 @@
             # The link logs the failure, and `value_fetched` its consequence.
             return b""
         return answer.data if isinstance(answer, ValuePart) else b""
-
-    def _decode(self, fetch: Fetch) -> bytes | None:
-        offer = fetch.offer
-        base = self.history.find(offer.base)
-        if fetch.missing or base is None:
-            return None
-        return decode_offer(offer, bytes(fetch.received), base, self.log)
-
-
-def decode_offer(
-    offer: ValueOffer, data: bytes, base: bytes, log: DecisionLog
-) -> bytes | None:
-    """Return an offered value from its encoding, or None if it can't be decoded."""
-    try:
-        value = decode_value(data, offer.size, base)
-    except ValueError as error:
-        reason = str(error)
-    else:
-        if digest(value) == offer.digest:
-            return value
-        reason = "the value has another digest"
-    log.write("value_unreadable", failure=True, key=offer.key, reason=reason)
-    return None
--- a/currantdyke/largevalues/history.py
+++ b/currantdyke/largevalues/history.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from currantdyke.largevalues.encoding import digest, encode_value
+from currantdyke.decisionlog import DecisionLog
+from currantdyke.largevalues.encoding import decode_value, digest, encode_value
 from currantdyke.largevalues.messages import PartRequest, ValueOffer, ValuePart
 
 __all__ = ["PART_BYTES", "ValueHistory"]
@@ -76,6 +77,22 @@
             data=encoded if len(encoded) <= PART_BYTES else b"",
         )
 
+    def decode(self, offer: ValueOffer, data: bytes, log: DecisionLog) -> bytes | None:
+        """Return an offered value from its encoding, or None if it can't be decoded."""
+        base = self.find(offer.base)
+        if base is None:
+            return None
+        try:
+            value = decode_value(data, offer.size, base)
+        except ValueError as error:
+            reason = str(error)
+        else:
+            if digest(value) == offer.digest:
+                return value
+            reason = "the value has another digest"
+        log.write("value_unreadable", failure=True, key=offer.key, reason=reason)
+        return None
+
     def part(self, request: PartRequest) -> ValuePart:
         """Return a part of an encoded value."""
         value, base = self.find(request.digest), self.find(request.base)
