Pause the store's answer on a full link while peers are asked

Cause: peers were asked beside the answer of the store, which went on filling the link. Their answers and pongs queued behind it, so that after 0.5 and 0.6 s they were taken for dead or stuck; the next one was asked 0.4 s later. Class: a small, urgent fact that waits behind a large transfer, and a healthy peer that is taken for a failed one.

Change: the read is paused while peers are asked, up to three at once after one another, two of which may not answer; then it goes on. A link that is known to be full (answers of the store arrive slowly, or did within 30 s) allows a peer 1.5 s of silence. A response that is late is waited for if nobody else is free to be asked; before, none was returned at once for 5 s. The slow answer is noticed within 0.3 s instead of 0.6 s. The simulated links deliver several small sends at once, as sockets do, and their choices are seeded.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -34,13 +34,21 @@
 # answer of that age the store is read.
 MAX_ANSWER_AGE_SECONDS = 1.2
 PEER_POLL_SECONDS = 0.4
+# Interval of checks whether peers must be asked.
+PEER_CHECK_SECONDS = 0.1
 # Relays that are asked in one round; a relay that is behind may not know it yet.
 MAX_RELAYS_ASKED = 2
+# Peers that are asked in one round while a read of the store is paused, and those that
+# may not answer in time: the read must go on if it is they who are stuck.
+MAX_PEERS_ASKED = 3
+MAX_PEERS_UNANSWERED = 2
 # An answer of the store that arrives for longer than this is large for the link. Peers
 # may bring what it contains sooner,
 SLOW_ANSWER_SECONDS = 0.2
 # and after that are asked first for this time.
 PREFER_PEERS_SECONDS = 30.0
+# Interval of checks whether a value that a peer has offered has arrived.
+FETCH_CHECK_SECONDS = 0.05
 # Retry interval for an unavailable store in a large fleet; peers pass on the changes
 # that other daemons receive.
 STORE_RETRY_SECONDS = 1.5
@@ -60,6 +68,8 @@
     ask_relay : callable
         The same from a relay, a daemon that reads the store for this one; None also if
         this daemon must read the store itself.
+    is_fetching : callable
+        Returns whether a large value is arriving from a peer.
     answered_at : float
         Time at which the store last answered this daemon or the relay that it asked.
     lost_since : float or None
@@ -71,6 +81,9 @@
         Whether only changes are read; if not, the next read lists all items.
     reading : CancelScope or None
         Of the last read of the store; cancelled if peers bring the same sooner.
+    may_pause_read : bool
+        Whether the read is paused when a peer is asked next; not after a pause in which
+        peers did not answer.
     peers_first_until : float
         Until when peers are asked before the store is read, since its answers arrive
         slowly.
@@ -84,11 +97,13 @@
     reads_per_second: float
     ask_peer: Callable[[int], Awaitable[ChangeSet | None]]
     ask_relay: Callable[[int], Awaitable[ChangeSet | None]]
+    is_fetching: Callable[[], bool] = lambda: False
     answered_at: float = -1.0
     lost_since: float | None = None
     watching: bool = False
     relay_behind: bool = False
     reading: anyio.CancelScope | None = None
+    may_pause_read: bool = True
     peers_first_until: float = -1.0
     read_requested: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -97,6 +112,11 @@
         """Time since the store last answered, in seconds."""
         return anyio.current_time() - self.answered_at
 
+    def is_link_slow(self) -> bool:
+        """Return whether answers of the store arrive slowly, or lately did."""
+        now = anyio.current_time()
+        return self._is_answer_slow() or now < self.peers_first_until
+
     async def run(self) -> None:
         """Follow until cancelled."""
         self.answered_at = anyio.current_time()
@@ -218,38 +238,79 @@
 
     async def _follow_peers(self) -> None:
         while True:
-            await anyio.sleep(PEER_POLL_SECONDS)
+            await anyio.sleep(PEER_CHECK_SECONDS)
             if not self._needs_peers():
                 continue
-            changes = await self.ask_peer(self.directory.replica.revision)
-            if changes is not None:
-                new = self.directory.apply(changes, source="peer")
-                if new:
-                    self.log.write(
-                        "followed_peer",
-                        changes=new,
-                        revision=changes.revision,
-                        age=round(changes.age, 3),
-                    )
-                self._end_overtaken_read()
+            if self._is_answer_slow() and self.may_pause_read:
+                # On a full link, neither the peer's answer nor a sign of its life
+                # would arrive in time beside the answer of the store.
+                with self.store.pause_answer():
+                    self.may_pause_read = await self._follow_peers_at_once()
+            else:
+                await self._ask_peer()
+                self.may_pause_read = True
+            self._end_overtaken_read()
+            await anyio.sleep(PEER_POLL_SECONDS - PEER_CHECK_SECONDS)
+
+    async def _follow_peers_at_once(self) -> bool:
+        """Ask peers until they have brought as much as the answer of the store.
+
+        Returns
+        -------
+        bool
+            False if two did not answer in time.
+        """
+        unanswered = 0
+        for _ in range(MAX_PEERS_ASKED):
+            if not await self._ask_peer():
+                unanswered += 1
+                if unanswered == MAX_PEERS_UNANSWERED:
+                    return False
+                continue
+            while self.is_fetching():
+                await anyio.sleep(FETCH_CHECK_SECONDS)
+            if self._is_overtaken():
+                break
+        return True
+
+    async def _ask_peer(self) -> bool:
+        """Apply the changes that a peer knows; return whether one answered."""
+        changes = await self.ask_peer(self.directory.replica.revision)
+        if changes is None:
+            return False
+        new = self.directory.apply(changes, source="peer")
+        if new:
+            self.log.write(
+                "followed_peer",
+                changes=new,
+                revision=changes.revision,
+                age=round(changes.age, 3),
+            )
+        return True
+
+    def _is_answer_slow(self) -> bool:
+        return self.store.answer_seconds > SLOW_ANSWER_SECONDS
 
     def _needs_peers(self) -> bool:
         return (
             self.lost_since is not None
             or self.store_age >= MAX_ANSWER_AGE_SECONDS
-            or self.store.answer_seconds > SLOW_ANSWER_SECONDS
+            or self._is_answer_slow()
             or not self.directory.complete
         )
 
-    def _end_overtaken_read(self) -> None:
-        """End a read of the store whose answer contains nothing new any more."""
-        arriving = self.store.answer_seconds
-        if (
+    def _is_overtaken(self) -> bool:
+        """Return whether the answer that is arriving contains nothing new any more."""
+        return (
             self.reading is not None
-            and arriving > SLOW_ANSWER_SECONDS
+            and self._is_answer_slow()
             and self.directory.listed
-            and self.directory.age <= arriving
-        ):
+            and self.directory.age <= self.store.answer_seconds
+        )
+
+    def _end_overtaken_read(self) -> None:
+        if self._is_overtaken() and self.reading is not None:
+            seconds = round(self.store.answer_seconds, 3)
             self.peers_first_until = anyio.current_time() + PREFER_PEERS_SECONDS
-            self.log.write("store_read_overtaken", seconds=round(arriving, 3))
+            self.log.write("store_read_overtaken", seconds=seconds)
             self.reading.cancel()
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -159,6 +159,7 @@
             handle_request=self._answer_peer,
             handle_notification=self._handle_peer_notification,
             on_link_lost=self._on_link_lost,
+            is_congested=lambda: self.follower.is_link_slow(),
         )
         self.store = StoreClient(address=settings.store.address)
         self.follower = Follower(
@@ -168,6 +169,7 @@
             reads_per_second=settings.store.reads_per_second,
             ask_peer=self.peers.ask_changes,
             ask_relay=self.peers.ask_relay,
+            is_fetching=lambda: self.peers.fetcher.progressing,
         )
         self.registration = Registration(
             entry=self.own_entry,
--- a/currantdyke/http1/messages.py
+++ b/currantdyke/http1/messages.py
@@ -1,6 +1,6 @@
 """Header fields and bodies of HTTP messages."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 
@@ -46,14 +46,15 @@
     connection: Http1Connection,
     max_bytes: int,
     *,
-    on_data: Callable[[int], None] | None = None,
+    on_data: Callable[[int], Awaitable[None]] | None = None,
 ) -> bytes:
     """Read the body of a message.
 
     Parameters
     ----------
     on_data : callable, optional
-        Called with the size in bytes of each part of the body when it arrives.
+        Called with the size in bytes of each part of the body when it arrives; the next
+        one is read once it returns.
 
     Raises
     ------
@@ -69,7 +70,7 @@
         if isinstance(event, h11.Data):
             size += len(event.data)
             if on_data is not None:
-                on_data(len(event.data))
+                await on_data(len(event.data))
             if size > max_bytes:
                 raise MessageTooLargeError(f"the body is over {max_bytes} bytes")
             parts.append(bytes(event.data))
--- a/currantdyke/largevalues/fetch.py
+++ b/currantdyke/largevalues/fetch.py
@@ -15,6 +15,8 @@
 # Parts that are requested at once: enough to use a link whose queue delays each by
 # 0.1 s, few enough that other frames overtake the rest.
 MAX_PARTS = 4
+# Time without a part after which a fetch may be stuck at a daemon that is alive.
+STUCK_SECONDS = 1.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -25,12 +27,15 @@
     ----------
     sources : set of str
         IPs of the daemons that offered it and have not failed since.
+    progress_at : float
+        Time of the start or of the last part.
     """
 
     offer: ValueOffer
     sources: set[str]
     received: bytearray = attrs.field(factory=bytearray)
     started_at: float = attrs.field(factory=anyio.current_time)
+    progress_at: float = attrs.field(factory=anyio.current_time)
 
     @property
     def missing(self) -> int:
@@ -65,6 +70,14 @@
     current: Fetch | None = None
     offered: anyio.Event = attrs.field(factory=anyio.Event)
 
+    @property
+    def progressing(self) -> bool:
+        """Whether a value is being fetched and parts of it arrive."""
+        fetch = self.current
+        if fetch is None:
+            return False
+        return anyio.current_time() - fetch.progress_at < STUCK_SECONDS
+
     async def run(self) -> None:
         """Fetch what is offered until cancelled."""
         while True:
@@ -119,6 +132,8 @@
             parts[number] = await self._request_part(
                 fetch.offer, source, first + number * PART_BYTES
             )
+            if parts[number]:
+                fetch.progress_at = anyio.current_time()
 
         async with anyio.create_task_group() as tasks:
             for number in range(count):
--- a/currantdyke/largevalues/tests/test_fleet.py
+++ b/currantdyke/largevalues/tests/test_fleet.py
@@ -76,6 +76,27 @@
         )
 
 
+async def follow_beside_traffic(daemons, *, fast, connections, changes, seed=1):
+    """Return the seconds until each change is in force behind links that are full.
+
+    Parameters
+    ----------
+    connections : int
+        Other connections on each slow link, which use it as much as they can.
+    """
+    async with run_change_fleet(seed=seed) as fleet:
+        await start_fleet(fleet, daemons, fast=fast, slow_link=BUSY_LINK)
+        for daemon in list(fleet.daemons.values())[fast:]:
+            fleet.occupy(daemon, connections)
+        seconds = []
+        for version in range(2, 2 + changes):
+            fleet.configure(version)
+            seconds.append(await fleet.wait_for(version))
+            # Some of the changes come after peers are no longer preferred.
+            await anyio.sleep(SETTLE_SECONDS * version)
+        return seconds
+
+
 class TestSmallChange(unittest.TestCase):
     # Issue 32: a change of one route was sent as the whole document, 35 KB compressed.
     def test_small_change_costs_little_in_a_fleet_with_relays(self):
@@ -103,6 +124,16 @@
         seconds, _, _, _ = run_virtual(measure, 2, fast=1, slow_link=BUSY_LINK)
         self.assertLessEqual(seconds, IN_FORCE_SECONDS)
 
+    # Issue 32: the answer of the store kept the peers' answers from arriving in time,
+    # so that these were taken for failed.
+    def test_change_reaches_full_links_beside_the_answer_of_the_store(self):
+        for daemons, fast in ((2, 1), (12, 6)):
+            with self.subTest(daemons=daemons):
+                seconds = run_virtual(
+                    follow_beside_traffic, daemons, fast=fast, connections=2, changes=6
+                )
+                self.assertLessEqual(max(seconds), IN_FORCE_SECONDS, seconds)
+
     # Nobody else may know what a daemon on a slow link reads.
     def test_daemons_on_slow_links_alone_read_the_store(self):
         seconds, _, _, _ = run_virtual(measure, 12, fast=0, slow_link=SLOW_LINK)
--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -61,6 +61,11 @@
         """Time of the last progress."""
         return max(self.request.sent_at, self.link.received_at)
 
+    @property
+    def stalled(self) -> bool:
+        """Whether another daemon should be asked, if there is one."""
+        return anyio.current_time() >= self.progress_at + CHANGES_TIMEOUT_SECONDS
+
 
 @attrs.define(kw_only=True, eq=False)
 class ChangesClient:
@@ -126,9 +131,10 @@
             if ip is None:
                 return None
             transfer = self.transfers[ip]
+        since = anyio.current_time() if transfer.stalled else transfer.progress_at
         try:
             content = await transfer.link.wait_for_response(
-                transfer.request, timeout=CHANGES_TIMEOUT_SECONDS
+                transfer.request, timeout=CHANGES_TIMEOUT_SECONDS, since=since
             )
         except LinkLostError as error:
             if error.reason is not LossReason.TIME_LIMIT:
@@ -159,7 +165,7 @@
                 if isinstance(content, ChangeSet) and content.revision > revision:
                     return ip
                 self._remove(ip, transfer)
-            elif now < transfer.progress_at + CHANGES_TIMEOUT_SECONDS:
+            elif not transfer.stalled:
                 return ip
             elif now >= transfer.progress_at + ABANDON_SECONDS:
                 transfer.link.pending.pop(transfer.request.number, None)
@@ -169,10 +175,15 @@
     async def _start(
         self, revision: int, ips: set[str], preferred: set[str]
     ) -> str | None:
-        """Send a request to a daemon; return its IP, or None if none is free."""
+        """Send a request to a daemon; return its IP.
+
+        If none is free, the IP of the daemon whose response was requested last is
+        returned; None if no response is pending either.
+        """
         free = sorted(ips - self.transfers.keys())
         if not free or len(self.transfers) >= MAX_TRANSFERS:
-            return None
+            pending = self.transfers
+            return max(pending, key=lambda ip: pending[ip].asked_at, default=None)
         first = sorted(preferred & set(free)) or free
         pair = (self.random_source.choice(first), self.random_source.choice(free))
         ip = min(pair, key=self._lag)
--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -40,6 +40,8 @@
 # A peer that answers no ping for this long is frozen or unreachable. Half a second is a
 # third of the shortest target latency of the requests that wait for it.
 SILENCE_TIMEOUT_SECONDS = 0.5
+# The same while the link of this VM is full, on which pings wait as well.
+CONGESTED_SILENCE_TIMEOUT_SECONDS = 1.5
 PING_INTERVAL_SECONDS = 0.15
 
 
@@ -92,6 +94,8 @@
         Time at which a part of an unfinished frame last arrived, -inf if none has.
     scope : anyio.CancelScope
         Of the running link; cancelled to break it.
+    is_congested : callable
+        Returns whether the network link of this VM is full.
     """
 
     peer: str
@@ -107,6 +111,7 @@
     received_at: float = -math.inf
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     closed: bool = False
+    is_congested: Callable[[], bool] = lambda: False
 
     async def request(self, content: Content, *, timeout: float = math.inf) -> Content:
         """Send a request and wait for its response.
@@ -147,7 +152,11 @@
         return request
 
     async def wait_for_response(
-        self, request: "PendingRequest", *, timeout: float = math.inf
+        self,
+        request: "PendingRequest",
+        *,
+        timeout: float = math.inf,
+        since: float = -math.inf,
     ) -> Content:
         """Wait for the response to a request that was sent on this link.
 
@@ -155,6 +164,8 @@
         ----------
         timeout : float
             As of `request`.
+        since : float
+            Time in seconds before which the limit does not run either.
 
         Raises
         ------
@@ -162,7 +173,7 @@
             As by `request`; after the time limit the request is still pending.
         """
         while not request.done.is_set():
-            deadline = max(request.sent_at, self.received_at) + timeout
+            deadline = max(request.sent_at, self.received_at, since) + timeout
             if anyio.current_time() >= deadline:
                 broken = self.closed or self._is_silent()
                 raise self._lost(
@@ -225,7 +236,10 @@
         self.scope.cancel()
 
     def _is_silent(self) -> bool:
-        return anyio.current_time() - self.silent_since > SILENCE_TIMEOUT_SECONDS
+        limit = SILENCE_TIMEOUT_SECONDS
+        if self.is_congested():
+            limit = CONGESTED_SILENCE_TIMEOUT_SECONDS
+        return anyio.current_time() - self.silent_since > limit
 
     async def _monitor_peer(self) -> None:
         while True:
@@ -315,6 +329,7 @@
     host: str,
     port: int,
     handle_notification: Callable[[Link, Content], None],
+    is_congested: Callable[[], bool] = lambda: False,
 ) -> Link:
     """Connect to a daemon; the caller must run the link.
 
@@ -334,6 +349,7 @@
         stream=stream,
         handle_request=reject_request,
         handle_notification=handle_notification,
+        is_congested=is_congested,
     )
 
 
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -65,6 +65,8 @@
         Handlers of requests and notifications from peers.
     serve_tunnel : callable or None
         Serves a connection that is no link, with what was read of it.
+    is_congested : callable
+        Returns whether the network link of this VM is full.
     suspects : dict of str to Suspicion
         Daemons that did not respond, by IP.
     changes : ChangesClient
@@ -84,6 +86,7 @@
     serve_tunnel: Callable[[anyio.abc.SocketStream, bytes], Awaitable[None]] | None = (
         None
     )
+    is_congested: Callable[[], bool] = lambda: False
     tasks: anyio.abc.TaskGroup | None = None
     links: dict[str, Link] = attrs.field(factory=dict)
     connect_locks: dict[str, anyio.Lock] = attrs.field(factory=dict)
@@ -277,6 +280,7 @@
                     host=ip,
                     port=self.port,
                     handle_notification=self.handle_notification,
+                    is_congested=self.is_congested,
                 )
                 self.links[ip] = link
                 if self.tasks is None:
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -145,6 +145,22 @@
 
         self.assertLess(run_virtual(run_linked, never_respond, scenario), 1.0)
 
+    # Issue 32: pings waited on the full link of this VM, not at the peer.
+    def test_link_over_a_full_network_link_is_kept_longer(self):
+        async def answer_after_a_silence(link, content):
+            queue, link.outgoing = link.outgoing, DiscardingList()
+            await anyio.sleep(1.0)
+            link.outgoing = queue
+            return Unknown()
+
+        async def scenario(asking, answering):
+            asking.is_congested = lambda: True
+            with anyio.fail_after(2.0):
+                return await asking.request(ChangesRequest(revision=1))
+
+        content = run_virtual(run_linked, answer_after_a_silence, scenario)
+        self.assertEqual(content, Unknown())
+
     def test_slow_response_of_a_live_peer_is_awaited(self):
         async def respond_slowly(link, content):
             await anyio.sleep(5)
--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's key-value store."""
 
 import base64
+import contextlib
 import math
+from collections.abc import Iterator
 from urllib.parse import quote
 
 import anyio
@@ -94,6 +96,10 @@
         Bytes of the answer's body that have arrived.
     length : int or None
         Size of the whole body in bytes; None if it is not announced.
+    resumed : Event or None
+        While reading the body is paused, set at the end of the pause.
+    paused_seconds : float
+        Length of the pauses so far.
     """
 
     started_at: float
@@ -102,6 +108,8 @@
     awaiting: str = "no connection"
     received: int = 0
     length: int | None = None
+    resumed: anyio.Event | None = None
+    paused_seconds: float = 0.0
 
     def record_head(self, response: h11.Response) -> None:
         """Record the arrival of the head of the answer."""
@@ -111,10 +119,16 @@
         self.length = None if length is None else int(length)
         self._extend_deadline()
 
-    def record_data(self, size: int) -> None:
-        """Record the arrival of a part of the body."""
+    async def record_data(self, size: int) -> None:
+        """Record the arrival of a part of the body, and wait while it is paused."""
         self.received += size
         self._extend_deadline()
+        if self.resumed is not None:
+            started = anyio.current_time()
+            self.scope.deadline = math.inf
+            await self.resumed.wait()
+            self.paused_seconds += anyio.current_time() - started
+            self._extend_deadline()
 
     def describe_failure(self, error: Exception) -> str:
         """Return what was missing when the exchange failed."""
@@ -127,7 +141,8 @@
         return f"{text}: {cause}"
 
     def _extend_deadline(self) -> None:
-        slowest = self.head_at + self.received / MIN_ANSWER_BYTES_PER_SECOND
+        slowest = self.head_at + self.paused_seconds
+        slowest += self.received / MIN_ANSWER_BYTES_PER_SECOND
         self.scope.deadline = CALL_TIMEOUT_SECONDS + min(anyio.current_time(), slowest)
 
 
@@ -163,6 +178,23 @@
             return 0.0
         return anyio.current_time() - self.transfer.head_at
 
+    @contextlib.contextmanager
+    def pause_answer(self) -> Iterator[None]:
+        """Read no more of an answer that is arriving, so that the link is free.
+
+        What is on its way still arrives. The time limits of the call do not run.
+        """
+        transfer = self.transfer
+        if transfer is None or transfer.resumed is not None:
+            yield
+            return
+        transfer.resumed = resumed = anyio.Event()
+        try:
+            yield
+        finally:
+            transfer.resumed = None
+            resumed.set()
+
     async def list_all(self) -> tuple[list[Change], int]:
         """Return all items, and the revision after which to watch.
 
--- a/currantdyke/platform/tests/test_store.py
+++ b/currantdyke/platform/tests/test_store.py
@@ -101,6 +101,30 @@
                 self.assertEqual((len(change.value), revision), (VALUE_BYTES, 2))
                 self.assertGreater(seconds, 1.9)
 
+    # Issue 32: an answer that nobody needed any more kept peers' answers waiting.
+    def test_paused_answer_is_read_to_its_end_later(self):
+        body = watch_answer(VALUE_BYTES)
+        parts = [(0.0, head(body)), *paced(body, SLOW_BYTES_PER_SECOND)]
+        pause = 3 * CALL_TIMEOUT_SECONDS
+
+        async def watch_with_pause(client):
+            async with anyio.create_task_group() as tasks:
+
+                async def pause_answer():
+                    await anyio.sleep(1.0)
+                    with client.pause_answer():
+                        await anyio.sleep(0.1)
+                        received = client.transfer.received
+                        await anyio.sleep(pause)
+                        self.assertEqual(client.transfer.received, received)
+
+                tasks.start_soon(pause_answer)
+                return await watch(client)
+
+        _, result, seconds = run_virtual(run_call, parts, watch_with_pause)
+        self.assertNotIsInstance(result, Exception, str(result))
+        self.assertGreater(seconds, 1.9 + pause)
+
     # Guards against a call that waits for ever for the rest of an answer.
     def test_answer_that_stalls_midway_fails_a_time_limit_after_its_last_data(self):
         body = watch_answer(VALUE_BYTES)
--- a/currantdyke/testing/change_fleet.py
+++ b/currantdyke/testing/change_fleet.py
@@ -6,7 +6,7 @@
 
 import contextlib
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 from unittest import mock
 
@@ -55,18 +55,30 @@
 
 @attrs.define(kw_only=True, eq=False)
 class MemoryStream(anyio.abc.ByteStream):
-    """One end of a connection in memory."""
+    """One end of a connection in memory.
+
+    Attributes
+    ----------
+    unread : bytes
+        The rest of what was taken from ``receiving``.
+    """
 
     sending: Any
     receiving: Any
+    unread: bytes = b""
 
     async def send(self, item: bytes) -> None:
         """Send bytes."""
         await self.sending.send(item)
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
-        """Receive what was sent at once."""
-        return await self.receiving.receive()
+        """Receive what has arrived, of several small sends at once like a socket."""
+        data = self.unread or await self.receiving.receive()
+        with contextlib.suppress(anyio.WouldBlock, anyio.EndOfStream):
+            while len(data) < max_bytes:
+                data += self.receiving.receive_nowait()
+        self.unread = data[max_bytes:]
+        return data[:max_bytes]
 
     async def send_eof(self) -> None:
         """Close the sending direction."""
@@ -92,12 +104,23 @@
     bandwidth: CountingBandwidth
     refuses: bool = False
     answered_from: float = math.inf
+    resumed: anyio.Event | None = None
 
     @property
     def answer_seconds(self) -> float:
         """Seconds since the head of an answer that is arriving; 0 if none is."""
         return max(0.0, anyio.current_time() - self.answered_from)
 
+    @contextlib.contextmanager
+    def pause_answer(self) -> Iterator[None]:
+        """Send no more of an answer."""
+        self.resumed = resumed = anyio.Event()
+        try:
+            yield
+        finally:
+            self.resumed = None
+            resumed.set()
+
     async def list_all(self) -> tuple[list[Change], int]:
         """Return the newest change of each item."""
         newest = {change.key: change for change in self.history}
@@ -121,6 +144,8 @@
         self.answered_from = anyio.current_time()
         try:
             while size > 0:
+                if self.resumed is not None:
+                    await self.resumed.wait()
                 await self.bandwidth.wait()
                 self.bandwidth.take(min(size, CHUNK_BYTES))
                 size -= CHUNK_BYTES
@@ -160,9 +185,12 @@
         All changes of the store.
     messages : int
         Links' requests so far.
+    seed : int
+        Of the daemons' choices whom to ask.
     """
 
     tasks: anyio.abc.TaskGroup
+    seed: int = 1
     history: list[Change] = attrs.field(factory=list)
     daemons: dict[str, SimulatedFollower] = attrs.field(factory=dict)
     messages: int = 0
@@ -224,8 +252,11 @@
                 reads_per_second=2_000.0,
                 ask_peer=daemon_peers.ask_changes,
                 ask_relay=daemon_peers.ask_relay,
+                is_fetching=lambda: daemon_peers.fetcher.progressing,
             ),
         )
+        daemon_peers.changes.random_source.seed(f"{self.seed} {number}")
+        daemon_peers.is_congested = daemon.follower.is_link_slow
         return daemon
 
     def start(self) -> None:
@@ -234,6 +265,17 @@
             self.tasks.start_soon(daemon.follower.run)
             self.tasks.start_soon(daemon.peers.fetcher.run)
 
+    def occupy(self, daemon: SimulatedFollower, connections: int) -> None:
+        """Let other connections use the link of a daemon as much as they can."""
+
+        async def transfer() -> None:
+            while True:
+                await daemon.bandwidth.wait()
+                daemon.bandwidth.take(CHUNK_BYTES)
+
+        for _ in range(connections):
+            self.tasks.start_soon(transfer)
+
     async def wait_for(self, version: int, *, seconds: float = 60.0) -> float:
         """Wait until a version is in force everywhere; return the seconds."""
         started = anyio.current_time()
@@ -265,7 +307,9 @@
         near = MemoryStream(sending=forth[0], receiving=back[1])
         far = MemoryStream(sending=back[0], receiving=forth[1])
         self.tasks.start_soon(_link(opener.entry.ip, far, target).run)
-        return _link(peer, near, opener)
+        link = _link(peer, near, opener)
+        link.is_congested = opener.peers.is_congested
+        return link
 
 
 def _link(peer: str, stream: MemoryStream, daemon: SimulatedFollower) -> Link:
@@ -279,10 +323,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_change_fleet() -> AsyncIterator[ChangeFleet]:
+async def run_change_fleet(*, seed: int = 1) -> AsyncIterator[ChangeFleet]:
     """Run a fleet; the test adds the daemons."""
     async with anyio.create_task_group() as tasks:
-        fleet = ChangeFleet(tasks=tasks)
+        fleet = ChangeFleet(tasks=tasks, seed=seed)
         with (
             mock.patch.object(peers, "open_link", fleet.open_link),
             mock.patch.object(changes, "boot_time", anyio.current_time),
