Count the first tunnel, also a late one, and wait for all that were asked

Shown by a test: each daemon that is asked for a tunnel is given up after 0.2 s, whatever the others do, and asked last for 3 s from then on. Where all are slow for a moment, as six gateways in one busy process are, every request finds nobody and none of the answers, which come later, is used. Class: a limit after which a healthy daemon is taken for a failed one, and what arrived is thrown away.

Change: after 0.2 s two more are asked beside the first ones, which stay in the race, 0.6 s in all; those that have not answered are asked last only if another one has opened a tunnel meanwhile. A tunnel that is opened at the moment at which its request is given up is closed.

--- a/currantdyke/tunnels/client.py
+++ b/currantdyke/tunnels/client.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import anyio
 import anyio.abc
@@ -19,8 +19,10 @@
 # Two at once until one is known that reaches endpoints.
 ASKED_AT_ONCE = 2
 MAX_ASKED = 6
-# A daemon that reaches an endpoint has a connection after some milliseconds.
+# A daemon that reaches an endpoint has a connection after some milliseconds. After this
+# time others are asked too; if all are slow, the first answer still counts.
 ASK_TIMEOUT_SECONDS = 0.2
+SEARCH_TIMEOUT_SECONDS = 0.6
 # A daemon that is cut off itself, or does not respond, is asked last for this time.
 AVOID_SECONDS = 3.0
 # For this long, no daemon is asked again for an endpoint that others do not reach.
@@ -47,6 +49,58 @@
 ]
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Search:
+    """The daemons that are asked for a tunnel to one endpoint.
+
+    Attributes
+    ----------
+    asked_at : dict of str to float
+        When each daemon was asked, by IP.
+    pending : set of str
+        IPs of those that have not answered.
+    results : list of TunnelResult
+        What the others answered.
+    stream : TunnelStream or None
+        The first tunnel.
+    answered : anyio.Event
+        Set at each answer.
+    """
+
+    endpoint: Endpoint
+    asked_at: dict[str, float] = attrs.field(factory=dict)
+    pending: set[str] = attrs.field(factory=set)
+    results: list[TunnelResult] = attrs.field(factory=list)
+    stream: TunnelStream | None = None
+    answered: anyio.Event = attrs.field(factory=anyio.Event)
+
+    @property
+    def refused(self) -> bool:
+        """Whether nothing listens at the endpoint."""
+        return TunnelResult.REFUSED in self.results
+
+    @property
+    def gone(self) -> bool:
+        """Whether others do not reach the endpoint either."""
+        unreached = self.results.count(TunnelResult.UNREACHED)
+        return self.stream is None and (self.refused or unreached >= ASKED_AT_ONCE)
+
+    @property
+    def ended(self) -> bool:
+        """Whether no further daemon needs to be asked."""
+        return self.stream is not None or self.gone
+
+    async def wait_for_answers(self) -> None:
+        """Wait until there is a tunnel or all have answered.
+
+        One that finds the endpoint gone may be cut off without knowing it, so that the
+        others are waited for.
+        """
+        while self.pending and self.stream is None:
+            self.answered = anyio.Event()
+            await self.answered.wait()
+
+
 @attrs.define(kw_only=True, eq=False)
 class TunnelClient:
     """Asks other daemons for tunnels.
@@ -86,23 +140,47 @@
             If no daemon has opened one.
         """
         self._check_gone(endpoint)
-        unreached = 0
-        asked: set[str] = set()
-        while len(asked) < MAX_ASKED:
-            daemons = self._choose(endpoint, asked)
-            if not daemons:
-                break
-            asked |= {daemon.ip for daemon in daemons}
-            results, stream = await self._ask(daemons, endpoint)
-            if stream is not None:
-                self.opened += 1
-                return stream
-            unreached += results.count(TunnelResult.UNREACHED)
-            if TunnelResult.REFUSED in results or unreached >= ASKED_AT_ONCE:
-                refused = TunnelResult.REFUSED in results
-                self._record_gone(endpoint, refused=refused)
-                raise TunnelError("other daemons do not reach it", refused=refused)
-        raise TunnelError(f"{len(asked)} daemons opened no tunnel")
+        search = _Search(endpoint=endpoint)
+        try:
+            with anyio.move_on_after(SEARCH_TIMEOUT_SECONDS):
+                await self._run_search(search)
+        except BaseException:
+            if search.stream is not None:
+                await anyio.aclose_forcefully(search.stream)
+            raise
+        if search.stream is not None:
+            self._avoid_slow(search)
+            self.opened += 1
+            return search.stream
+        if search.gone:
+            self._record_gone(endpoint, refused=search.refused)
+            detail = "other daemons do not reach it"
+            raise TunnelError(detail, refused=search.refused)
+        raise TunnelError(f"{len(search.asked_at)} daemons opened no tunnel")
+
+    async def _run_search(self, search: _Search) -> None:
+        """Ask daemons until one has opened a tunnel, or all have answered."""
+        async with anyio.create_task_group() as tasks:
+            while not search.ended and len(search.asked_at) < MAX_ASKED:
+                daemons = self._choose(search.endpoint, search.asked_at.keys())
+                if not daemons:
+                    break
+                for daemon in daemons:
+                    search.asked_at[daemon.ip] = anyio.current_time()
+                    search.pending.add(daemon.ip)
+                    tasks.start_soon(self._ask, daemon, search)
+                with anyio.move_on_after(ASK_TIMEOUT_SECONDS):
+                    await search.wait_for_answers()
+            if not search.ended:
+                await search.wait_for_answers()
+            tasks.cancel_scope.cancel()
+
+    def _avoid_slow(self, search: _Search) -> None:
+        """Ask those last that have not answered in time, since another one has."""
+        now = anyio.current_time()
+        for ip in search.pending:
+            if now >= search.asked_at[ip] + ASK_TIMEOUT_SECONDS:
+                self.avoided[ip] = now + AVOID_SECONDS
 
     def _check_gone(self, endpoint: Endpoint) -> None:
         if not self.gone:
@@ -116,7 +194,7 @@
         self.gone = {name: entry for name, entry in self.gone.items() if now < entry[1]}
         self.gone[endpoint.instance] = endpoint.born, now + GONE_SECONDS, refused
 
-    def _choose(self, endpoint: Endpoint, asked: set[str]) -> list[DaemonEntry]:
+    def _choose(self, endpoint: Endpoint, asked: Collection[str]) -> list[DaemonEntry]:
         """Return the daemons to ask next, the one that opened the last tunnel alone.
 
         Those in the zone of the endpoint or of this daemon come first, since others
@@ -138,45 +216,26 @@
 
         return sorted(known, key=sort_key)[:ASKED_AT_ONCE]
 
-    async def _ask(
-        self, daemons: list[DaemonEntry], endpoint: Endpoint
-    ) -> tuple[list[TunnelResult], TunnelStream | None]:
-        """Ask daemons at once; return what they answer, or the first tunnel."""
-        results: list[TunnelResult] = []
-        streams: list[TunnelStream] = []
-
-        async def ask(daemon: DaemonEntry, scope: anyio.CancelScope) -> None:
-            result = TunnelResult.CUT_OFF
-            with anyio.move_on_after(ASK_TIMEOUT_SECONDS):
-                result = await self._ask_one(daemon, endpoint, streams)
-            results.append(result)
-            if result is TunnelResult.CONNECTED:
-                self.trusted = daemon.ip
-                scope.cancel()
-                return
-            if daemon.ip == self.trusted:
-                self.trusted = ""
-            if result is TunnelResult.CUT_OFF:
-                self.avoided[daemon.ip] = anyio.current_time() + AVOID_SECONDS
-
-        async with anyio.create_task_group() as tasks:
-            for daemon in daemons:
-                tasks.start_soon(ask, daemon, tasks.cancel_scope)
-        for spare in streams[1:]:
-            await anyio.aclose_forcefully(spare)
-        return results, streams[0] if streams else None
-
-    async def _ask_one(
-        self, daemon: DaemonEntry, endpoint: Endpoint, streams: list[TunnelStream]
-    ) -> TunnelResult:
-        request = TunnelRequest(instance=endpoint.instance, born=endpoint.born)
+    async def _ask(self, daemon: DaemonEntry, search: _Search) -> None:
+        request = TunnelRequest(
+            instance=search.endpoint.instance, born=search.endpoint.born
+        )
+        result, stream = TunnelResult.CUT_OFF, None
         try:
             result, stream = await self.open_tunnel(daemon, request)
         except CONNECTION_ERRORS:
             # `avoided` holds the consequence; the caller's failure names the endpoint.
-            return TunnelResult.CUT_OFF
+            pass
+        search.pending.discard(daemon.ip)
+        search.results.append(result)
         if result is TunnelResult.CONNECTED:
-            streams.append(stream)
-        else:
+            self.trusted = daemon.ip
+            if search.stream is None:
+                search.stream, stream = stream, None
+        elif daemon.ip == self.trusted:
+            self.trusted = ""
+        if result is TunnelResult.CUT_OFF:
+            self.avoided[daemon.ip] = anyio.current_time() + AVOID_SECONDS
+        search.answered.set()
+        if stream is not None:
             await anyio.aclose_forcefully(stream)
-        return result
