Detect ignored versions with prompts that any engine may take

Cause: all prompts of the pattern have 6,000 tokens, so that a stream that is resumed goes to the engine that has them cached, whatever its version: the fault was there, and chance hid it. Half of the streams now have 40 tokens, which any engine may take.

--- a/currantdyke/soak/versions.py
+++ b/currantdyke/soak/versions.py
@@ -34,6 +34,8 @@
 MIN_SHARE = 0.5
 MAX_TRIES = 4
 PROMPTS = 16
+# A short prompt goes to any engine, a long one to the engine that has it cached.
+PROMPT_TOKENS = (40, 6_000)
 MAX_CHANGE_INTERVAL_SECONDS = 3.0
 # The platform withdraws the entry of an engine that leaves after this time.
 DRAIN_SECONDS = 3.0
@@ -76,6 +78,7 @@
     last_id: int = 0,
     resumes: str = "",
     prompt: str = "ab",
+    prompt_tokens: int = PROMPT_TOKENS[-1],
 ) -> CallerAnswer | None:
     """Send a request for a stream, or resume one, and read some of its events.
 
@@ -83,6 +86,8 @@
     ----------
     prompt : str
         Id of the first part of the prompt, which some engine has cached.
+    prompt_tokens : int
+        Length of that part.
 
     Returns
     -------
@@ -90,7 +95,7 @@
         None if the connection was lost before an answer.
     """
     headers = caller_headers(attempt_id, key=FIRST_KEY, streams=True)
-    headers["x-prefix-hash"] = f"{prompt}:6000,cd:40"
+    headers["x-prefix-hash"] = f"{prompt}:{prompt_tokens},cd:40"
     if last_id:
         headers |= {"last-event-id": str(last_id), "resumes": resumes}
     caller = Caller(address=address)
@@ -169,6 +174,7 @@
 async def _run_stream(world, record: StreamRecord, rng: random.Random) -> None:
     first_attempt = ""
     prompt = f"{rng.randrange(PROMPTS):x}"
+    prompt_tokens = rng.choice(PROMPT_TOKENS)
     for _ in range(MAX_TRIES):
         attempt_id = f"v{next(STREAM_NUMBERS)}"
         gateway: SupervisedGateway = rng.choice(world.gateways)
@@ -182,6 +188,7 @@
             last_id=last_id,
             resumes=first_attempt,
             prompt=prompt,
+            prompt_tokens=prompt_tokens,
         )
         if answer is not None and answer.status == 200:
             record.body += answer.body
