End the pause of a read of the store after two seconds

Class: a stalled stream that never ends. The pause now ends after 2 s; the next peer is asked beside the read, as after peers that do not answer.

test_pause_of_a_read_ends_though_a_peer_keeps_answering: no pause had ended after 10 s before.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -47,6 +47,8 @@
 SLOW_ANSWER_SECONDS = 0.2
 # and after that are asked first for this time.
 PREFER_PEERS_SECONDS = 30.0
+# A peer whose answer arrives without end must not keep the store from being read.
+MAX_PAUSE_SECONDS = 2.0
 # Interval of checks whether a value that a peer has offered has arrived.
 FETCH_CHECK_SECONDS = 0.05
 # Retry interval for an unavailable store in a large fleet; peers pass on the changes
@@ -83,7 +85,7 @@
         Of the last read of the store; cancelled if peers bring the same sooner.
     may_pause_read : bool
         Whether the read is paused when a peer is asked next; not after a pause in which
-        peers did not answer.
+        peers did not answer in time.
     peers_first_until : float
         Until when peers are asked before the store is read, since its answers arrive
         slowly.
@@ -244,7 +246,11 @@
             if self._is_answer_slow() and self.may_pause_read:
                 # On a full link, neither the peer's answer nor a sign of its life
                 # would arrive in time beside the answer of the store.
-                with self.store.pause_answer():
+                self.may_pause_read = False
+                with (
+                    self.store.pause_answer(),
+                    anyio.move_on_after(MAX_PAUSE_SECONDS),
+                ):
                     self.may_pause_read = await self._follow_peers_at_once()
             else:
                 await self._ask_peer()
--- a/currantdyke/directory/tests/builders.py
+++ b/currantdyke/directory/tests/builders.py
@@ -1,5 +1,6 @@
 """Directories, changes and followers for tests."""
 
+import contextlib
 import os
 
 import anyio
@@ -30,13 +31,24 @@
 class FakeStore:
     """A store client whose calls are answered by functions.
 
-    ``list_all`` and ``watch`` are given as coroutine functions of the test.
+    ``list_all`` and ``watch`` are given as coroutine functions of the test. ``pauses``
+    has the times at which reading an answer was paused and went on.
     """
 
     def __init__(self, *, list_all, watch=None):
         self.list_all = list_all
         self.watch = watch
         self.answer_seconds = 0.0
+        self.pauses = []
+
+    @contextlib.contextmanager
+    def pause_answer(self):
+        """Record a pause."""
+        started = anyio.current_time()
+        try:
+            yield
+        finally:
+            self.pauses.append((started, anyio.current_time()))
 
 
 async def no_changes(revision):
--- a/currantdyke/directory/tests/test_currency.py
+++ b/currantdyke/directory/tests/test_currency.py
@@ -9,6 +9,7 @@
     MAX_ANSWER_AGE_SECONDS,
     MIN_READ_INTERVAL_SECONDS,
     PEER_POLL_SECONDS,
+    SLOW_ANSWER_SECONDS,
 )
 from currantdyke.directory.tests.builders import (
     FakeStore,
@@ -215,6 +216,22 @@
                 self.assertGreaterEqual(count, FOLLOWED_SECONDS / PEER_POLL_SECONDS - 1)
                 self.assertTrue(decides)
 
+    # Guards against a peer whose answer arrives without end, so that the store is not
+    # read.
+    def test_pause_of_a_read_ends_though_a_peer_keeps_answering(self):
+        async def never(*args):
+            await anyio.sleep_forever()
+
+        async def scenario():
+            store = FakeStore(list_all=never)
+            store.answer_seconds = 2 * SLOW_ANSWER_SECONDS
+            await follow(build_follower(store, ask_peer=never), seconds=10.0)
+            return store.pauses
+
+        pauses = run_virtual(scenario)
+        self.assertGreater(len(pauses), 0)
+        self.assertLess(pauses[0][1] - pauses[0][0], 2.5)
+
     # Guards against calls without pause to a store that also refuses the listing.
     def test_listing_without_history_is_not_repeated_at_once(self):
         calls = []
