Add failing tests of a last stage that is short of capacity

In virtual time at twice the last stage's capacity 0.02 of the urgent chains are in time and 0.79 late; in a burst of six seconds 0.42 and 0.57.

--- a/currantdyke/scheduler/tests/builders.py
+++ b/currantdyke/scheduler/tests/builders.py
@@ -10,8 +10,10 @@
 __all__ = [
     "LARGE_LOAD_FACTOR",
     "ZONES",
+    "chain_kinds",
     "large_fleet",
     "request_kinds",
+    "short_last_stage_fleet",
     "small_fleet",
 ]
 
@@ -159,3 +161,72 @@
             work=(1.0, 0.3, 1.0, 1.0),
         ),
     ]
+
+
+def short_last_stage_fleet(seed: int = 1) -> StageFleet:
+    """Return a fleet of four endpoints a stage, of which the last is short of capacity.
+
+    At the load of `chain_kinds` it is busy for about its whole time.
+    """
+    batches = {"first": (8, 0.021), "second": (21, 0.0081), "last": (35, 0.0124)}
+    memory = {"first": 18_000_000, "second": 2_717_650, "last": 456_250}
+    services = {
+        name: StageLimits(
+            batch=batch,
+            call_seconds=0.2,
+            piece_seconds=piece_seconds,
+            result_memory_bytes=memory[name],
+            result_ttl=4.0,
+        )
+        for name, (batch, piece_seconds) in batches.items()
+    }
+    return StageFleet(services=services, zones=ZONES, engines=9, seed=seed)
+
+
+def chain_kinds() -> list[RequestKind]:
+    """Return requests with one stage, urgent ones with three, and small ones."""
+    large = StageStep(service="first", result_bytes=1_500_000)
+    chain = (
+        StageStep(service="first", result_bytes=8_000),
+        StageStep(service="second", after=(0,), result_bytes=60_000),
+        StageStep(service="last", after=(1,), result_bytes=6_000),
+    )
+
+    def chain_pieces(rng: random.Random) -> tuple[int, ...]:
+        return 1, 6, draw_piece_count(rng, 10, 0.4, 25)
+
+    return [
+        RequestKind(
+            name="single",
+            rate=6.0,
+            target=1.05,
+            deadline=6.0,
+            rank=1,
+            sheddable=True,
+            steps=(large,),
+            pieces=lambda r: (draw_piece_count(r, 2.5, 0.6, 10),),
+            work=(1.0,),
+            engine_seconds=0.25,
+        ),
+        RequestKind(
+            name="chain",
+            rate=15.0,
+            target=1.85,
+            deadline=6.0,
+            rank=0,
+            steps=chain,
+            pieces=chain_pieces,
+            work=(0.3, 1.0, 1.0),
+        ),
+        RequestKind(
+            name="small",
+            rate=6.0,
+            target=1.75,
+            deadline=20.0,
+            rank=2,
+            sheddable=True,
+            steps=chain,
+            pieces=chain_pieces,
+            work=(0.3, 1.0, 1.0),
+        ),
+    ]
--- a/currantdyke/scheduler/tests/test_bursts.py
+++ b/currantdyke/scheduler/tests/test_bursts.py
@@ -11,8 +11,10 @@
 
 from currantdyke.scheduler.tests.builders import (
     LARGE_LOAD_FACTOR,
+    chain_kinds,
     large_fleet,
     request_kinds,
+    short_last_stage_fleet,
     small_fleet,
 )
 from currantdyke.testing.virtual import run_virtual
@@ -120,6 +122,37 @@
         self.assertGreater(figures.share("dossier"), 0.85)
 
 
+class TestShortLastStage(unittest.TestCase):
+    """The last of three stages can't do the work of all urgent requests."""
+
+    def figures(self, load):
+        played = [
+            run_virtual(
+                short_last_stage_fleet(seed).run, chain_kinds(), seconds=24.0, load=load
+            )
+            for seed in (1, 2, 3)
+        ]
+        asked = sum(figures.asked["chain"] for figures in played)
+        in_time = sum(figures.in_time.get("chain", 0) for figures in played)
+        late = sum(figures.late.get("chain", 0) for figures in played)
+        return in_time / asked, late / asked
+
+    # Issue 35: all chains were admitted, held the memory of the stage before, and
+    # nearly all ended a little late.
+    def test_double_load_serves_more_chains_in_time_than_late(self):
+        in_time, late = self.figures(lambda kind, now: 2.0)
+        self.assertGreater(in_time, late)
+
+    # Issue 35: the same in a burst of six seconds.
+    def test_burst_serves_most_chains_in_time(self):
+        in_time, late = self.figures(lambda kind, now: 2.0 if 6 <= now < 12 else 0.9)
+        self.assertGreater(in_time, 2 * late)
+
+    def test_nominal_load_serves_chains_in_time(self):
+        in_time, _ = self.figures(lambda kind, now: 1.0)
+        self.assertGreater(in_time, 0.9)
+
+
 class TestLargeFleet(unittest.TestCase):
     """One daemon schedules the stages of 110 VMs."""
 
