Don't replace an endpoint of the soak twice

Two activities chose the same endpoint; the second waited for the lock while the first replaced it. A fault of the soak, not of the gateways. It now looks whether the endpoint is still there once it has the lock.

--- a/currantdyke/soak/states.py
+++ b/currantdyke/soak/states.py
@@ -50,7 +50,10 @@
         Whether its entry in the store says so too.
     """
     async with world.replacement_lock:
-        replaced = world.endpoints[instance]
+        replaced = world.endpoints.get(instance)
+        if replaced is None:
+            # It was replaced while this waited for the lock.
+            return
         await world.start_endpoint(type(replaced), replaced.service)
         replaced.says_leaving = True
         world.checker.record_event(f"{instance} says that it leaves")
