--- a/currantdyke/tunnels/tests/test_client.py
+++ b/currantdyke/tunnels/tests/test_client.py
@@ -26,7 +26,7 @@
 
 
 class Fleet:
-    """Daemons that answer after a time, by their IPs; None for never."""
+    """Daemons that each answer after a time, with a result, by their IPs."""
 
     def __init__(self, answers):
         self.answers = answers
