--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
 """CONFIG: a version written after the store came back from a copy is never in force."""
 
 import asyncio
-import pathlib
 import random
 import sys
 import time
@@ -11,9 +10,9 @@
     KEY,
     CouldNotRunError,
     Deployment,
-    Record,
     configuration,
     plain_route,
+    run_case,
     trouble,
 )
 from standins.http import Client
@@ -178,21 +177,5 @@
     return 1 if requester.stale else 0
 
 
-async def main() -> int:
-    """Start the deployment, play the case, and end all processes."""
-    record = Record(pathlib.Path(__file__).with_name("record.txt"))
-    code = 2
-    deployment = Deployment(record, gateways=3)
-    try:
-        code = await play(deployment)
-    except CouldNotRunError as error:
-        record.write(f"could not run: {error}")
-    finally:
-        await deployment.stop()
-        record.write(f"exit code {code}")
-        record.save()
-    return code
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(play, __file__, gateways=3))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -6,10 +6,12 @@
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import subprocess
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 
 from standins.http import Client
 from standins.store import Store
@@ -392,3 +394,39 @@
 def born_now() -> int:
     """Return the Unix millisecond of a runner's start."""
     return int(time.time() * 1_000)
+
+
+def run_case(
+    play: Callable[[Deployment], Awaitable[int]], case: str, *, gateways: int
+) -> int:
+    """Play a case, end all processes, write the record, and return the exit code.
+
+    The code is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run,
+    for whatever reason.
+    """
+    return asyncio.run(_run_case(play, case, gateways))
+
+
+async def _run_case(
+    play: Callable[[Deployment], Awaitable[int]], case: str, gateways: int
+) -> int:
+    record = Record(pathlib.Path(case).with_name("record.txt"))
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    code = 2
+    deployment = None
+    try:
+        deployment = Deployment(record, gateways)
+        code = await play(deployment)
+    except CouldNotRunError as error:
+        record.write(f"could not run: {error}")
+    except (Exception, asyncio.CancelledError) as error:
+        record.write(f"could not run: {error!r}")
+    finally:
+        if deployment is not None:
+            await deployment.stop()
+        record.write(f"exit code {code}")
+        record.save()
+    return code
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -68,15 +68,20 @@
             event = {"key": key, "revision": self.revision, "deleted": True}
             self._add_event(event)
 
-    def copy(self) -> tuple[dict, int]:
+    def copy(self) -> tuple[dict, int, dict]:
         """Return a copy of the state, from which the store may come back."""
-        return copy.deepcopy(self.items), self.revision
+        return copy.deepcopy((self.items, self.revision, self.leases))
 
-    def restore(self, state: tuple[dict, int]) -> None:
-        """Come back from an older copy: later writes and all leases are gone."""
-        items, self.revision = copy.deepcopy(state)
-        self.items = {key: item for key, item in items.items() if not item["lease"]}
-        self.leases.clear()
+    def restore(self, state: tuple[dict, int, dict]) -> None:
+        """Come back from an older copy: what was written since is gone, leases too.
+
+        The leases of the copy run anew, and no number of a lease is given twice.
+        """
+        self.items, self.revision, leases = copy.deepcopy(state)
+        now = time.monotonic()
+        self.leases = {
+            lease: (now + seconds, seconds) for lease, (_, seconds) in leases.items()
+        }
         self.history.clear()
         self.oldest = self.revision
         self.era += 1
