--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,7 +26,7 @@
 BRITTLE_PLACES = 1
 BRITTLE = 3
 REQUESTERS = 56
-TRIES = 4
+TRIES = 2
 DOWN_SECONDS = 2.0
 DEADLINE_SECONDS = 12.0
 # Seconds since the start of traffic.
