--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,12 @@
 """CONFIG: a version written after the store came back from a copy is never in force."""
 
 import asyncio
+import pathlib
 import random
 import sys
 import time
 
-from standins.deployment import (
+from standin_deployment import (
     HOST,
     KEY,
     CouldNotRunError,
@@ -15,9 +16,11 @@
     run_case,
     trouble,
 )
-from standins.http import Client
-from standins.runners import PlainRunner
+from standin_http import Client
+from standin_runners import PlainRunner
 
+# What was sent, answered and run.
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 OTHER_KEY = "4kq0revokedkey77ab2c"
 # Seconds since the start of traffic.
 COPY_AT = 2.0
@@ -178,4 +181,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, __file__, gateways=3))
+    sys.exit(run_case(play, RECORD, gateways=3))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,11 +1,12 @@
 """LIMIT: brittle model runners are given more than they have room for and fall over."""
 
 import asyncio
+import pathlib
 import random
 import sys
 import time
 
-from standins.deployment import (
+from standin_deployment import (
     BOUNDS,
     HOST,
     KEY,
@@ -16,9 +17,11 @@
     stream_route,
     trouble,
 )
-from standins.http import Channel, Request
-from standins.runners import NOT_EXECUTED, EngineRunner
+from standin_http import Channel, Request
+from standin_runners import NOT_EXECUTED, EngineRunner
 
+# What was sent, answered and run.
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 ENGINES = 4
 SLOTS = 12
 # Waiting requests for which a runner has room, before and while it is brittle.
@@ -208,4 +211,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, __file__, gateways=3))
+    sys.exit(run_case(play, RECORD, gateways=3))
--- a/review/standins/deployment.py
+++ b/review/standin_deployment.py
@@ -13,10 +13,10 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from standins.http import Client
-from standins.store import Store
+from standin_http import Client
+from standin_store import Store
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 METRICS_PORT = 9464
 READY_SECONDS = 30.0
 HEARTBEAT_SECONDS = 1.2
@@ -397,20 +397,20 @@
 
 
 def run_case(
-    play: Callable[[Deployment], Awaitable[int]], case: str, *, gateways: int
+    play: Callable[[Deployment], Awaitable[int]], path: pathlib.Path, *, gateways: int
 ) -> int:
-    """Play a case, end all processes, write the record, and return the exit code.
+    """Play a case, end all processes, write its record, and return the exit code.
 
     The code is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run,
     for whatever reason.
     """
-    return asyncio.run(_run_case(play, case, gateways))
+    return asyncio.run(_run_case(play, path, gateways))
 
 
 async def _run_case(
-    play: Callable[[Deployment], Awaitable[int]], case: str, gateways: int
+    play: Callable[[Deployment], Awaitable[int]], path: pathlib.Path, gateways: int
 ) -> int:
-    record = Record(pathlib.Path(case).with_name("record.txt"))
+    record = Record(path)
     task = asyncio.current_task()
     assert task is not None
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/review/standins/runners.py
+++ b/review/standin_runners.py
@@ -8,8 +8,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from standins.deployment import Record, born_now
-from standins.http import Channel, Request, Server, encode_answer
+from standin_deployment import Record, born_now
+from standin_http import Channel, Request, Server, encode_answer
 
 NOT_EXECUTED = {"X-Not-Executed": "1"}
 
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -8,7 +8,7 @@
 import urllib.parse
 from collections.abc import Callable
 
-from standins.http import Channel, Request, Server
+from standin_http import Channel, Request, Server
 
 ANSWER_SECONDS = 0.004
 PAGE_ITEMS = 500
