Reject entries that name no endpoint which can be used

Another operator reported machines that ended or stopped following the list of endpoints because of one odd entry in it. Here no process ended, but requests got 503 and an endpoint stayed in use by its last sound entry.

Cause: what a decoder raises for deep nesting (RecursionError) was no decoding error, but an internal one, after which the entry was neither applied nor rejected. Numbers, addresses and ids were checked for their types only: slots of 10**30, a start that no message between daemons holds, a name in place of an IP address, and ids that no header holds named endpoints to send to.

Change: RecursionError is a decoding error of every document of the store. An entry of an endpoint is rejected unless its slots and start are in range, its address is an IP address and a port, and its id fits in a header. The entry of a daemon must have an IP address.

--- a/currantdyke/platform/configuration.py
+++ b/currantdyke/platform/configuration.py
@@ -33,6 +33,7 @@
     ValueError,
     AttributeError,
     OverflowError,
+    RecursionError,
 )
 
 
--- a/currantdyke/platform/records.py
+++ b/currantdyke/platform/records.py
@@ -1,5 +1,8 @@
 """Decode the items of the store into typed records."""
 
+import ipaddress
+import re
+
 import attrs
 import msgspec
 from expression import Error, Ok, Result
@@ -26,6 +29,12 @@
 VERSIONS_PREFIX = "stream-versions/"
 # The empty prefix, under which all keys are listed and watched at once.
 ALL_KEYS_PREFIX = ""
+# Ids are sent to endpoints in a header.
+INSTANCE_PATTERN = re.compile(r"[!-~]{1,200}")
+# Beyond any endpoint; numbers that are larger are those of another writer.
+MAX_SLOTS = 1_000_000
+# Messages between daemons hold the start of a lifetime as a signed number of 64 bits.
+MAX_BORN = 2**63 - 1
 
 
 @attrs.frozen(kw_only=True)
@@ -140,6 +149,8 @@
 
 
 def _decode_endpoint(instance: str, document: dict) -> Endpoint:
+    if INSTANCE_PATTERN.fullmatch(instance) is None:
+        raise ValueError(f"the id {instance!r} fits in no header")
     state = document["state"]
     if state not in ("ready", "draining"):
         raise ValueError(f"state {state!r} is unknown")
@@ -152,9 +163,9 @@
     all_strings = all(isinstance(text, str) for text in texts)
     if not all_strings or type(slots) is not int or type(born) is not int:
         raise TypeError("a field has an unexpected type")
-    host, colon, port = address.rpartition(":")
-    if not (host and colon and port.isdigit() and 0 < int(port) < 65_536):
-        raise ValueError(f"the address {address!r} has no host or no valid port")
+    if slots > MAX_SLOTS or not 0 <= born <= MAX_BORN:
+        raise ValueError(f"{slots} slots or the start {born} is out of range")
+    _check_address(address)
     return Endpoint(
         instance=instance,
         service=service,
@@ -167,10 +178,18 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError unless an address is an IP address and a port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        raise ValueError(f"the address {address[:100]!r} has no valid port")
+
+
 def _decode_daemon(name: str, document: dict) -> DaemonEntry:
     return DaemonEntry(
         name=name,
-        ip=str(document["ip"]),
+        ip=str(ipaddress.ip_address(str(document["ip"]))),
         availability_zone=str(document.get("availability_zone", "")),
         incarnation=str(document["incarnation"]),
         cores=float(document.get("cores", 1.0)),
