Keep no connection after an answer that names no request

Another operator reported clients that were told "not run" for requests which had run. An endpoint wrote an earlier refusal once more on a kept connection. It can happen here: a refusal need not name its request, and the copy was taken for the answer to the next one, which got 503 (REFUSED) or was sent to a second endpoint after a copied 421 (TWICE).

Change: a connection is kept only after an answer that named its request. A copy of such an answer is recognised by its id; one that names no request was the last on its connection, so that no copy of it can follow.

Evidence: test_repeated_refusals.py.

--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -132,7 +132,9 @@
 ) -> AsyncIterator[EndpointResponse]:
     """Send a request and yield the head of its response.
 
-    The connection is kept for other requests only after a complete exchange.
+    The connection is kept for other requests only after a complete exchange in which
+    the response named its request: nothing would tell a second copy of another one from
+    the response to the next request.
 
     Parameters
     ----------
@@ -175,7 +177,12 @@
         # The group contains the exception from the body of the caller's "async with".
         raise _unwrap_single_error(group) from None
     finally:
-        if response is not None and response.written and connection.reusable:
+        if (
+            response is not None
+            and response.written
+            and connection.reusable
+            and request.attempt_id in (None, response.facts.attempt_id)
+        ):
             await connections.release(endpoint, connection, response.facts)
         else:
             await connection.close()
