Let only events of the same stream go on with it

Another operator reported the text or the head of an error in the middle of streams, after the endpoint that was asked to go on had answered with one. The statuses of errors were checked here, and the stream broke off; two ways were open. A success of another media type was relayed as if it were events, and an error with its head that follows the events on a connection without framing was relayed as an event.

Change: a run that goes on with a stream must have the media type whose head the caller has, and an event has only fields and comments. Anything else ends the run after its last event, and the stream goes on elsewhere or breaks off.

--- a/currantdyke/forward/events.py
+++ b/currantdyke/forward/events.py
@@ -6,6 +6,9 @@
 
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 EVENT_ID = re.compile(rb"(?:^|\n|\r)id:[ ]?([^\r\n]*)")
+# Engines write only fields and comments, which have a colon; the status line of a
+# response has none.
+FOREIGN_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]+[\r\n]")
 # Engines send no event that is longer than this.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -17,6 +20,12 @@
 class EventSplitter:
     r"""Buffers bytes and returns complete events only.
 
+    Attributes
+    ----------
+    has_foreign_bytes : bool
+        Whether what follows the events that were returned is none, such as an error
+        after the beginning of a stream.
+
     Examples
     --------
     >>> splitter = EventSplitter()
@@ -26,10 +35,13 @@
     True
     >>> splitter.feed(b"ta: b\n\n")
     (b'id: 2\ndata: b\n\n', b'2')
+    >>> splitter.feed(b"HTTP/1.1 500 failed\r\n\r\n"), splitter.has_foreign_bytes
+    ((b'', None), True)
     """
 
     def __init__(self):
         self.remainder = b""
+        self.has_foreign_bytes = False
 
     @property
     def has_partial_event(self) -> bool:
@@ -47,6 +59,9 @@
         buffer = self.remainder + data
         end = 0
         for match in EVENT_END.finditer(buffer):
+            if FOREIGN_LINE.search(buffer[end : match.end()]):
+                self.has_foreign_bytes = True
+                break
             end = match.end()
         complete, self.remainder = buffer[:end], buffer[end:]
         if len(self.remainder) > MAX_EVENT_BYTES:
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -23,6 +23,7 @@
 from currantdyke.forward.quarantine import quarantine_failure, settle, start_run
 from currantdyke.forward.race import CANCELLED, INTERNAL_ERROR, Race, Run
 from currantdyke.forward.resumption import find_version, record_version
+from currantdyke.http1 import header_values
 from currantdyke.platform.answers import end_to_end_headers
 from currantdyke.scheduler.client import SchedulerClient
 from currantdyke.scheduler.messages import (
@@ -96,6 +97,8 @@
     version : str or None
         The version of the engines that may go on with the stream; None until its first
         event.
+    media_type : list of bytes
+        Values of the content type of the first response.
     """
 
     def __init__(
@@ -117,6 +120,7 @@
         self.kept_failure: Failure | None = None
         self.retry_after = RETRY_AFTER_SECONDS
         self.version = version
+        self.media_type: list[bytes] = []
 
     async def run(self) -> None:
         """Forward the stream until it ends."""
@@ -357,6 +361,17 @@
         runs = max(exchange.runs, 1)
         return exchange.route.may_repeat and runs < exchange.route.max_attempts
 
+    def _check_continues(self, response: EndpointResponse) -> None:
+        """Raise MaybeRanError if a response can't be a part of the stream.
+
+        The caller has the head of the first one, which determines the media type.
+        """
+        media_type = header_values(response.head.headers, b"content-type")
+        if not self.exchange.caller.response_started:
+            self.media_type = media_type
+        elif media_type != self.media_type:
+            raise MaybeRanError("the answer has another type than the stream")
+
     def _bind_version(self, version: str) -> None:
         """Let the stream go on at engines of a version only, at any daemon."""
         self.version = version
@@ -375,9 +390,13 @@
         while (data := await response.read()) is not None:
             events, last_id = splitter.feed(data)
             if not events:
+                if splitter.has_foreign_bytes:
+                    raise MaybeRanError("bytes that are no event")
                 continue
             run.record_heard()
             evidence.record_data()
+            if not started:
+                self._check_continues(response)
             if not self.race.claim(run):
                 return
             # A slow caller is not taken for a silent engine.
@@ -396,8 +415,12 @@
             self.last_event_id = last_id or self.last_event_id
             self.race.extend(SILENCE_TIMEOUT_SECONDS)
             self.race.paused = False
+            if splitter.has_foreign_bytes:
+                raise MaybeRanError("bytes that are no event")
         if splitter.has_partial_event:
             raise MaybeRanError("the stream ended within an event")
+        if not started:
+            self._check_continues(response)
         if not self.race.claim(run):
             return
         self.ended = True
