Answer no request for changes while the own age is not known

Cause: a daemon whose whole state came from peers, with a configuration that was fetched in parts, does not know how old that state is until the next answer. Its age is infinite, and the response to a peer that asks it then could not be encoded (OverflowError).

Change: such a daemon is no source, like one that lacks a value. A time beyond the largest that a message holds is sent as the largest.

Evidence: TestUnknownAge of test_changes.py; on one test gets changes and the other OverflowError, now both pass.

--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -1,5 +1,6 @@
 """Requests for the changes of the store that other daemons know."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -34,7 +35,7 @@
     replica = directory.replica
     if isinstance(request, PartRequest):
         return replica.large_values.part(request)
-    if not replica.answers:
+    if not replica.answers or math.isinf(directory.age):
         return Unknown()
     changes = directory.changes_since(request.revision)
     if request.accepts_offers:
--- a/currantdyke/links/fleet_state.py
+++ b/currantdyke/links/fleet_state.py
@@ -22,8 +22,8 @@
 
 
 def milliseconds(seconds: float) -> int:
-    """Return a duration as it is sent, which is never negative."""
-    return max(0, min(MAX_UINT32, int(seconds * 1_000)))
+    """Return a duration as it is sent, which is never negative or infinite."""
+    return max(0, int(min(MAX_UINT32, seconds * 1_000)))
 
 
 def encode_limit(
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -1,9 +1,13 @@
+import math
 import unittest
 
 import anyio
 import attrs
 
-from currantdyke.links.changes import ABANDON_SECONDS
+from currantdyke.directory import ChangeSet
+from currantdyke.links import ChangesRequest, Frame, Unknown
+from currantdyke.links.changes import ABANDON_SECONDS, answer_changes
+from currantdyke.links.codec import decode_frame, encode_frame
 from currantdyke.links.tests.builders import (
     PORT,
     build_changes,
@@ -262,5 +266,26 @@
         self.assertEqual(len(requests), 2)
 
 
+class TestUnknownAge(unittest.TestCase):
+    # Guards against a daemon that has its values from peers, asks whether they are
+    # current, and breaks all of its links by its answer to others that ask the same.
+    @run_on_sockets
+    async def test_daemon_that_does_not_know_its_age_is_no_source(self):
+        directory = build_peers(58).directory
+        directory.replica.apply(build_changes(value_bytes=5_000))
+        self.assertTrue(directory.replica.answers)
+        self.assertEqual(directory.age, math.inf)
+        for request in (
+            ChangesRequest(revision=1),
+            ChangesRequest(revision=1, accepts_offers=True),
+        ):
+            self.assertEqual(answer_changes(directory, request), Unknown())
+
+    def test_infinite_time_is_sent_as_the_longest(self):
+        changes = ChangeSet(changes=(), revision=1, age=math.inf)
+        frame = decode_frame(encode_frame(Frame(number=1, content=changes))).ok
+        self.assertGreater(frame.content.age, 1_000_000.0)
+
+
 if __name__ == "__main__":
     unittest.main()
