End only the link on which an internal error occurs

Cause: all links ran in one task group, which an error on one of them ended, and the ended group stayed in use until the next one began. Class: one unexpected error takes down what it has nothing to do with.

Change: each link, each notification and the requests for parts of values run on their own; an error is logged and ends that link. Without running links, notifications are dropped, as they are for a daemon that is not reached. A request that can't be encoded is not counted as pending.

--- a/currantdyke/gateway/background.py
+++ b/currantdyke/decisionlog/background.py
@@ -5,7 +5,8 @@
 
 import anyio
 
-from currantdyke.decisionlog import DecisionLog, log_internal_error
+from currantdyke.decisionlog.faults import log_internal_error
+from currantdyke.decisionlog.log import DecisionLog
 
 __all__ = ["keep_running", "run_logged"]
 
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -12,7 +12,12 @@
 
 from currantdyke.catalog import Catalog, Endpoint, Repeatability
 from currantdyke.crashes import CrashDetector, CrashTable, GroupRecorder
-from currantdyke.decisionlog import DecisionLog, log_internal_error
+from currantdyke.decisionlog import (
+    DecisionLog,
+    keep_running,
+    log_internal_error,
+    run_logged,
+)
 from currantdyke.directory import Directory, Follower
 from currantdyke.endpointlimits.client import EndpointLimits
 from currantdyke.endpointlimits.messages import LimitReport, TokenRequest
@@ -31,7 +36,6 @@
 from currantdyke.endpointstates.states import EndpointStates
 from currantdyke.forward.budget import FleetRetryBudget
 from currantdyke.forward.context import ForwardContext
-from currantdyke.gateway.background import keep_running, run_logged
 from currantdyke.gateway.caller_server import CallerServer
 from currantdyke.gateway.clocks import StallDetector
 from currantdyke.gateway.handler import RequestHandler
--- a/currantdyke/links/link.py
+++ b/currantdyke/links/link.py
@@ -145,10 +145,10 @@
             raise self._lost(LossReason.LINK_LOST)
         now = anyio.current_time()
         request = PendingRequest(number=next(self.request_numbers), sent_at=now)
+        self._enqueue(Frame(number=request.number, content=content))
         if not self.pending:
             self.silent_since = now
         self.pending[request.number] = request
-        self._enqueue(Frame(number=request.number, content=content))
         return request
 
     async def wait_for_response(
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -1,13 +1,15 @@
 """The links from this daemon to the others, and the detection of failed daemons."""
 
 import contextlib
+import functools
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 import anyio.abc
 import attrs
 
-from currantdyke.decisionlog import DecisionLog
+from currantdyke.decisionlog import DecisionLog, keep_running, run_logged
 from currantdyke.directory import ChangeSet, Directory, reader_ips, relay_ips
 from currantdyke.http1 import CONNECTION_ERRORS
 from currantdyke.largevalues.fetch import ValueFetcher
@@ -55,6 +57,8 @@
 class Peers:
     """Opens links on first use, and keeps them open.
 
+    An internal error ends the link on which it occurs, and no other one.
+
     Attributes
     ----------
     own : DaemonEntry
@@ -73,6 +77,8 @@
         Requests the changes of the store from other daemons.
     fetcher : ValueFetcher
         Requests the large values that they offer.
+    tasks : TaskGroup or None
+        Of the links; None unless this runs.
     """
 
     own: DaemonEntry
@@ -116,10 +122,15 @@
         listener = await anyio.create_tcp_listener(
             local_host=self.own.ip, local_port=self.port
         )
-        async with anyio.create_task_group() as tasks, listener:
-            self.tasks = tasks
-            tasks.start_soon(self.fetcher.run)
-            await listener.serve(self._serve)
+        try:
+            async with anyio.create_task_group() as tasks, listener:
+                self.tasks = tasks
+                tasks.start_soon(keep_running, self.fetcher.run, self.log)
+                await listener.serve(
+                    functools.partial(run_logged, self.log, self._serve)
+                )
+        finally:
+            self.tasks = None
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         received = b""
@@ -192,8 +203,7 @@
 
     def check(self, ip: str) -> None:
         """Ask a daemon for a sign of life, which ends a suspicion of its failure."""
-        if self.tasks is not None:
-            self.tasks.start_soon(self._check, ip)
+        self._start(self._check, ip)
 
     def send(self, ip: str, content: Content, *, protocol: int = 0) -> None:
         """Send a notification to a daemon, to which a link is opened if necessary.
@@ -208,8 +218,7 @@
             for daemon in self.directory.daemons.values()
         ):
             return
-        if self.tasks is not None:
-            self.tasks.start_soon(self._connect_and_notify, ip, content)
+        self._start(self._connect_and_notify, ip, content)
 
     def broadcast(self, content: Content, *, protocol: int = 0) -> None:
         """Send a notification to every daemon in `others`.
@@ -248,6 +257,11 @@
             relays &= {daemon.ip for daemon in self.others()}
         return await self.changes.ask(revision, relays)
 
+    def _start(self, task: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+        """Run a task beside the links, if these run."""
+        if self.tasks is not None:
+            self.tasks.start_soon(run_logged, self.log, task, *arguments)
+
     async def _check(self, ip: str) -> None:
         # A failure is logged as that of any request, when the daemon becomes suspected.
         with contextlib.suppress(LinkLostError):
@@ -282,18 +296,21 @@
                     handle_notification=self.handle_notification,
                     is_congested=self.is_congested,
                 )
-                self.links[ip] = link
                 if self.tasks is None:
+                    await anyio.aclose_forcefully(link.stream)
                     raise LinkLostError(ip, reason=LossReason.NO_CONNECTION)
-                self.tasks.start_soon(self._run_link, ip, link)
+                self.links[ip] = link
+                self._start(self._run_link, ip, link)
             return link
 
     async def _run_link(self, ip: str, link: Link) -> None:
         self.log.write("peer_link_opened", peer=ip)
-        await link.run()
-        if self.links.get(ip) is link:
-            del self.links[ip]
-        self.log.write("peer_link_lost", peer=ip)
+        try:
+            await link.run()
+        finally:
+            if self.links.get(ip) is link:
+                del self.links[ip]
+            self.log.write("peer_link_lost", peer=ip)
 
     def _is_suspected(self, daemon: DaemonEntry, now: float) -> bool:
         suspicion = self.suspects.get(daemon.ip)
