Show internal errors, bytes of the store and the time of exchanges

In the records, requests wait some 0.3 s before the VM in both directions; whether the link is full of answers of the store, of something else, or the VM is held up was read from the platform's figures only, and the logs that were collected begin after the seconds that matter.

Change: metrics for the bytes of the store's answers, the duration of the last request for changes to another daemon, and internal errors.

Evidence: test_internal_error_is_a_violation_once of test_soak.py.

--- a/currantdyke/decisionlog/faults.py
+++ b/currantdyke/decisionlog/faults.py
@@ -15,6 +15,7 @@
 
     An error of the log itself does not reach the caller of this function.
     """
+    log.internal_errors += 1
     logging.error("%s failed", where, exc_info=error)
     try:
         reason = repr(error)[:MAX_REASON_CHARACTERS]
--- a/currantdyke/decisionlog/log.py
+++ b/currantdyke/decisionlog/log.py
@@ -50,6 +50,7 @@
         self.current_second = 0
         self.lines_in_second = 0
         self.dropped = 0
+        self.internal_errors = 0
 
     def write(self, event: str, *, failure: bool = False, **fields: object) -> None:
         """Queue a line, or drop it above the rate limit or if the queue is full.
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -480,6 +480,9 @@
         metrics.crash_events.set(self.crashes.table.total_events)
         metrics.crash_groups.set(len(self.crashes.table.groups))
         metrics.crash_refusals.set(self.crashes.table.total_refused)
+        metrics.store_bytes.set(sum(client.received_bytes for client in stores))
+        metrics.changes_seconds.set(self.peers.changes.seconds)
+        metrics.internal_errors.set(self.log.internal_errors)
         metrics.store_age.set(self.follower.store_age)
         metrics.directory_age.set(self.directory.age)
         metrics.endpoints.set(
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -63,6 +63,16 @@
         self.store_age = self.gauge(
             "store_age_seconds", "Seconds since the store last answered"
         )
+        self.store_bytes = self.gauge(
+            "store_bytes", "Bytes received in answers of the store"
+        )
+        self.changes_seconds = self.gauge(
+            "changes_seconds",
+            "Duration of the last request for changes that another daemon answered",
+        )
+        self.internal_errors = self.gauge(
+            "internal_errors", "Internal errors since the start"
+        )
         self.directory_age = self.gauge(
             "directory_age_seconds",
             "Seconds since the daemon last knew the state of the store",
--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -91,6 +91,8 @@
         Requests the values that are sent in parts.
     lags : dict of str to (float, float)
         Age in seconds of the state of each daemon that responded, and when it did.
+    seconds : float
+        Duration of the last request that was answered.
     """
 
     log: DecisionLog
@@ -102,6 +104,7 @@
     transfers: dict[str, Transfer] = attrs.field(factory=dict)
     losses: dict[str, LossReason] = attrs.field(factory=dict)
     lags: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    seconds: float = 0.0
     start_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     random_source: random.Random = attrs.field(factory=random.Random)
 
@@ -145,16 +148,16 @@
         self._remove(ip, transfer)
         self.losses.pop(ip, None)
         self.on_response(ip)
+        self.seconds = boot_time() - transfer.asked_at
         if not isinstance(content, ChangeSet):
             return None
-        elapsed = boot_time() - transfer.asked_at
-        age = content.age + elapsed
+        age = content.age + self.seconds
         self.lags[ip] = (age, anyio.current_time())
         content = self.directory.replica.decode_offers(content, self.log)
         for offer in content.offers:
             self.fetcher.consider(offer, ip)
         return attrs.evolve(
-            content, age=age, grace_period=max(0.0, content.grace_period - elapsed)
+            content, age=age, grace_period=max(0.0, content.grace_period - self.seconds)
         )
 
     def _find_transfer(self, revision: int) -> str | None:
--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -164,6 +164,7 @@
         self.lock = anyio.Lock()
         self.transfer: _Transfer | None = None
         self.calls = 0
+        self.received_bytes = 0
         self.use(address)
 
     def use(self, address: str) -> None:
@@ -353,6 +354,7 @@
             raise StoreUnavailableError(f"malformed response: {error}") from error
         finally:
             self.transfer = None
+            self.received_bytes += transfer.received
             # A connection cannot be used again after an answer on it was lost.
             if not complete:
                 await self.close()
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -1,9 +1,11 @@
 """Checks of the gateways' guarantees against what callers and endpoints observe."""
 
 import collections
+from collections.abc import Iterable
 
 import anyio
 import attrs
+import msgspec
 
 from currantdyke.soak.callers import Attempt
 from currantdyke.soak.completeness import describe_loss
@@ -163,6 +165,16 @@
         if seconds > GRACE_SECONDS:
             self._add_violation(f"{gateway.name} took {seconds:.1f} s to stop")
 
+    def check_log(self, gateway: str, lines: Iterable[str]) -> None:
+        """Check that the log of a gateway reports no internal error."""
+        for line in lines:
+            # A process that is killed may leave a part of a line.
+            if '"event":"internal_error"' in line and line.endswith("}\n"):
+                fields = msgspec.json.decode(line)
+                self._add_violation(
+                    f"{gateway}: {fields['where']} failed: {fields['reason']:.200}"
+                )
+
     async def check_configuration(
         self, gateway: SupervisedGateway, required_version: int
     ) -> None:
--- a/currantdyke/soak/tests/test_soak.py
+++ b/currantdyke/soak/tests/test_soak.py
@@ -97,6 +97,13 @@
                 found = violations_of(build_attempt(answer=answer), runs=runs)
                 self.assertIn(words, " ".join(found))
 
+    # Guards against errors that end other requests, and that nobody sees.
+    def test_internal_error_is_a_violation_once(self):
+        checker = GuaranteeChecker()
+        line = '{"event":"internal_error","where":"a link","reason":"planted"}\n'
+        checker.check_log("gateway-1", ["no JSON\n", line, line])
+        self.assertEqual(checker.violations, ["gateway-1: a link failed: planted"])
+
     def test_final_refusal_is_a_violation_if_all_recent_configurations_allow_it(self):
         allowed, bound = 1.0, MAX_CONFIGURATION_DELAY_SECONDS
         for status, since, violations in (
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -288,6 +288,9 @@
             await _run_activities(world, rng, seconds)
             tasks.cancel_scope.cancel()
         checker = world.checker
+        for gateway in world.gateways:
+            with (pathlib.Path(folder) / f"{gateway.name}.log").open() as lines:
+                checker.check_log(gateway.name, lines)
         report = Report(
             seed=seed,
             pattern=pattern,
