Let calls to stages name themselves, or be known by their results

Cause: a call to a stage had no identity that was checked. Class: an answer is taken for that of whichever exchange waits on its connection.

Change: each call has an id, and no answer may name another one. Endpoints need not name it. Then the handles of the results stand in for it, which are given once: an answer with a handle that came before on the connection is a copy, and one without any is the last on its connection.

--- a/currantdyke/emulator/endpoints.py
+++ b/currantdyke/emulator/endpoints.py
@@ -164,7 +164,7 @@
     def answer_headers(self, request: Request) -> dict[str, str]:
         """Return the headers of an answer by this endpoint, with its signature."""
         return {
-            "x-attempt-id": request.headers.get("x-attempt-id", ""),
+            "x-attempt-id": request.attempt_id,
             "x-server-signature": f"signed.{self.instance}",
         } | self.state_headers()
 
@@ -329,11 +329,12 @@
 
     async def _serve(self, request: Request, reply: Reply) -> None:
         document = msgspec.json.decode(request.body)
+        headers = {"x-attempt-id": request.attempt_id} | self.state_headers()
         if request.path.endswith("stage-free"):
             self.freed += document["handles"]
             for handle in document["handles"]:
                 self.results.pop(handle, None)
-            await reply.send_response(200, self.state_headers())
+            await reply.send_response(200, headers)
             return
         await anyio.sleep(self.work_seconds)
         results = []
@@ -344,4 +345,4 @@
             self.results[handle] = piece
             results.append({"handle": handle})
         body = msgspec.json.encode({"entries": results})
-        await reply.send_response(200, self.state_headers(), body)
+        await reply.send_response(200, headers, body)
--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -1,7 +1,7 @@
 """A single attempt to send a request to an endpoint."""
 
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 
 import anyio
 import anyio.lowlevel
@@ -31,6 +31,8 @@
 # Failures of endpoints have short bodies, in few parts.
 MAX_FAILURE_BYTES = 1_048_576
 MAX_FAILURE_PARTS = 4_096
+# Marks that are kept of the responses on one connection, which is closed then.
+MAX_MARKS = 4_096
 # Parts of a body after which other tasks run, even if more parts have arrived.
 PARTS_PER_CHECKPOINT = 64
 
@@ -50,9 +52,11 @@
     Attributes
     ----------
     attempt_id : str or None
-        Identifier from the caller, the same in all attempts for its request. The
-        endpoint must echo it in a success, and no response may contain another; None
-        if this is not checked.
+        Identifier of the exchange: that of the caller, the same in all attempts for its
+        request, or one of this daemon. No response may name another one. None if the
+        caller has given none.
+    signed : bool
+        Whether a success must have a signature and name the attempt.
     once : bool
         Whether the request may run only once.
     """
@@ -63,6 +67,7 @@
     body: bytes
     attempt_id: str | None
     once: bool
+    signed: bool = True
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -75,6 +80,9 @@
         Whether the whole request was written. The value is determined when the block of
         ``attempt`` ends without an exception; until then, and after an exception, it is
         True.
+    identified : bool
+        Whether a second copy of the response would be recognised, so that other
+        responses may follow on the connection.
     """
 
     connection: Http1Connection
@@ -82,6 +90,27 @@
     facts: ResponseMetadata
     written: bool = True
     parts_read: int = 0
+    identified: bool = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.facts.attempt_id is not None, takes_self=True
+        )
+    )
+
+    def identify(self, marks: Collection[str]) -> None:
+        """Recognise a response that names no request by what only it contains.
+
+        Raises
+        ------
+        MaybeRanError
+            If an earlier response on the connection contained one of the marks.
+        """
+        if self.identified or not marks:
+            return
+        known = self.connection.marks
+        if not known.isdisjoint(marks):
+            raise MaybeRanError("a second copy of an earlier answer")
+        known.update(marks)
+        self.identified = len(known) <= MAX_MARKS
 
     async def read(self) -> bytes | None:
         """Return the next part of the body, or None after its end.
@@ -132,9 +161,9 @@
 ) -> AsyncIterator[EndpointResponse]:
     """Send a request and yield the head of its response.
 
-    The connection is kept for other requests only after a complete exchange in which
-    the response named its request: nothing would tell a second copy of another one from
-    the response to the next request.
+    The connection is kept for other requests only after a complete exchange whose
+    response is identified: nothing would tell a second copy of another one from the
+    response to the next request.
 
     Parameters
     ----------
@@ -181,7 +210,7 @@
             response is not None
             and response.written
             and connection.reusable
-            and request.attempt_id in (None, response.facts.attempt_id)
+            and response.identified
         ):
             await connections.release(endpoint, connection, response.facts)
         else:
@@ -234,11 +263,11 @@
     if not isinstance(event, h11.Response):
         raise MaybeRanError("the endpoint closed the connection without an answer")
     facts = decode_response_metadata(event)
-    if request.attempt_id is not None:
-        if facts.attempt_id not in (request.attempt_id, None):
-            raise MaybeRanError("the answer is to another request")
-        if facts.success and facts.attempt_id is None:
+    if facts.attempt_id not in (request.attempt_id, None):
+        raise MaybeRanError("the answer is to another request")
+    if request.signed and facts.success:
+        if facts.attempt_id is None and request.attempt_id is not None:
             raise MaybeRanError("a success that names no request")
-        if facts.success and not facts.signed:
+        if not facts.signed:
             raise MaybeRanError("a success without a signature")
     return EndpointResponse(connection=connection, head=event, facts=facts)
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -70,6 +70,11 @@
         ``h11.SERVER`` or ``h11.CLIENT``.
     max_header_bytes : int
         Maximum size of a message head.
+
+    Attributes
+    ----------
+    marks : set of str
+        What earlier responses are recognised by that name no request.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         max_header_bytes: int = 65_536,
     ):
         self.stream = stream
+        self.marks: set[str] = set()
         self.state = h11.Connection(role, max_incomplete_event_size=max_header_bytes)
 
     async def next_event(self):
--- a/currantdyke/platform/stagecalls.py
+++ b/currantdyke/platform/stagecalls.py
@@ -17,6 +17,7 @@
     "decode_results",
     "encode_free",
     "encode_pieces",
+    "has_results",
 ]
 
 RUN_TARGET = b"/api/stage-run"
@@ -101,6 +102,11 @@
         return None
 
 
+def has_results(body: bytes) -> bool:
+    """Return whether a body may be that of an answer to a call that runs pieces."""
+    return b'"entries"' in body
+
+
 def _decode_result(entry: dict) -> PieceResult:
     handle = entry.get("handle")
     if isinstance(handle, str) and HANDLE_PATTERN.fullmatch(handle):
--- a/currantdyke/scheduler/stagecall.py
+++ b/currantdyke/scheduler/stagecall.py
@@ -1,5 +1,6 @@
 """Calls to the endpoints of a stage service."""
 
+import uuid
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -7,13 +8,14 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.forward.attempt import (
+    EndpointResponse,
     MaybeRanError,
     NotSentError,
     OutgoingRequest,
     attempt,
 )
 from currantdyke.forward.connections import EndpointConnections
-from currantdyke.platform.requests import EXPECT_INSTANCE
+from currantdyke.platform.requests import ATTEMPT_ID, EXPECT_INSTANCE
 from currantdyke.platform.stagecalls import (
     FREE_TARGET,
     RUN_TARGET,
@@ -22,6 +24,7 @@
     decode_results,
     encode_free,
     encode_pieces,
+    has_results,
 )
 
 __all__ = [
@@ -78,22 +81,22 @@
         Seconds after which the call is abandoned.
     """
     request = _request(RUN_TARGET, endpoint, encode_pieces(pieces))
-    body = b""
+    results = None
     try:
         with anyio.fail_after(timeout):
             async with attempt(
                 connections, endpoint, request, on_send=_ignore
             ) as answer:
-                while (data := await answer.read()) is not None:
-                    body += data
-                    if len(body) > MAX_ANSWER_BYTES:
-                        raise MaybeRanError("the answer is too long")
+                body = await _read_body(answer)
+                if answer.facts.status == 200:
+                    results = decode_results(body, len(pieces))
+                    # An endpoint gives each result a handle of its own.
+                    answer.identify([r.handle for r in results or () if r.handle])
     except TimeoutError:
         return CallOutcome(reason="silent")
     except (NotSentError, MaybeRanError) as error:
         return CallOutcome(reason=str(error))
     if answer.facts.status == 200:
-        results = decode_results(body, len(pieces))
         return CallOutcome(
             results=results, reason="" if results else "unreadable results"
         )
@@ -104,6 +107,15 @@
     )
 
 
+async def _read_body(answer: EndpointResponse) -> bytes:
+    body = b""
+    while (data := await answer.read()) is not None:
+        body += data
+        if len(body) > MAX_ANSWER_BYTES:
+            raise MaybeRanError("the answer is too long")
+    return body
+
+
 async def free_results(
     connections: EndpointConnections, endpoint: Endpoint, handles: list[str]
 ) -> bool:
@@ -114,27 +126,33 @@
             async with attempt(
                 connections, endpoint, request, on_send=_ignore
             ) as answer:
-                while await answer.read() is not None:
-                    pass
+                if has_results(await _read_body(answer)):
+                    raise MaybeRanError("the answer to another call")
+                # A second copy would confirm at most a release that was sent.
+                answer.identified |= answer.facts.status == 200
     except (TimeoutError, NotSentError, MaybeRanError):
         return False
     return answer.facts.status == 200
 
 
 def _request(target: bytes, endpoint: Endpoint, body: bytes) -> OutgoingRequest:
+    # The pieces of a call are of several requests, so that it has an id of its own.
+    call_id = uuid.uuid4().hex[:16]
     headers = [
         (b"host", endpoint.address.encode()),
         (b"content-type", b"application/json"),
         (b"content-length", b"%d" % len(body)),
         (EXPECT_INSTANCE, endpoint.instance.encode("latin-1")),
+        (ATTEMPT_ID, call_id.encode()),
     ]
     return OutgoingRequest(
         method=b"POST",
         target=target,
         headers=headers,
         body=body,
-        attempt_id=None,
+        attempt_id=call_id,
         once=False,
+        signed=False,
     )
 
 
