Log by which document and position a request is refused

The line of a request that was refused by the configuration told the age of the known state only, which is the same whether a newer document was rejected, was never received or is of another era. It now has the version in force, the position of its document, the position up to which changes are known, and who last showed that these are all. configuration_in_force has the position too, and changes of a relay are logged as such. Metrics: configuration_revision, unreadable_items. No decision depends on any of it.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -55,6 +55,11 @@
     current_at : float
         Time on ``clock`` up to which every change that the store had acknowledged is
         contained.
+    current_by : str
+        Source of the changes that showed this: "store", "relay" or "peer"; empty
+        before the first.
+    configured_at : Position
+        Position of the document of the configuration in force.
     clock : callable
         Returns the time in seconds, suspensions of the VM included.
     newest_readable : bool
@@ -79,6 +84,8 @@
     listed: bool = False
     configuration_delay: float = 2.0
     current_at: float = float("-inf")
+    current_by: str = ""
+    configured_at: Position = Position()
     clock: Callable[[], float] = boot_time
     newest_readable: bool = True
     unreadable_count: int = 0
@@ -137,8 +144,9 @@
         # A sender that knows less than this daemon proves nothing about the rest, and a
         # value that is still to be fetched is not known.
         is_newer = changes.revision > 0 and changes.position >= known
-        if is_newer and not self.replica.pending:
-            self.current_at = max(self.current_at, self.clock() - changes.age)
+        current_at = self.clock() - changes.age
+        if is_newer and not self.replica.pending and current_at > self.current_at:
+            self.current_at, self.current_by = current_at, source
         for change in new:
             try:
                 self._apply(change, source)
@@ -210,7 +218,7 @@
             return
         record = decoded.ok
         if isinstance(record, Catalog):
-            self._configured(record, source, started)
+            self._configured(record, change.position, source, started)
         elif isinstance(record, Endpoint):
             self._apply_endpoint(
                 record, source, confirmed=change.key not in self.replica.unconfirmed
@@ -224,13 +232,16 @@
             self.daemons[record.name] = record
             self.departed.pop(record.name, None)
 
-    def _configured(self, catalog: Catalog, source: str, started: float) -> None:
+    def _configured(
+        self, catalog: Catalog, position: Position, source: str, started: float
+    ) -> None:
         """Put a newer configuration in force; its decoding started at ``started``."""
         before = -1 if self.routes is None else self.routes.catalog.version
         if catalog.version <= before:
             return
         self.newest_readable = self._is_newest_known()
         self.routes = RouteTable.of(catalog=catalog)
+        self.configured_at = position
         self.configuration_applied_at = anyio.current_time()
         for callback in self.on_configuration:
             try:
@@ -241,6 +252,8 @@
             "configuration_in_force",
             version=catalog.version,
             before=before,
+            era=position.era,
+            revision=position.revision,
             routes=len(catalog.routes),
             source=source,
             seconds=round(time.monotonic() - started, 3),
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -210,7 +210,7 @@
             if is_recent:
                 self._record_answer(changes.age)
             self._record_relay(changes.age, behind=not is_recent)
-            self.directory.apply(changes, source="store")
+            self.directory.apply(changes, source="relay")
             if is_recent:
                 return True
         return False
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -504,6 +504,8 @@
         metrics = self.metrics
         routes = self.directory.routes
         metrics.configuration.set(routes.catalog.version if routes else 0)
+        metrics.configuration_revision.set(self.directory.configured_at.revision)
+        metrics.unreadable_items.set(self.directory.unreadable_count)
         stores = (self.store, self.registration.store, self.crashes.recorder.store)
         metrics.store_calls.set(sum(client.calls for client in stores))
         metrics.crash_events.set(self.crashes.table.total_events)
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -299,6 +299,7 @@
             self.metrics.record_request(exchange, served.outcome, seconds)
         else:
             fields["target"] = served.request.target[:100].decode("latin-1")
+            fields |= _directory_fields(self.directory)
         self.log.write("request_ended", failure=served.outcome != "answered", **fields)
 
 
@@ -322,5 +323,17 @@
     }
 
 
+def _directory_fields(directory: Directory) -> dict:
+    """Return by what a request was refused: the configuration, and what is known."""
+    routes, position = directory.routes, directory.replica.position
+    configured_at = directory.configured_at
+    return {
+        "configuration": routes and routes.catalog.version,
+        "configured_at": (configured_at.era, configured_at.revision),
+        "position": (position.era, position.revision),
+        "current_by": directory.current_by,
+    }
+
+
 def _malformed_failure(detail: str) -> Failure:
     return Failure(kind=FailureKind.MALFORMED, detail=detail, outcome=Outcome.NOT_RUN)
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -83,6 +83,14 @@
         self.configuration = self.gauge(
             "configuration_version", "Version of the configuration in force"
         )
+        self.configuration_revision = self.gauge(
+            "configuration_revision",
+            "Revision of the store at which the configuration in force was written",
+        )
+        self.unreadable_items = self.gauge(
+            "unreadable_items",
+            "Items of the store that could not be decoded or were rejected",
+        )
         self.endpoints = self.gauge("endpoints", "Endpoints that may get new work")
         self.daemons = self.gauge("daemons", "Daemons that are registered")
         self.stage_calls = self.gauge("stage_calls", "Calls to stage endpoints")
