--- a/currantdyke/directory/tests/builders.py
+++ b/currantdyke/directory/tests/builders.py
@@ -1,6 +1,7 @@
 """Directories, changes and followers for tests."""
 
 import contextlib
+import functools
 import os
 
 import anyio
@@ -8,8 +9,10 @@
 
 from currantdyke.decisionlog import DecisionLog
 from currantdyke.directory import ChangeSet, Directory, EndpointTable, Follower
+from currantdyke.links.codec import Frame, decode_frame, encode_frame
 from currantdyke.platform.store import Change
 from currantdyke.testing.gateways import configuration, plain_route
+from currantdyke.testing.virtual import run_virtual
 
 __all__ = [
     "FakeStore",
@@ -18,6 +21,8 @@
     "build_directory",
     "build_entry",
     "build_follower",
+    "in_virtual_time",
+    "tell",
 ]
 
 
@@ -54,12 +59,51 @@
     return msgspec.json.encode(entry)
 
 
-def build_configuration(version, *, document=None, age=0.0):
+def build_configuration(
+    version,
+    *,
+    document=None,
+    age=0.0,
+    revision=None,
+    era=0,
+    is_snapshot=False,
+    routes=1,
+):
     """Return a change set with a configuration, at the revision of its version."""
     if document is None:
-        document = msgspec.json.encode(configuration(version, [plain_route()]))
-    change = Change(key="op/config", value=document, revision=version)
-    return ChangeSet(changes=(change,), revision=version, age=age)
+        prefixes = [f"/plain{number}/" for number in range(routes)]
+        document = msgspec.json.encode(
+            configuration(version, [plain_route(prefix=prefix) for prefix in prefixes])
+        )
+    revision = version if revision is None else revision
+    change = Change(key="op/config", value=document, revision=revision, era=era)
+    return ChangeSet(
+        changes=(change,),
+        revision=revision,
+        era=era,
+        age=age,
+        is_snapshot=is_snapshot,
+    )
+
+
+def tell(sender, receiver):
+    """Let one daemon tell another, over a link, what it does not know yet."""
+    changes = sender.changes_since(receiver.replica.position)
+    data = encode_frame(Frame(number=1, content=changes))
+    receiver.apply(decode_frame(data).ok.content, source="peer")
+
+
+def in_virtual_time(test):
+    """Return a method of a test case that runs at a virtual time."""
+
+    @functools.wraps(test)
+    def run_test(*arguments):
+        async def run():
+            return test(*arguments)
+
+        return run_virtual(run)
+
+    return run_test
 
 
 class FakeStore:
--- a/currantdyke/directory/tests/test_newest_configuration.py
+++ b/currantdyke/directory/tests/test_newest_configuration.py
@@ -7,20 +7,13 @@
     build_changes,
     build_configuration,
     build_directory,
+    tell,
 )
-from currantdyke.links.codec import Frame, decode_frame, encode_frame
 from currantdyke.testing.virtual import run_virtual
 
 UNUSABLE = b'{"version": 8, "route_list": [{"name": "r", "ho'
 
 
-def tell(sender, receiver):
-    """Let one daemon tell another, over a link, what it does not know yet."""
-    changes = sender.changes_since(receiver.replica.position)
-    data = encode_frame(Frame(number=1, content=changes))
-    receiver.apply(decode_frame(data).ok.content, source="peer")
-
-
 def build_pair():
     """Return two daemons that have version 7."""
     pair = build_directory(), build_directory()
