Refuse for good only by the newest configuration that exists

Seen: gateways answered 401 and 404 for what only a newer configuration allows, until the next version. They had heard of changes from a peer which had rejected the newest document: the peer's position came without the document, later reads of the store began after it, and their state was recent.

Cause: whether a refusal is final followed from the age of the state. The position of the state may pass a document that is not in force in other ways as well: it is only offered, its decoding or its use raises, its version is lower, its version is the same, its era is not listed.

Now a daemon keeps the newest position at which a configuration is known to have been written and the highest known version, and compares what it has in force with both. It tells them with each position, and merges what it is told before anything else, so that they contain all configurations up to its position, over any number of daemons.

The replica stores only the document that is in force, also if using it raises, its version is lower or its item is removed, so that daemons that start get it from peers.

--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -2,12 +2,13 @@
 
 import collections
 import itertools
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from currantdyke.core import Position
 from currantdyke.decisionlog import DecisionLog
+from currantdyke.directory.newest import NewestConfiguration
 from currantdyke.largevalues.encoding import MIN_LARGE_BYTES
 from currantdyke.largevalues.history import ValueHistory
 from currantdyke.largevalues.messages import ValueOffer
@@ -37,6 +38,9 @@
         acknowledged.
     offers : tuple of ValueOffer
         Items whose values must be decoded or fetched first.
+    newest : NewestConfiguration
+        The newest configuration that the daemon knows of which sent the changes.
+        Without a position, the changes alone show it.
     """
 
     changes: tuple[Change, ...]
@@ -46,6 +50,7 @@
     age: float = 0.0
     offers: tuple[ValueOffer, ...] = ()
     era: int = 0
+    newest: NewestConfiguration = NewestConfiguration()
 
     @property
     def position(self) -> Position:
@@ -56,6 +61,11 @@
 class Replica:
     """Items by key, each with its position, and tombstones of removed items.
 
+    Parameters
+    ----------
+    retained : collection of str
+        Keys whose last value is kept when the store has them no more.
+
     Attributes
     ----------
     listed : Position
@@ -64,7 +74,7 @@
         Keys whose first value in the present era may be from the copy that the store
         returned from, and older than what was known before.
     rejected : dict of str to Position
-        Positions of the newest values that can't be used, by key; the items keep the
+        Positions of the newest values that are not used, by key; the items keep the
         values before them.
     changed_era : bool
         Whether the store has returned from a copy since the first list.
@@ -87,7 +97,8 @@
     (True, Position(era=0, revision=3))
     """
 
-    def __init__(self):
+    def __init__(self, *, retained: Collection[str] = ()):
+        self.retained = frozenset(retained)
         self.items: dict[str, Change] = {}
         self.tombstones: collections.OrderedDict[str, Change] = (
             collections.OrderedDict()
@@ -157,6 +168,7 @@
         return attrs.evolve(
             changes,
             era=era,
+            newest=changes.newest.in_era(era),
             changes=tuple(attrs.evolve(item, era=era) for item in changes.changes),
             offers=tuple(attrs.evolve(offer, era=era) for offer in changes.offers),
         )
@@ -171,16 +183,18 @@
             change
             for change in changes.changes
             if self.is_new(change)
+            and (change.value is not None or change.key not in self.retained)
             and (latest[change.key] is change or not _is_large(change))
         ]
         if changes.is_snapshot:
             listed = {change.key for change in changes.changes}
             listed |= {offer.key for offer in changes.offers}
-            listed |= self.rejected.keys()
             new += [
                 Change(key=key, value=None, revision=changes.revision, era=changes.era)
                 for key, item in self.items.items()
-                if key not in listed and item.position <= changes.position
+                if key not in listed
+                and key not in self.retained
+                and item.position <= changes.position
             ]
             self.tombstones_complete_after = max(
                 self.tombstones_complete_after, changes.position
@@ -269,7 +283,7 @@
         return change.revision > known.revision
 
     def reject(self, change: Change) -> None:
-        """Keep the value before a change that can't be used, also for peers."""
+        """Keep the value before a change that is not used, also for peers."""
         rejected = self.rejected.get(change.key, Position())
         self.rejected[change.key] = max(rejected, change.position)
         pending = self.pending.get(change.key)
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -505,6 +505,9 @@
         routes = self.directory.routes
         metrics.configuration.set(routes.catalog.version if routes else 0)
         metrics.configuration_revision.set(self.directory.configured_at.revision)
+        metrics.newest_version.set(self.directory.newest.version)
+        metrics.newest_revision.set(self.directory.newest.position.revision)
+        metrics.may_refuse.set(int(self.directory.decides))
         metrics.unreadable_items.set(self.directory.unreadable_count)
         stores = (self.store, self.registration.store, self.crashes.recorder.store)
         metrics.store_calls.set(sum(client.calls for client in stores))
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -87,6 +87,17 @@
             "configuration_revision",
             "Revision of the store at which the configuration in force was written",
         )
+        self.newest_version = self.gauge(
+            "newest_configuration_version", "Highest version that is known to exist"
+        )
+        self.newest_revision = self.gauge(
+            "newest_configuration_revision",
+            "Newest revision at which a configuration is known to have been written",
+        )
+        self.may_refuse = self.gauge(
+            "configuration_decides",
+            "Whether refusals by the configuration in force are final",
+        )
         self.unreadable_items = self.gauge(
             "unreadable_items",
             "Items of the store that could not be decoded or were rejected",
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -10,6 +10,7 @@
 from currantdyke.catalog import StageStep
 from currantdyke.core import Position
 from currantdyke.directory.endpoints import GRACE_PERIOD_SECONDS
+from currantdyke.directory.newest import NewestConfiguration
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.endpointlimits.messages import LimitReport, TokenGrant, TokenRequest
 from currantdyke.endpointslots.messages import (
@@ -82,6 +83,7 @@
 TUNNELS_PROTOCOL = 3
 SLOTS_PROTOCOL = 3
 MAX_UINT16 = 2**16 - 1
+MAX_UINT64 = 2**64 - 1
 # Holds all items of a large fleet: 4,200 endpoints of 400 bytes and the configuration.
 # Limits also what the compressed values of a frame take after decompression.
 MAX_FRAME_BYTES = 8_000_000
@@ -348,6 +350,9 @@
     builder.settling = changes.grace_period > 0.0
     builder.settlingMilliseconds = milliseconds(changes.grace_period)
     builder.ageMilliseconds = milliseconds(changes.age)
+    builder.newestEra = changes.newest.position.era
+    builder.newestRevision = changes.newest.position.revision
+    builder.newestVersion = max(0, min(MAX_UINT64, changes.newest.version))
     items = builder.init("items", len(changes.changes))
     for index, change in enumerate(changes.changes):
         items[index].key = change.key
@@ -516,6 +521,7 @@
         is_snapshot=reader.whole,
         grace_period=_decode_grace_period(reader),
         age=reader.ageMilliseconds / 1000,
+        newest=_decode_newest(reader),
         changes=tuple(
             Change(
                 key=item.key,
@@ -529,6 +535,13 @@
     )
 
 
+def _decode_newest(reader: Any) -> NewestConfiguration:
+    return NewestConfiguration(
+        position=Position(reader.newestEra, reader.newestRevision),
+        version=reader.newestVersion,
+    )
+
+
 def _decode_offer(reader: Any, era: int) -> ValueOffer:
     return ValueOffer(
         key=reader.key,
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -5,7 +5,8 @@
 import attrs
 
 from currantdyke.core import Position
-from currantdyke.directory import ChangeSet
+from currantdyke.directory import ChangeSet, Replica
+from currantdyke.directory.newest import NewestConfiguration
 from currantdyke.links import ChangesRequest, Frame, Unknown
 from currantdyke.links.changes import ABANDON_SECONDS, answer_changes
 from currantdyke.links.codec import decode_frame, encode_frame
@@ -288,5 +289,33 @@
         self.assertGreater(frame.content.age, 1_000_000.0)
 
 
+class TestNewestConfiguration(unittest.TestCase):
+    # Guards against a daemon that takes an older configuration for the newest one.
+    def test_newest_configuration_is_sent_with_changes(self):
+        for version in (0, 8, 2**64 - 1):
+            newest = NewestConfiguration(position=Position(2, 9), version=version)
+            changes = ChangeSet(changes=(), revision=10, era=2, newest=newest)
+            frame = Frame(number=1, content=changes)
+            self.assertEqual(decode_frame(encode_frame(frame)).ok, frame)
+
+    # Guards against a frame that can't be sent since operators chose a large number.
+    def test_version_beyond_the_field_is_sent_as_the_highest(self):
+        newest = NewestConfiguration(position=Position(0, 9), version=2**70)
+        changes = ChangeSet(changes=(), revision=10, newest=newest)
+        content = decode_frame(
+            encode_frame(Frame(number=1, content=changes))
+        ).ok.content
+        self.assertEqual(content.newest.version, 2**64 - 1)
+
+    # Guards against positions without an era that count as older than all others.
+    def test_newest_configuration_of_a_daemon_that_names_no_era_gets_one(self):
+        replica = Replica()
+        replica.apply(ChangeSet(changes=(), revision=5, era=3, is_snapshot=True))
+        newest = NewestConfiguration(position=Position(0, 9), version=8)
+        changes = ChangeSet(changes=(), revision=10, newest=newest)
+        placed = replica.place_changes(changes)
+        self.assertEqual(placed.newest.position, Position(3, 9))
+
+
 if __name__ == "__main__":
     unittest.main()
