Ask a peer after the start which configurations exist

Seen: a daemon that starts after the store has returned from an older copy has the version of the copy, reads the store, asks nobody, and refuses for good what the higher version of its peers allows, until the operators have written theirs again.

Peers tell the highest version that they know, but a daemon that the store answers does not ask them. Now it asks until one has answered, for 2 s at most: one request for each start. It refuses for good in the 0.1 s or so before that answer.

test_one_peer_is_asked_after_the_start failed before.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -38,6 +38,9 @@
 # answer of that age the store is read.
 MAX_ANSWER_AGE_SECONDS = 1.2
 PEER_POLL_SECONDS = 0.4
+# For this long after the start, a peer is asked even if the store answers: the store
+# may have returned from a copy that lacks a version which peers know.
+FIRST_ANSWER_SECONDS = 2.0
 # Interval of checks whether peers must be asked.
 PEER_CHECK_SECONDS = 0.1
 # Relays that are asked in one round; a relay that is behind may not know it yet.
@@ -97,6 +100,10 @@
     peers_first_until : float
         Until when peers are asked before the store is read, since its answers arrive
         slowly.
+    started_at : float
+        Time of the start.
+    heard : bool
+        Whether a peer or a relay has answered since the start.
     read_requested : anyio.Event
         Set to read the store without delay.
     """
@@ -118,6 +125,8 @@
     reading: anyio.CancelScope | None = None
     may_pause_read: bool = True
     peers_first_until: float = -1.0
+    started_at: float = -1.0
+    heard: bool = False
     read_requested: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -132,7 +141,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        self.answered_at = anyio.current_time()
+        self.started_at = self.answered_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_store)
             tasks.start_soon(self._follow_peers)
@@ -205,6 +214,7 @@
                 changes = await self.ask_peer(position)
             if changes is None:
                 return False
+            self.heard = True
             is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
             is_recent &= changes.era >= self.directory.era
             if is_recent:
@@ -321,6 +331,7 @@
         changes = await self.ask_peer(self._known_position())
         if changes is None:
             return False
+        self.heard = True
         new = self.directory.apply(changes, source="peer")
         if new:
             self.log.write(
@@ -350,8 +361,14 @@
             or self.store_age >= MAX_ANSWER_AGE_SECONDS
             or self._is_answer_slow()
             or not self.directory.complete
+            or self._may_lack_version()
         )
 
+    def _may_lack_version(self) -> bool:
+        """Return whether nobody has told yet which versions exist."""
+        started = anyio.current_time() - self.started_at < FIRST_ANSWER_SECONDS
+        return started and not self.heard
+
     def _is_overtaken(self) -> bool:
         """Return whether the answer that is arriving contains nothing new any more."""
         return (
