Refuse nothing for good after a position that tells no configurations

Seen: a daemon beside one of an earlier build, or, hears of its position without the document that the other rejected, and refuses for good by the version before. Such a daemon does not tell which configurations exist.

Changes name whether their sender tells the newest configuration. One that does not may have passed any document over up to its position: until the next version in force, a list of the store, or an answer of a daemon that knows all up to there, refusals are for now, and this daemon tells its own peers nothing either. In a large fleet whose relays are of an earlier build, that is most of the time, and wrong requests get 503.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -63,6 +63,9 @@
         the same content.
     newest : NewestConfiguration
         The newest configuration that is known to exist.
+    untold_until : Position
+        A configuration may have been written up to this position of which a daemon did
+        not tell that led here.
     clock : callable
         Returns the time in seconds, suspensions of the VM included.
     unreadable_count : int
@@ -88,6 +91,7 @@
     current_by: str = ""
     configured_at: Position = Position()
     newest: NewestConfiguration = NewestConfiguration()
+    untold_until: Position = Position()
     clock: Callable[[], float] = boot_time
     unreadable_count: int = 0
     on_configuration: list[Callable[[Catalog], None]] = attrs.field(factory=list)
@@ -122,6 +126,7 @@
             self.routes is not None
             and self.configured_at >= self.newest.position
             and self.routes.catalog.version >= self.newest.version
+            and self._knows_all_written
         )
 
     @property
@@ -134,6 +139,11 @@
         """
         return self.has_newest and self.is_recent
 
+    @property
+    def _knows_all_written(self) -> bool:
+        """Whether no configuration is newer than the newest of which it is known."""
+        return self.newest.position >= self.untold_until
+
     def apply(self, changes: ChangeSet, *, source: str) -> int:
         """Apply changes from the store or a peer; return the number of new ones.
 
@@ -143,7 +153,7 @@
             All changes after the position of the replica, or all items.
         """
         known = self.replica.position
-        self._record_newest(changes)
+        self._record_newest(changes, known)
         in_new_era = known.revision > 0 and changes.era > self.era
         if in_new_era:
             if not changes.is_snapshot:
@@ -187,7 +197,7 @@
             self.replica.changes_since(position),
             grace_period=self.endpoints.grace_period_left(),
             age=self.age,
-            newest=self.newest,
+            newest=self.newest if self._knows_all_written else None,
         )
 
     def drop_departed(self) -> None:
@@ -244,8 +254,14 @@
             self.daemons[record.name] = record
             self.departed.pop(record.name, None)
 
-    def _record_newest(self, changes: ChangeSet) -> None:
-        """Record which configurations exist by what the changes contain and tell."""
+    def _record_newest(self, changes: ChangeSet, known: Position) -> None:
+        """Record which configurations exist by what the changes contain and tell.
+
+        Parameters
+        ----------
+        known : Position
+            Position of the replica before the changes.
+        """
         written = [
             item.position
             for item in changes.changes
@@ -255,7 +271,15 @@
         # In an era, the configuration counts as written when the era began.
         written.append(Position(changes.era, 0))
         self.newest = self.newest.with_positions(written)
+        if changes.newest is None:
+            if changes.position > known:
+                self.untold_until = max(self.untold_until, changes.position)
+            return
         self.newest = self.newest.merge(changes.newest)
+        # Changes of the store after a position show nothing of those before it.
+        tells_all = changes.is_snapshot or changes.newest.position > Position()
+        if tells_all and changes.position >= self.untold_until:
+            self.untold_until = Position()
 
     def _configure(self, changes: ChangeSet, source: str) -> ChangeSet:
         """Put the highest version of the changes in force, if it is not lower.
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -38,9 +38,9 @@
         acknowledged.
     offers : tuple of ValueOffer
         Items whose values must be decoded or fetched first.
-    newest : NewestConfiguration
-        The newest configuration that the daemon knows of which sent the changes.
-        Without a position, the changes alone show it.
+    newest : NewestConfiguration or None
+        The newest configuration that a daemon knows of which sent the changes; None if
+        it does not tell. Without a position, the changes alone show it.
     """
 
     changes: tuple[Change, ...]
@@ -50,7 +50,7 @@
     age: float = 0.0
     offers: tuple[ValueOffer, ...] = ()
     era: int = 0
-    newest: NewestConfiguration = NewestConfiguration()
+    newest: NewestConfiguration | None = NewestConfiguration()
 
     @property
     def position(self) -> Position:
@@ -168,7 +168,7 @@
         return attrs.evolve(
             changes,
             era=era,
-            newest=changes.newest.in_era(era),
+            newest=changes.newest and changes.newest.in_era(era),
             changes=tuple(attrs.evolve(item, era=era) for item in changes.changes),
             offers=tuple(attrs.evolve(offer, era=era) for offer in changes.offers),
         )
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -350,9 +350,11 @@
     builder.settling = changes.grace_period > 0.0
     builder.settlingMilliseconds = milliseconds(changes.grace_period)
     builder.ageMilliseconds = milliseconds(changes.age)
-    builder.newestEra = changes.newest.position.era
-    builder.newestRevision = changes.newest.position.revision
-    builder.newestVersion = max(0, min(MAX_UINT64, changes.newest.version))
+    if changes.newest is not None:
+        builder.newestTold = True
+        builder.newestEra = changes.newest.position.era
+        builder.newestRevision = changes.newest.position.revision
+        builder.newestVersion = max(0, min(MAX_UINT64, changes.newest.version))
     items = builder.init("items", len(changes.changes))
     for index, change in enumerate(changes.changes):
         items[index].key = change.key
@@ -535,7 +537,9 @@
     )
 
 
-def _decode_newest(reader: Any) -> NewestConfiguration:
+def _decode_newest(reader: Any) -> NewestConfiguration | None:
+    if not reader.newestTold:
+        return None
     return NewestConfiguration(
         position=Position(reader.newestEra, reader.newestRevision),
         version=reader.newestVersion,
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -61,10 +61,12 @@
   era @7 :UInt32;
   # Whether some of the changes are of earlier eras.
   mixedEras @8 :Bool;
-  # The newest configuration that the sender knows of, whether or not it can be used.
+  # The newest configuration that the sender knows of, whether or not it can be used; only
+  # if newestTold is set.
   newestEra @9 :UInt32;
   newestRevision @10 :UInt64;
   newestVersion @11 :UInt64;
+  newestTold @12 :Bool;
 }
 
 struct Offer {
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -9,7 +9,7 @@
 from currantdyke.directory.newest import NewestConfiguration
 from currantdyke.links import ChangesRequest, Frame, Unknown
 from currantdyke.links.changes import ABANDON_SECONDS, answer_changes
-from currantdyke.links.codec import decode_frame, encode_frame
+from currantdyke.links.codec import SCHEMA, decode_frame, encode_frame
 from currantdyke.links.tests.builders import (
     PORT,
     build_changes,
@@ -307,6 +307,12 @@
         ).ok.content
         self.assertEqual(content.newest.version, 2**64 - 1)
 
+    def test_daemon_of_an_earlier_build_tells_nothing(self):
+        builder = SCHEMA.Frame.new_message(number=1)
+        builder.init("changes").revision = 9
+        content = decode_frame(builder.to_bytes_packed()).ok.content
+        self.assertIsNone(content.newest)
+
     # Guards against positions without an era that count as older than all others.
     def test_newest_configuration_of_a_daemon_that_names_no_era_gets_one(self):
         replica = Replica()
--- a/currantdyke/links/tests/test_compression.py
+++ b/currantdyke/links/tests/test_compression.py
@@ -7,7 +7,9 @@
 import attrs
 import capnp
 
+from currantdyke.core import Position
 from currantdyke.directory import ChangeSet
+from currantdyke.directory.newest import NewestConfiguration
 from currantdyke.links import ChangesRequest, Frame
 from currantdyke.links.codec import (
     MAX_FRAME_BYTES,
@@ -123,6 +125,15 @@
         content = decode_frame(builder.to_bytes_packed()).ok.content
         self.assertEqual(content.changes[0].value, bytes(5_000))
 
+    # Guards against an older daemon that gets no changes from this build.
+    def test_older_daemon_reads_changes_with_the_newest_configuration(self):
+        newest = NewestConfiguration(position=Position(2, 9), version=8)
+        changes = attrs.evolve(build_changes(value_bytes=9), newest=newest)
+        data = encode_frame(Frame(number=7, content=changes))
+        read = OLDER_SCHEMA.Frame.from_bytes_packed(data).changes
+        self.assertEqual(read.revision, changes.revision)
+        self.assertEqual(read.items[0].value, changes.changes[0].value)
+
     def test_changes_are_compressed_only_for_a_peer_that_accepts_it(self):
         changes = build_configuration(100)
         sent = []
