Resume streams by the age of the state, not by the configuration

Seen: a daemon that nobody answers does not let a stream go on at the only version of its service while the newest configuration can't be used, though the versions of engines do not depend on it.

The question is whether the daemon may have missed another version, which follows from the age of its state alone. The test failed before.

--- a/currantdyke/streamversions/client.py
+++ b/currantdyke/streamversions/client.py
@@ -149,7 +149,7 @@
         versions = self.services.recent(service)
         several = any(answer.several for answer in answers) or len(versions) != 1
         # A daemon that nobody answers may have missed another version.
-        in_touch = len(answers) > 1 or self.directory.decides
+        in_touch = len(answers) > 1 or self.directory.is_recent
         return versions[0] if in_touch and not several else None
 
     def hand_over(self) -> None:
--- a/currantdyke/streamversions/tests/test_client.py
+++ b/currantdyke/streamversions/tests/test_client.py
@@ -4,7 +4,8 @@
 import attrs
 
 from currantdyke.catalog import Endpoint
-from currantdyke.directory import Directory
+from currantdyke.directory import ChangeSet, Directory
+from currantdyke.directory.newest import NewestConfiguration
 from currantdyke.links.codec import Frame, encode_frame
 from currantdyke.links.link import LinkLostError, LossReason
 from currantdyke.streamversions.client import FleetStreamVersions
@@ -105,6 +106,18 @@
         for count in SIZES:
             self.assertEqual(run_fleet(count, scenario, "v1", "v2"), {"v2"})
 
+    # Guards against streams that can't go on since the configuration is not the newest.
+    def test_only_version_is_found_while_the_configuration_does_not_decide(self):
+        async def scenario(fleet, daemons):
+            directory = daemons[0].directory
+            directory.apply(ChangeSet(changes=(), revision=1), source="store")
+            newest = NewestConfiguration(version=2)
+            changes = ChangeSet(changes=(), revision=2, newest=newest)
+            directory.apply(changes, source="peer")
+            return directory.decides, await daemons[0].find("unknown", SERVICE)
+
+        self.assertEqual(run_fleet(1, scenario, "v1"), (False, "v1"))
+
     def test_version_is_found_without_the_daemon_that_began_and_one_replica(self):
         async def scenario(fleet, daemons):
             daemons[0].record("a", SERVICE, "v1")
