--- a/currantdyke/scheduler/tests/builders.py
+++ b/currantdyke/scheduler/tests/builders.py
@@ -11,6 +11,7 @@
     "LARGE_LOAD_FACTOR",
     "ZONES",
     "chain_kinds",
+    "fragile_stage_fleet",
     "large_fleet",
     "request_kinds",
     "short_last_stage_fleet",
@@ -109,6 +110,17 @@
     return StageFleet(services=LARGE_SERVICES, zones=2 * ZONES, engines=45, seed=seed)
 
 
+def fragile_stage_fleet() -> StageFleet:
+    """Return a fleet whose only stage endpoint runs four calls of one piece at once.
+
+    Once it is fragile, it has a slot for one of them.
+    """
+    limits = StageLimits(
+        slots=4, call_seconds=0.2, result_memory_bytes=1_000_000, result_ttl=4.0
+    )
+    return StageFleet(services={"score": limits}, zones=ZONES[:1], engines=1)
+
+
 def request_kinds() -> list[RequestKind]:
     """Return large dossiers, urgent notes with a chain of stages, and small replies."""
     return [
