Take the slot of a stage call in the step that dispatches it

A fragile stage endpoint whose allowance was below its slots could be sent more calls than its allowance, up to its slots: dispatch asked whether a slot was free, but the slot was taken in the task of the call. A second dispatch in the same step, as two placements make, found the slot still free, and the call of it was sent without one (an owner that has no slot left returns an empty one, which was not checked).

The slot is now taken in _start_call, beside the token of the limit, so that nothing runs between the question and the answer. LiveCall carries it, with the times that _run_call computed anew.

--- a/currantdyke/scheduler/livecall.py
+++ b/currantdyke/scheduler/livecall.py
@@ -3,6 +3,7 @@
 import anyio
 import attrs
 
+from currantdyke.endpointslots.client import Slot
 from currantdyke.scheduler.chain import Piece
 from currantdyke.scheduler.workers import Worker
 
@@ -11,12 +12,18 @@
 
 @attrs.define(kw_only=True, eq=False)
 class LiveCall:
-    """A call to a stage endpoint that has not ended.
+    """A call to a stage endpoint that has not ended; times in monotonic seconds.
 
     Attributes
     ----------
+    expected_seconds : float
+        Duration of the call at an endpoint that is as fast as configured.
     late_at : float
-        Monotonic time in seconds from which the call is late.
+        From when the call is late.
+    ends_at : float
+        When the call ends at the latest.
+    slot : Slot
+        The slot of the endpoint, if it is fragile.
     checked : bool
         Whether it was decided if the late call goes on.
     given_up : bool
@@ -25,7 +32,10 @@
 
     worker: Worker
     pieces: list[Piece]
+    expected_seconds: float
     late_at: float
+    ends_at: float
+    slot: Slot = attrs.field(factory=Slot)
     checked: bool = False
     given_up: bool = False
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -346,7 +346,20 @@
         self, limits: StageLimits, worker: Worker, pieces: list[Piece], now: float
     ) -> None:
         expected = limits.call_seconds + len(pieces) * limits.piece_seconds
+        timeout = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_SECONDS
+        deadline = max(piece.chain.deadline_at for piece in pieces)
+        call = LiveCall(
+            worker=worker,
+            pieces=pieces,
+            expected_seconds=expected,
+            late_at=now + timeout,
+            ends_at=max(now + timeout, deadline),
+        )
+        # Both are taken before the next dispatch, which may be in the same step.
         self.endpoint_limits.take_token(worker.endpoint)
+        call.slot = self.endpoint_slots.take_as_owner(
+            worker.endpoint, call.ends_at - now
+        )
         # A new owner's budget is refilled from its first call on.
         self.retry_budget(worker.endpoint.service)
         worker.calls += 1
@@ -355,26 +368,17 @@
         self.calls += 1
         self.pieces_called += len(pieces)
         assert self.tasks is not None
-        self.tasks.start_soon(self._run_call, limits, worker, pieces, expected)
+        self.tasks.start_soon(self._run_call, limits, call)
 
-    async def _run_call(
-        self,
-        limits: StageLimits,
-        worker: Worker,
-        pieces: list[Piece],
-        expected: float,
-    ) -> None:
+    async def _run_call(self, limits: StageLimits, call: LiveCall) -> None:
+        worker, pieces, expected = call.worker, call.pieces, call.expected_seconds
         started = anyio.current_time()
         calls = [self._piece_call(piece, started) for piece in pieces]
-        timeout = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_SECONDS
-        deadline = max(piece.chain.deadline_at for piece in pieces) - started
-        live = LiveCall(worker=worker, pieces=pieces, late_at=started + timeout)
-        self.live_calls.append(live)
+        self.live_calls.append(call)
         outcome = CallOutcome(reason="silent")
-        with live.scope:
-            seconds = max(timeout, deadline)
-            outcome = await self._run_in_slot(worker, calls, seconds)
-        self.live_calls.remove(live)
+        with call.scope:
+            outcome = await self._run_in_slot(call, calls, call.ends_at - started)
+        self.live_calls.remove(call)
         now = anyio.current_time()
         worker.calls -= 1
         worker.reserved -= sum(piece.result_bytes for piece in pieces)
@@ -386,23 +390,22 @@
             self._restart_chains(pieces, outcome.results)
         else:
             self._handle_failed_call(
-                worker, pieces, outcome, now, prepaid=live.given_up
+                worker, pieces, outcome, now, prepaid=call.given_up
             )
         for chain in {id(piece.chain): piece.chain for piece in pieces}.values():
             self._advance(chain)
         self.dispatch(worker.endpoint.service)
 
     async def _run_in_slot(
-        self, worker: Worker, calls: list[PieceCall], timeout: float
+        self, call: LiveCall, calls: list[PieceCall], timeout: float
     ) -> CallOutcome:
-        """Call an endpoint, in one of its slots if it is fragile."""
-        slot = self.endpoint_slots.take_as_owner(worker.endpoint, timeout)
+        """Call an endpoint, and free the slot of the call."""
         rejected = False
         try:
-            outcome = await self._run_pieces(worker, calls, timeout)
+            outcome = await self._run_pieces(call.worker, calls, timeout)
             rejected = outcome.not_run and not outcome.misdirected
         finally:
-            self.endpoint_slots.release(slot, rejected=rejected)
+            self.endpoint_slots.release(call.slot, rejected=rejected)
         return outcome
 
     async def _run_pieces(
