Show slots that stay taken for requests that are gone

A request that is cancelled while its daemon asks the owner for a slot, or whose owner answers after the time limit, leaves the slot taken until its deadline. Two existing tests get the task group in which daemons will ask.

--- a/currantdyke/endpointslots/tests/test_slots.py
+++ b/currantdyke/endpointslots/tests/test_slots.py
@@ -5,6 +5,7 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.directory import EndpointTable
+from currantdyke.endpointlimits.client import ASK_TIMEOUT_SECONDS
 from currantdyke.endpointlimits.owners import LimitOwners
 from currantdyke.endpointslots.client import BEGINNING_SECONDS, EndpointSlots, Slot
 from currantdyke.endpointslots.fragile import KEPT_SECONDS, FragileServices
@@ -25,11 +26,13 @@
 )
 
 
-def build_slots(*, owners=(("",), ("",)), request=None):
+def build_slots(*, owners=(("",), ("",)), request=None, tasks=None):
     """Return a daemon's slots, and what it sends and broadcasts.
 
     Parameters
     ----------
+    tasks : TaskGroup, optional
+        Needed if another daemon is asked.
     owners : pair of tuple of str
         IPs of the owners in order, without and with those that are suspected.
     """
@@ -194,10 +197,14 @@
 
         async def acquire():
             owners = (("10.0.0.9", ""), ("10.0.0.9", ""))
-            slots, _, _ = build_slots(owners=owners, request=never)
-            slots.fragile.record(ENDPOINT)
-            started = anyio.current_time()
-            return await slots.acquire(ENDPOINT, 5.0), anyio.current_time() - started
+            async with anyio.create_task_group() as tasks:
+                slots, _, _ = build_slots(owners=owners, request=never, tasks=tasks)
+                slots.fragile.record(ENDPOINT)
+                started = anyio.current_time()
+                wait = await slots.acquire(ENDPOINT, 5.0)
+                seconds = anyio.current_time() - started
+                tasks.cancel_scope.cancel()
+            return wait, seconds
 
         wait, seconds = run_virtual(acquire)
         self.assertIsInstance(wait, float)
@@ -262,10 +269,11 @@
 
         async def acquire():
             owners = (("10.0.0.9", ""), ("10.0.0.9", ""))
-            slots, sent, _ = build_slots(owners=owners, request=grant)
-            slots.fragile.record(ENDPOINT)
-            slot = await slots.acquire(ENDPOINT, 5.0)
-            slots.release(slot, rejected=True)
+            async with anyio.create_task_group() as tasks:
+                slots, sent, _ = build_slots(owners=owners, request=grant, tasks=tasks)
+                slots.fragile.record(ENDPOINT)
+                slot = await slots.acquire(ENDPOINT, 5.0)
+                slots.release(slot, rejected=True)
             return sent
 
         report, release = run_virtual(acquire)
@@ -275,6 +283,49 @@
         )
 
 
+async def leave_behind(*, answer_seconds, leave_seconds):
+    """Ask an owner that answers late, and stop waiting; return what it has granted."""
+    owner, _, _ = build_slots()
+
+    async def answer(ip, content):
+        grant = owner.handle_request(content)
+        await anyio.sleep(answer_seconds)
+        return grant
+
+    async with anyio.create_task_group() as tasks:
+        others = (("10.0.0.9", ""), ("10.0.0.9", ""))
+        slots, sent, _ = build_slots(owners=others, request=answer, tasks=tasks)
+        slots.fragile.record(ENDPOINT)
+        for _ in range(ENDPOINT.slots):
+            with anyio.move_on_after(leave_seconds):
+                await slots.acquire(ENDPOINT, 60.0)
+    for _, content in sent:
+        if isinstance(content, SlotRelease):
+            owner.handle_release(content)
+    return owner.pools.pools["i"].leases
+
+
+class TestAbandonedRequests(unittest.TestCase):
+    # Issue 47: callers that left while their daemon asked for a slot kept it until the
+    # deadline, so that an endpoint with few slots got no more requests.
+    def test_slot_that_is_granted_to_a_request_that_is_gone_is_free_again(self):
+        cases = {
+            "cancelled": {"answer_seconds": 0.1, "leave_seconds": 0.05},
+            "cancelled as the answer comes": {
+                "answer_seconds": 0.1,
+                "leave_seconds": 0.1,
+            },
+            "answered after the time limit": {
+                "answer_seconds": 2 * ASK_TIMEOUT_SECONDS,
+                "leave_seconds": 60.0,
+            },
+        }
+        for name, seconds in cases.items():
+            with self.subTest(name):
+                leases = run_virtual(functools.partial(leave_behind, **seconds))
+                self.assertEqual(leases, {})
+
+
 class TestPools(unittest.TestCase):
     def ask(self, pools, now, **changes):
         fields = {"born": 1, "slots": 4, "first": 4} | changes
