Release slots that are granted to requests that are gone

A caller that disconnected while its daemon asked the owner of a fragile service for a slot kept the slot until its deadline, and so did a request whose owner answered after the time limit of 0.15 s: only the answer names the slot, and nobody waited for it any more. An endpoint with few slots got nothing until then. It is the same kind as any call that is not answered in time: it may have been executed, or may be later.

The exchange with the owner now runs in the background, and the request waits for it as before. If the request is gone when the answer arrives, the slot is released.

EndpointSlots gets a callable that starts tasks; of the existing tests, the two in which another daemon is asked pass it.

--- a/currantdyke/endpointslots/client.py
+++ b/currantdyke/endpointslots/client.py
@@ -44,6 +44,23 @@
     owner: str = ""
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Inquiry:
+    """A request for a slot to another daemon.
+
+    Attributes
+    ----------
+    abandoned : bool
+        Whether nobody waits for the grant any more.
+    """
+
+    owner: str
+    request: SlotRequest
+    grant: SlotGrant | None = None
+    ended: anyio.Event = attrs.field(factory=anyio.Event)
+    abandoned: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class EndpointSlots:
     """Slots of the endpoints of fragile services, for the whole fleet.
@@ -52,6 +69,8 @@
     ----------
     request, send : callable
         Send a request or a notification to a daemon by its IP.
+    start : callable
+        Runs a function in the background, from the function and its arguments.
     owners : LimitOwners
         The daemons that grant the slots of each service.
     denied : int
@@ -65,6 +84,7 @@
     log: DecisionLog
     request: Callable[[str, SlotRequest], Awaitable[Any]]
     send: Callable[[str, SlotRelease], None]
+    start: Callable[..., None]
     owners: LimitOwners
     pools: SlotPools = attrs.field(factory=SlotPools)
     denied: int = 0
@@ -204,13 +224,42 @@
         )
 
     async def _ask(self, owner: str, request: SlotRequest) -> SlotGrant:
-        answer = None
+        inquiry = _Inquiry(owner=owner, request=request)
+        self.start(self._inquire, inquiry)
         try:
             with anyio.move_on_after(ASK_TIMEOUT_SECONDS):
-                answer = await self.request(owner, request)
-        except LinkLostError as error:
-            self.log.write("slot_owner_lost", owner=owner, reason=str(error))
-        if isinstance(answer, SlotGrant):
-            return answer
+                await inquiry.ended.wait()
+        except anyio.get_cancelled_exc_class():
+            self._abandon(inquiry)
+            raise
+        if inquiry.grant is not None:
+            return inquiry.grant
+        self._abandon(inquiry)
         self.owners.forget(request.service)
         return SlotGrant(lease=0, wait=UNANSWERED_SECONDS)
+
+    async def _inquire(self, inquiry: _Inquiry) -> None:
+        """Wait for the answer of an owner, also when nobody needs it any more.
+
+        Only the answer names the slot, which would stay taken until the deadline.
+        """
+        try:
+            answer = await self.request(inquiry.owner, inquiry.request)
+        except LinkLostError as error:
+            self.log.write("slot_owner_lost", owner=inquiry.owner, reason=str(error))
+            answer = None
+        if isinstance(answer, SlotGrant):
+            inquiry.grant = answer
+        inquiry.ended.set()
+        if inquiry.abandoned:
+            self._give_back(inquiry)
+
+    def _abandon(self, inquiry: _Inquiry) -> None:
+        inquiry.abandoned = True
+        if inquiry.ended.is_set():
+            self._give_back(inquiry)
+
+    def _give_back(self, inquiry: _Inquiry) -> None:
+        if inquiry.grant is not None:
+            instance, lease = inquiry.request.instance, inquiry.grant.lease
+            self.release(Slot(instance=instance, lease=lease, owner=inquiry.owner))
--- a/currantdyke/endpointslots/tests/test_slots.py
+++ b/currantdyke/endpointslots/tests/test_slots.py
@@ -55,6 +55,7 @@
         log=silent_log(),
         request=request,
         send=lambda ip, content: sent.append((ip, content)),
+        start=None if tasks is None else tasks.start_soon,
         owners=limit_owners,
     )
     return slots, sent, broadcast
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -255,6 +255,7 @@
             log=log,
             request=self.peers.request,
             send=self.peers.send,
+            start=self._start,
             owners=self.slot_owners,
         )
         self.endpoint_states = EndpointStates(
@@ -272,10 +273,11 @@
                 open_tunnel=functools.partial(open_tunnel, port=settings.peer_port),
             ),
             log=log,
-            on_blocked=lambda instance: self._close_idle(
+            # Idle connections, whose path to their endpoints may be cut.
+            on_blocked=lambda instance: self._start(
                 self.context.connections.forget, instance
             ),
-            on_cut_off=lambda: self._close_idle(self.context.connections.close_all),
+            on_cut_off=lambda: self._start(self.context.connections.close_all),
         )
         self.tunnels = TunnelServer(
             endpoints=self.directory.endpoints,
@@ -394,11 +396,9 @@
             if not daemon.leaving and daemon.protocol >= protocol
         ]
 
-    def _close_idle(
-        self, close: Callable[..., Awaitable[None]], *instance: str
-    ) -> None:
-        """Close idle connections, whose path to their endpoints may be cut."""
-        self.tasks.start_soon(run_logged, self.log, close, *instance)
+    def _start(self, task: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+        """Run a task in the background; its errors end nothing else."""
+        self.tasks.start_soon(run_logged, self.log, task, *arguments)
 
     def _version_replicas(self) -> list[str]:
         """Return the IPs of the daemons that may hold versions of streams."""
--- a/currantdyke/testing/stage_fleet.py
+++ b/currantdyke/testing/stage_fleet.py
@@ -172,6 +172,7 @@
         log=log,
         request=_ask_nobody,
         send=lambda ip, content: None,
+        start=lambda task, *arguments: None,
         owners=owners,
     )
 
