Say with a type how a run at an engine ended

_run_attempt compared texts of the log to learn whether an engine had no room for a request, which takes a slot away, or lacked the results of its stages, which lets them be released. It now gets a RunEnd, whose outcome is for the log only. The slot and the token of a placement are taken before the message is built, not in its arguments. No behaviour changes.

Run: gateway tests of streams, failed resumptions, silence, stream versions and races, forward tests of failures, race and silence, scheduler tests of held slots: 67, all passed.

--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import anyio
+import attrs
 
 from currantdyke.catalog import Endpoint
 from currantdyke.core import FailureKind
@@ -46,8 +47,10 @@
 # wait for a place in the batch.
 START_TIMEOUT_TARGETS = 1.5
 LOWEST_URGENCY = 9
-RESULTS_GONE = "not run: 409"
-FULL = "not run: 503"
+# Statuses with which an engine that did not run a request says why.
+RESULTS_GONE_STATUS = 409
+FULL_STATUS = 503
+RETRIED_ELSEWHERE = (RESULTS_GONE_STATUS, 429, FULL_STATUS)
 # A full engine has room again after about the time of one stage call.
 RETRY_AFTER_SECONDS = 0.25
 
@@ -55,6 +58,28 @@
 Failure = tuple[int, list[tuple[bytes, bytes]], bytes]
 
 
+@attrs.frozen(kw_only=True)
+class RunEnd:
+    """How a run at an engine ended.
+
+    Attributes
+    ----------
+    outcome : str
+        For the log.
+    progress : ProgressKind
+        For the scheduler.
+    rejected : bool
+        Whether the engine had no room for the request.
+    results_gone : bool
+        Whether the engine did not find the results of the stages.
+    """
+
+    outcome: str
+    progress: ProgressKind = ProgressKind.CANCELLED
+    rejected: bool = False
+    results_gone: bool = False
+
+
 async def forward_stream(
     exchange: Exchange, context: ForwardContext, scheduler: SchedulerClient
 ) -> None:
@@ -263,73 +288,73 @@
     async def _run_attempt(self, run: Run, placement: Placement) -> None:
         exchange = self.exchange
         started = anyio.current_time()
-        outcome = CANCELLED
-        progress = ProgressKind.CANCELLED
+        end = RunEnd(outcome=CANCELLED)
         evidence: EndpointRun | None = None
         slot = Slot()
         endpoint = self.context.directory.endpoints.usable(placement.instance)
         try:
             if endpoint is None:
-                outcome, progress = "leaving", ProgressKind.ENGINE_FULL
-                exchange.not_run_attempts += 1
+                end = self._end_unsent("leaving")
                 return
             if not self._is_of_version(endpoint):
                 # The owner is of an earlier build, or knows another entry.
-                outcome, progress = "another version", ProgressKind.ENGINE_FULL
-                exchange.not_run_attempts += 1
+                end = self._end_unsent("another version")
                 return
             pause = self.context.pauses.left(endpoint, anyio.current_time())
             if pause:
                 # It is the only one, or the owner knows no other.
-                outcome, progress = "asked for a pause", ProgressKind.ENGINE_FULL
-                exchange.not_run_attempts += 1
+                end = self._end_unsent("asked for a pause")
                 self.retry_after = pause
                 return
             if not await self._may_send(endpoint, placement):
-                outcome, progress = "at its limit", ProgressKind.ENGINE_FULL
-                exchange.not_run_attempts += 1
+                end = self._end_unsent("at its limit")
                 return
             if not placement.has_slot:
                 left = exchange.deadline_at - started
                 granted = await self.context.slots.acquire(endpoint, left)
                 if isinstance(granted, float):
-                    outcome, progress = "no slot", ProgressKind.ENGINE_FULL
-                    exchange.not_run_attempts += 1
+                    end = self._end_unsent("no slot")
                     self.retry_after = granted
                     return
                 slot = granted
             refusal = quarantine_failure(exchange, self.context)
             if refusal is not None:
-                outcome = FailureKind.QUARANTINED.code
+                end = RunEnd(outcome=FailureKind.QUARANTINED.code)
                 self._end_with(refusal)
                 return
             evidence = start_run(exchange, self.context, endpoint)
             run.version = endpoint.version
-            outcome, progress = await self._send(run, endpoint, placement, evidence)
+            end = await self._send(run, endpoint, placement, evidence)
         except NotSentError as error:
-            outcome, progress = f"not sent: {error}", ProgressKind.ENGINE_LOST
+            end = RunEnd(
+                outcome=f"not sent: {error}", progress=ProgressKind.ENGINE_LOST
+            )
             exchange.not_run_attempts += 1
         except (MaybeRanError, EventTooLongError) as error:
-            outcome, progress = str(error), ProgressKind.ENGINE_LOST
+            end = RunEnd(outcome=str(error), progress=ProgressKind.ENGINE_LOST)
             if evidence is not None:
                 evidence.lose()
         except anyio.get_cancelled_exc_class():
-            outcome = run.cancelled_outcome()
+            end = RunEnd(outcome=run.cancelled_outcome())
             if run.given_up and run.sent and evidence is not None:
                 evidence.lose(abandoned=True)
             raise
         except Exception:
-            outcome = INTERNAL_ERROR
+            end = RunEnd(outcome=INTERNAL_ERROR)
             raise
         finally:
-            self.context.slots.release(slot, rejected=outcome == FULL)
+            self.context.slots.release(slot, rejected=end.rejected)
             # An engine that was given up unheard has not failed: another run was first.
             if not self.ended and (run.heard or not run.given_up):
                 exchange.excluded.add(placement.instance)
-            results_gone = outcome == RESULTS_GONE
-            self._report_end(run, progress, results_gone=results_gone)
+            self._report_end(run, end)
             seconds = anyio.current_time() - started
-            exchange.record_attempt(placement.instance, outcome, seconds)
+            exchange.record_attempt(placement.instance, end.outcome, seconds)
+
+    def _end_unsent(self, outcome: str) -> RunEnd:
+        """Return the end of a run that was not sent, and count the attempt."""
+        self.exchange.not_run_attempts += 1
+        return RunEnd(outcome=outcome, progress=ProgressKind.ENGINE_FULL)
 
     async def _may_send(self, endpoint: Endpoint, placement: Placement) -> bool:
         """Return whether the engine's limit allows the request."""
@@ -343,8 +368,8 @@
 
     async def _send(
         self, run: Run, endpoint: Endpoint, placement: Placement, evidence: EndpointRun
-    ) -> tuple[str, ProgressKind]:
-        """Send to an engine; return the outcome for the log and the scheduler."""
+    ) -> RunEnd:
+        """Send to an engine, and relay its events or handle its failure."""
         exchange = self.exchange
         request = build_outgoing_request(
             exchange,
@@ -364,7 +389,7 @@
         ) as response:
             if response.facts.success:
                 await self._relay_events(run, response, evidence)
-                return "finished", ProgressKind.FINISHED
+                return RunEnd(outcome="finished", progress=ProgressKind.FINISHED)
             return await self._handle_failure(run, response)
 
     def _may_run_again(self) -> bool:
@@ -442,29 +467,35 @@
         evidence.finish()
         await caller.finish()
 
-    async def _handle_failure(
-        self, run: Run, response: EndpointResponse
-    ) -> tuple[str, ProgressKind]:
+    async def _handle_failure(self, run: Run, response: EndpointResponse) -> RunEnd:
         """Relay an engine's failure unless another engine may serve the request."""
         exchange = self.exchange
         body = await response.read_failure()
         facts = response.facts
         if facts.not_run:
             exchange.record_not_run()
-            if facts.misdirected or facts.status in (409, 429, 503):
-                return f"not run: {facts.status}", ProgressKind.ENGINE_FULL
+            if facts.misdirected or facts.status in RETRIED_ELSEWHERE:
+                return RunEnd(
+                    outcome=f"not run: {facts.status}",
+                    progress=ProgressKind.ENGINE_FULL,
+                    rejected=facts.status == FULL_STATUS,
+                    results_gone=facts.status == RESULTS_GONE_STATUS,
+                )
+        failed = RunEnd(
+            outcome=f"failed: {facts.status}", progress=ProgressKind.FINISHED
+        )
         headers = end_to_end_headers(response.head)
         if not facts.not_run and facts.status >= 500:
             self.failure = (facts.status, headers, body)
-            return f"failed: {facts.status}", ProgressKind.FINISHED
+            return failed
         if exchange.caller.response_started:
             self._end_with(StreamBrokenError(f"the engine answered {facts.status}"))
         elif self.race.has_others(run):
             self.kept_failure = (facts.status, headers, body)
-            return f"failed: {facts.status}", ProgressKind.FINISHED
+            return failed
         elif self.race.claim(run):
             await self._relay_failure((facts.status, headers, body))
-        return f"passed on: {facts.status}", ProgressKind.FINISHED
+        return attrs.evolve(failed, outcome=f"passed on: {facts.status}")
 
     async def _retry_or_fail(self) -> None:
         """Start another run, or relay a failure or raise if none may follow."""
@@ -510,30 +541,22 @@
             instance=run.instance,
         )
 
-    def _report_end(
-        self, run: Run, kind: ProgressKind, *, results_gone: bool = False
-    ) -> None:
-        """Report the end of a run; it is that of the request's runs if it is the last.
-
-        Parameters
-        ----------
-        results_gone : bool
-            Whether the engine did not find the results of the stages.
-        """
+    def _report_end(self, run: Run, end: RunEnd) -> None:
+        """Report the end of a run, and of the request's runs if it is the last."""
         others = [
             other for other in self.race.live if other is not run and not other.given_up
         ]
         if not others:
-            self._report(kind)
+            self._report(end.progress)
             return
         being_placed = any(not other.instance for other in others)
         pending = any(not other.sent for other in others)
         fetched = self.exchange.caller.response_started and not pending
         self.scheduler.report_progress(
             self.exchange.facts.attempt_id,
-            kind,
+            end.progress,
             instance=run.instance,
-            keeps_results=being_placed or not (fetched or results_gone),
+            keeps_results=being_placed or not (fetched or end.results_gone),
         )
 
     def _report(self, kind: ProgressKind) -> None:
--- a/currantdyke/scheduler/scheduler.py
+++ b/currantdyke/scheduler/scheduler.py
@@ -214,14 +214,15 @@
             directory_era=self.directory.era,
             directory_revision=self.directory.replica.revision,
         )
-        handles = chain.final_handles() if request.steps else None
+        has_slot = self.held_slots.take(engine.endpoint, request)
+        rate_limit = self.limits.take_as_owner(
+            engine.endpoint, sheddable=request.sheddable
+        )
         return Placement(
             instance=placed.instance,
-            handles=handles,
-            has_slot=self.held_slots.take(engine.endpoint, request),
-            rate_limit=self.limits.take_as_owner(
-                engine.endpoint, sheddable=request.sheddable
-            ),
+            handles=chain.final_handles() if request.steps else None,
+            has_slot=has_slot,
+            rate_limit=rate_limit,
         )
 
     def _check_limits(self, request: PlacementRequest, now: float) -> Refusal | None:
