Verify the registration of a daemon by what the store holds

Two gateways acted for good as the one that grants the requests to limited endpoints, which got 82 to 84 requests in 4 s where 65 are allowed. The answer to the write of one gateway's entry was lost, and the write was done 4 s later, after the next one, under a lease that nobody renewed. The gateway renewed the other lease, and never noticed that its entry had gone with the first.

The class is a call without an answer, which may have been executed or may be later: the answers to a daemon's calls are not the state of the store. - A write that was not answered is repeated under the same lease with the same value, so that it makes no difference when and how often it is executed. - Once a second the daemon looks for its entry among the items that it follows anyway. The entry names its process, era and lease. If there is none, or another one, in a state from after the acknowledged write, it renews the lease and writes again, or registers anew; the daemons of a fleet spread that as in a new era. - A withdrawal replaces only the entry that the process wrote itself, and ends the lease also if the registration was not answered yet: the late withdrawal of an earlier process announced the stop of the next one, and a late registration announced a process that had stopped.

era_delay is now spread_seconds, which one existing test sets; nothing else of the existing tests changes.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -41,7 +41,7 @@
 from currantdyke.gateway.handler import RequestHandler
 from currantdyke.gateway.metrics import GatewayMetrics
 from currantdyke.gateway.pages import Page, serve_pages
-from currantdyke.gateway.registration import Registration
+from currantdyke.gateway.registration import REGISTRATION_CHECK_SECONDS, Registration
 from currantdyke.gateway.reload import SettingsFile
 from currantdyke.gateway.settings import GatewaySettings
 from currantdyke.largevalues.messages import PartRequest
@@ -114,8 +114,8 @@
 # Part of the retries of a window that a new owner of stage calls may send at once. Five
 # owners in turn, and what is refilled meanwhile, stay within the window's retries.
 NEW_OWNER_RETRY_SHARE = 0.08
-# A lease and an entry. In a new era of the store, all daemons may use this share of its
-# writes, since others write again what the copy lacks too.
+# A lease and an entry. In a new era of the store, and when it has lost all entries, all
+# daemons may use this share of its writes, since others write again what it lacks too.
 REGISTRATION_WRITES = 2
 REGISTRATION_RATE_SHARE = 0.5
 # The daemon that owns a stage queue logs it this often while there is work.
@@ -184,8 +184,9 @@
         self.registration = Registration(
             entry=self.own_entry,
             store=self._store_client("registration"),
+            replica=self.directory.replica,
             log=log,
-            era_delay=self._era_delay,
+            spread_seconds=self._registration_seconds,
         )
         crash_table = CrashTable(now=anyio.current_time, log=log)
         self.crashes = CrashDetector(
@@ -363,8 +364,8 @@
             address=self.settings.store.address, on_unusable_era=log_unusable_era
         )
 
-    def _era_delay(self) -> float:
-        """Return the seconds over which all daemons register in a new era."""
+    def _registration_seconds(self) -> float:
+        """Return the seconds over which all daemons register again."""
         writes = REGISTRATION_WRITES * self.count_daemons()
         return writes / (
             REGISTRATION_RATE_SHARE * self.settings.store.writes_per_second
@@ -431,6 +432,11 @@
                 self.follower.expire_entries,
                 name="expire entries of the directory",
             )
+            self.timers.every(
+                REGISTRATION_CHECK_SECONDS,
+                self.registration.check,
+                name="check registration",
+            )
             self.timers.every(
                 CRASH_CHECK_SECONDS, self.crashes.check, name="check crashes"
             )
--- a/currantdyke/gateway/tests/registration_builders.py
+++ b/currantdyke/gateway/tests/registration_builders.py
@@ -158,5 +158,6 @@
             name=name, ip="10.0.0.1", availability_zone="z", incarnation=incarnation
         ),
         store=store,
+        replica=store.replica,
         log=DecisionLog(daemon="d", descriptor=os.open(os.devnull, os.O_WRONLY)),
     )
--- a/currantdyke/platform/records.py
+++ b/currantdyke/platform/records.py
@@ -230,8 +230,15 @@
     return VERSIONS_PREFIX + service, b"{}"
 
 
-def encode_daemon_entry(entry: DaemonEntry) -> tuple[str, bytes]:
-    """Return the key and the value with which a daemon registers itself."""
+def encode_daemon_entry(entry: DaemonEntry, *, lease: int = 0) -> tuple[str, bytes]:
+    """Return the key and the value with which a daemon registers itself.
+
+    Parameters
+    ----------
+    lease : int
+        The lease under which it is written, so that two entries which differ only in
+        it are told from each other also where leases are not passed on.
+    """
     document = {
         "ip": entry.ip,
         "availability_zone": entry.availability_zone,
@@ -240,5 +247,6 @@
         "leaving": entry.leaving,
         "protocol": entry.protocol,
         "era": entry.era,
+        "lease": lease,
     }
     return DAEMONS_PREFIX + entry.name, msgspec.json.encode(document)
