--- a/currantdyke/gateway/tests/test_denials.py
+++ b/currantdyke/gateway/tests/test_denials.py
@@ -1,20 +1,41 @@
 import unittest
 
 import anyio
+import msgspec
 
+from currantdyke.core import FailureKind
 from currantdyke.directory.tests.builders import build_configuration, build_directory
 from currantdyke.gateway.denials import DENIALS, deny
 from currantdyke.platform.answers import encode_failure_response
+from currantdyke.testing.gateways import configuration, plain_route
 from currantdyke.testing.virtual import run_virtual
 
+# Documents that do not state by what a request of a kind is refused.
+INCOMPLETE = {
+    FailureKind.NO_ROUTE: {"route_list": [plain_route(), 7]},
+    FailureKind.UNAUTHORIZED: {"tenants": None},
+    FailureKind.TOO_LARGE: {"limits": {"max_header_bytes": 16_384}},
+    FailureKind.HEADERS_TOO_LARGE: {"limits": {"max_body_bytes": 1_000_000}},
+}
 
-def denied(seconds_later):
-    """Return the statuses and headers of all denials, some time after a read."""
+
+def denied(seconds_later, **changes):
+    """Return the statuses and headers of all denials, some time after a read.
+
+    Parameters
+    ----------
+    changes : dict
+        Fields of the configuration.
+    """
+    document = configuration(1, [plain_route()], **changes)
 
     async def scenario():
         directory = build_directory()
         if seconds_later is not None:
-            directory.apply(build_configuration(1), source="store")
+            directory.apply(
+                build_configuration(1, document=msgspec.json.encode(document)),
+                source="store",
+            )
             await anyio.sleep(seconds_later)
         answers = {}
         for kind in DENIALS:
@@ -39,6 +60,15 @@
                     self.assertEqual(status, 503)
                     self.assertIn(b"retry-after", headers)
 
+    # Guards against final refusals by what the configuration does not state.
+    def test_part_that_is_not_known_refuses_for_the_moment(self):
+        for open_kind, changes in INCOMPLETE.items():
+            for kind, (status, headers) in denied(1.0, **changes).items():
+                with self.subTest(open_kind=open_kind, kind=kind):
+                    is_open = kind is open_kind
+                    self.assertEqual(status, 503 if is_open else kind.status)
+                    self.assertEqual(b"retry-after" in headers, is_open)
+
 
 if __name__ == "__main__":
     unittest.main()
