Find routes whose prefix does not end with a slash

A route with the prefix "/plain" was never found: its requests got 404. Prefixes of the hosts that have such a route are now looked up by their lengths, the longest first; other hosts are searched as before.

--- a/currantdyke/catalog/table.py
+++ b/currantdyke/catalog/table.py
@@ -13,6 +13,12 @@
 
     Attributes
     ----------
+    by_host : dict of str to dict
+        Routes by prefix, by host, of the hosts whose prefixes all end with a slash.
+    open_by_host : dict of str to dict
+        The same of the other hosts.
+    open_lengths : dict of str to tuple of int
+        The lengths of the prefixes of such a host, the longest first, by host.
     lowest_rank_by_service : dict of str to int
         The smallest, thus most urgent, rank among the routes of each service, by
         service name.
@@ -29,6 +35,8 @@
 
     catalog: Catalog
     by_host: dict[str, dict[str, Route]]
+    open_by_host: dict[str, dict[str, Route]]
+    open_lengths: dict[str, tuple[int, ...]]
     workspace_by_key: dict[str, Workspace]
     lowest_rank_by_service: dict[str, int]
 
@@ -38,6 +46,15 @@
         by_host: dict[str, dict[str, Route]] = {}
         for route in catalog.routes:
             by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        open_by_host = {
+            host: by_host.pop(host)
+            for host, prefixes in list(by_host.items())
+            if not all(prefix.endswith("/") for prefix in prefixes)
+        }
+        open_lengths = {
+            host: tuple(sorted(set(map(len, prefixes)), reverse=True))
+            for host, prefixes in open_by_host.items()
+        }
         workspace_by_key = {
             key: workspace
             for workspace in catalog.workspaces or ()
@@ -51,14 +68,14 @@
         return cls(
             catalog=catalog,
             by_host=by_host,
+            open_by_host=open_by_host,
+            open_lengths=open_lengths,
             workspace_by_key=workspace_by_key,
             lowest_rank_by_service=lowest_rank_by_service,
         )
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest matching path prefix, or None.
-
-        Only prefixes that end with "/" can match.
+        """Return the route with the longest prefix that begins the path, or None.
 
         Parameters
         ----------
@@ -67,9 +84,10 @@
         path : str
             Path without the query string.
         """
-        prefixes = self.by_host.get(_without_port(host).lower())
+        name = _without_port(host).lower()
+        prefixes = self.by_host.get(name)
         if prefixes is None:
-            return None
+            return self._find_open(name, path)
         end = path.rfind("/")
         while end >= 0:
             route = prefixes.get(path[: end + 1])
@@ -78,6 +96,14 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def _find_open(self, name: str, path: str) -> Route | None:
+        prefixes = self.open_by_host.get(name, {})
+        for length in self.open_lengths.get(name, ()):
+            route = prefixes.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
 
 def _without_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
