Expect the time of stages in the order of their results

A stream of a route that lists a stage before the one whose results it needs ended in an internal error (500): the estimate of its time read the end of a stage that it had not reached (KeyError). The estimate now follows `order_stages`, which is the order of the document wherever that fits; chains already start stages by what they need.

--- a/currantdyke/catalog/__init__.py
+++ b/currantdyke/catalog/__init__.py
@@ -1,6 +1,6 @@
 """Typed records of the operator configuration and of announced endpoints."""
 
-from currantdyke.catalog.check import find_problem
+from currantdyke.catalog.check import find_problem, order_stages
 from currantdyke.catalog.table import RouteTable
 from currantdyke.catalog.types import (
     CallerLimits,
@@ -30,4 +30,5 @@
     "Workspace",
     "find_problem",
     "max_event_gap",
+    "order_stages",
 ]
--- a/currantdyke/catalog/check.py
+++ b/currantdyke/catalog/check.py
@@ -1,11 +1,11 @@
 """Check that the parts of a configuration fit together."""
 
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
-from currantdyke.catalog.types import Catalog, Route, Workspace
+from currantdyke.catalog.types import Catalog, Route, StageStep, Workspace
 
-__all__ = ["find_problem"]
+__all__ = ["find_problem", "order_stages"]
 
 
 def find_problem(catalog: Catalog) -> str | None:
@@ -62,3 +62,30 @@
         if name in seen:
             yield f"there are two entries of the {kind} {name!r}"
         seen.add(name)
+
+
+def order_stages(stages: Sequence[StageStep]) -> Sequence[int] | None:
+    """Return the numbers of stages, each after those whose results it needs.
+
+    Returns
+    -------
+    sequence of int or None
+        None if there is no such order.
+
+    Examples
+    --------
+    >>> order_stages((StageStep(service="a", after=(1,)), StageStep(service="b")))
+    [1, 0]
+    """
+    if all(0 <= n < number for number, s in enumerate(stages) for n in s.after):
+        return range(len(stages))
+    ordered: list[int] = []
+    waiting = list(range(len(stages)))
+    while waiting:
+        ended = frozenset(ordered)
+        ready = [n for n in waiting if ended.issuperset(stages[n].after)]
+        if not ready:
+            return None
+        ordered += ready
+        waiting = [n for n in waiting if n not in ready]
+    return ordered
--- a/currantdyke/scheduler/admission.py
+++ b/currantdyke/scheduler/admission.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from currantdyke.catalog import order_stages
 from currantdyke.scheduler.chain import bytes_to_reserve
 from currantdyke.scheduler.messages import PlacementRequest, Refusal
 from currantdyke.scheduler.stages import StageQueues
@@ -130,7 +131,8 @@
 ) -> float:
     """Return the seconds until the last stage ends, given each service's backlog."""
     end_times: dict[int, float] = {}
-    for number, step in enumerate(request.steps):
+    for number in order_stages(request.steps) or ():
+        step = request.steps[number]
         start = max((end_times[predecessor] for predecessor in step.after), default=0.0)
         limits = stages.limits(step.service)
         count = request.pieces[number]
