Run stages of services of which the configuration states nothing

A stage whose service is not listed, or is listed without its limits, was refused ("the service takes no stage calls"), though endpoints name their service themselves. A service that is listed without its memory for results got no calls with results of a stated size, and results without a stated time to live were taken for expired. Such values are now defaults: calls of one piece, one at a time, memory that does not fill up, and results that last longer than a request. An endpoint that names a limit on requests, of a service without the duration of a call, was an internal error (division by zero).

test_service_that_is_not_listed_serves_stages and test_unstated_limits_allow_results failed before.

--- a/currantdyke/catalog/types.py
+++ b/currantdyke/catalog/types.py
@@ -22,6 +22,13 @@
 ]
 
 
+# Assumed of endpoints for which the configuration states no memory: it never fills up.
+UNSTATED_MEMORY_BYTES = 2**62
+# Assumed where the configuration states no time to live of results: longer than the
+# requests that use them.
+UNSTATED_RESULT_TTL_SECONDS = 30.0
+
+
 class Repeatability(enum.Enum):
     """Whether the requests of a route may run more than once.
 
@@ -131,8 +138,8 @@
     batch: int = 1
     call_seconds: float = 0.0
     piece_seconds: float = 0.0
-    result_memory_bytes: int = 0
-    result_ttl: float = 0.0
+    result_memory_bytes: int = UNSTATED_MEMORY_BYTES
+    result_ttl: float = UNSTATED_RESULT_TTL_SECONDS
 
 
 @attrs.frozen(kw_only=True)
--- a/currantdyke/scheduler/admission.py
+++ b/currantdyke/scheduler/admission.py
@@ -160,7 +160,7 @@
                 pieces[late] += missing
                 result_bytes[late] += missing * bytes_to_reserve(step)
     seconds_per_piece = limits.call_seconds / limits.batch + limits.piece_seconds
-    slots = sum(stages.call_slots(worker, limits) for worker in workers)
+    slots = sum(stages.call_slots(worker, limits) for worker in workers) or limits.slots
     seconds = [BACKLOG_FACTOR * count * seconds_per_piece / slots for count in pieces]
     hold_seconds = [
         _result_hold_seconds(size, workers, limits.result_memory_bytes)
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -51,6 +51,7 @@
 # larger for this long, about one call. Without a limit it would starve.
 MAX_OVERTAKING_SECONDS = 0.3
 RETRY_AFTER_SECONDS = 0.5
+UNSTATED_LIMITS = StageLimits()
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -118,11 +119,16 @@
                 self._give_up_late_calls()
 
     def limits(self, service: str) -> StageLimits | None:
-        """Return the call limits of a service's endpoints, or None if it has none."""
+        """Return the call limits of a service's endpoints.
+
+        They are defaults if the configuration states none, and None if there is no
+        configuration.
+        """
         if self.directory.routes is None:
             return None
         configured: Service | None = self.directory.routes.catalog.services.get(service)
-        return None if configured is None else configured.stage
+        stage = None if configured is None else configured.stage
+        return stage or UNSTATED_LIMITS
 
     def queue(self, service: str) -> ServiceQueue:
         """Return the queue of a service, creating it if needed."""
