Group the services of routes without a service

A route with prefix affinity and without a service (and without stages) ended the grouping of all services (IndexError), so that the scheduler kept the groups of the version before. No document has been taken with such a route until now; it is ignored.

test_route_without_a_service_has_no_group failed before. With it, test_odd_stages passes.

--- a/currantdyke/scheduler/groups.py
+++ b/currantdyke/scheduler/groups.py
@@ -33,6 +33,8 @@
             continue
         names = [service for service, _ in route.targets]
         names += [step.service for step in route.stages]
+        if not names:
+            continue
         for name in names[1:]:
             first, second = sorted((find(names[0]), find(name)))
             parent[second] = first
