Take what can be used of a configuration, and refuse the rest for now

Callers got 503 (and behind a peer 401 or 404) for what only the newest document allows, if one of its entries could not be used or a field was written in an unusual way: the document was rejected whole, and with it all changes of that version. A gateway that started with such a document never became ready.

Cause: since the gateway judged whether a document is valid. That is for the store, which accepts only valid ones; the platform's pages do not say that a host and prefix stand once, that a service is listed, or that an integer has no fraction sign.

A document is now rejected only if it is no JSON object, or has no version or no list of routes. What a part that could not be read would decide is refused for now: the catalog states the parts by which nothing is refused for good, and a route why it can't be served. No such part lets a key in: only a document without the field of the workspaces needs no key, an empty list of them knows none (401), and another value could not be read (503). What is left out is logged once for each version and counted, without any text of the document.

One refusal more is for now: a size above a limit that the document does not state.

--- a/currantdyke/catalog/__init__.py
+++ b/currantdyke/catalog/__init__.py
@@ -5,6 +5,7 @@
 from currantdyke.catalog.types import (
     CallerLimits,
     Catalog,
+    CatalogPart,
     Endpoint,
     EngineLimits,
     Repeatability,
@@ -19,6 +20,7 @@
 __all__ = [
     "CallerLimits",
     "Catalog",
+    "CatalogPart",
     "Endpoint",
     "EngineLimits",
     "Repeatability",
--- a/currantdyke/catalog/types.py
+++ b/currantdyke/catalog/types.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CallerLimits",
     "Catalog",
+    "CatalogPart",
     "Endpoint",
     "EngineLimits",
     "Repeatability",
@@ -79,6 +80,11 @@
         did not run it is not counted.
     rank : int
         Rank of the request's urgency; 0 is the most urgent.
+    public : bool or None
+        Whether its requests need no key; None if that could not be read, so that they
+        need one.
+    problem : str or None
+        Why its requests can't be served, if they can't.
     """
 
     name: str
@@ -92,9 +98,10 @@
     max_attempts: int = 1
     rank: int = 0
     stages: tuple[StageStep, ...] = ()
-    public: bool = False
+    public: bool | None = False
     prefix_affinity: bool = False
     resumable: bool = False
+    problem: str | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -171,11 +178,18 @@
 
 @attrs.frozen(kw_only=True)
 class Workspace:
-    """A customer with its keys and, optionally, a rank that replaces the route's."""
+    """A customer with its keys and, optionally, a rank that replaces the route's.
+
+    Attributes
+    ----------
+    has_all_keys : bool
+        Whether all of its keys could be read.
+    """
 
     name: str
     keys: frozenset[str]
     rank: int | None = None
+    has_all_keys: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -188,14 +202,28 @@
     idle_timeout: float = 15.0
 
 
+class CatalogPart(enum.Enum):
+    """A part of a configuration by which requests are refused for good."""
+
+    ROUTES = "routes"
+    KEYS = "keys"
+    HEADER_LIMIT = "header limit"
+    BODY_LIMIT = "body limit"
+
+
 @attrs.frozen(kw_only=True)
 class Catalog:
-    """One complete version of the operator configuration.
+    """One version of the operator configuration.
 
     Attributes
     ----------
     workspaces : tuple of Workspace or None
         None if requests need no key.
+    incomplete : frozenset of CatalogPart
+        Parts of which something is not stated or could not be read, so that what it
+        would allow is not known.
+    problems : tuple of str
+        What could not be used, with its place in the document.
     """
 
     version: int
@@ -203,6 +231,8 @@
     services: dict[str, Service] = attrs.field(factory=dict)
     limits: CallerLimits = CallerLimits()
     workspaces: tuple[Workspace, ...] | None = None
+    incomplete: frozenset[CatalogPart] = frozenset()
+    problems: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/currantdyke/core/failure.py
+++ b/currantdyke/core/failure.py
@@ -79,6 +79,11 @@
         503,
         "try again after the stated time, or send to another daemon",
     )
+    INCOMPLETE_CONFIGURATION = (
+        "incomplete_configuration",
+        503,
+        "try again after the stated time; correct what the configuration leaves open",
+    )
     QUARANTINED = (
         "quarantined",
         422,
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -120,6 +120,7 @@
 REGISTRATION_RATE_SHARE = 0.5
 # The daemon that owns a stage queue logs it this often while there is work.
 QUEUE_LOG_SECONDS = 1.0
+MAX_LOGGED_PROBLEMS = 20
 
 
 class GatewayDaemon:
@@ -505,6 +506,9 @@
         routes = self.directory.routes
         metrics.configuration.set(routes.catalog.version if routes else 0)
         metrics.configuration_revision.set(self.directory.configured_at.revision)
+        metrics.configuration_problems.set(
+            len(routes.catalog.problems) if routes else 0
+        )
         metrics.unreadable_items.set(self.directory.unreadable_count)
         stores = (self.store, self.registration.store, self.crashes.recorder.store)
         metrics.store_calls.set(sum(client.calls for client in stores))
@@ -603,6 +607,15 @@
         await self.caller_server.finish(drain_deadline)
 
     def _on_configuration(self, catalog: Catalog) -> None:
+        if catalog.problems:
+            self.log.write(
+                "configuration_incomplete",
+                failure=True,
+                version=catalog.version,
+                incomplete=sorted(part.value for part in catalog.incomplete),
+                problems=catalog.problems[:MAX_LOGGED_PROBLEMS],
+                count=len(catalog.problems),
+            )
         self.scheduler_client.groups = service_groups(catalog)
         self.versions_recorder.streaming = frozenset(
             service
--- a/currantdyke/gateway/denials.py
+++ b/currantdyke/gateway/denials.py
@@ -1,20 +1,19 @@
 """Refuse a request because of the configuration, if this daemon may decide it."""
 
+from currantdyke.catalog import CatalogPart
 from currantdyke.core import Failure, FailureKind
 from currantdyke.directory import Directory
 
 __all__ = ["DENIALS", "deny", "refuse_for_now"]
 
 # Kinds of failure that depend on the configuration, and after which callers do not send
-# the request again.
-DENIALS = frozenset(
-    (
-        FailureKind.NO_ROUTE,
-        FailureKind.UNAUTHORIZED,
-        FailureKind.TOO_LARGE,
-        FailureKind.HEADERS_TOO_LARGE,
-    )
-)
+# the request again, with the part of the configuration by which they are decided.
+DENIALS = {
+    FailureKind.NO_ROUTE: CatalogPart.ROUTES,
+    FailureKind.UNAUTHORIZED: CatalogPart.KEYS,
+    FailureKind.TOO_LARGE: CatalogPart.BODY_LIMIT,
+    FailureKind.HEADERS_TOO_LARGE: CatalogPart.HEADER_LIMIT,
+}
 # About the interval at which the store or a peer is read.
 TEMPORARY_RETRY_SECONDS = 0.5
 
@@ -30,16 +29,24 @@
     Returns
     -------
     Failure
-        Of this kind if the directory is current enough to decide; otherwise a
-        temporary one, since a newer configuration may allow the request.
+        Of this kind if the directory is current enough to decide, and all of the part
+        that decides was read; otherwise a temporary one, since a newer configuration,
+        or what could not be read, may allow the request.
     """
     if directory.routes is None:
         return refuse_for_now(FailureKind.NOT_READY, "no configuration is known yet")
-    if directory.decides:
-        return Failure(kind=kind, detail=detail)
-    return refuse_for_now(
-        FailureKind.STALE_CONFIGURATION, f"{detail}, as of {directory.age:.1f} s ago"
-    )
+    if not directory.decides:
+        return refuse_for_now(
+            FailureKind.STALE_CONFIGURATION,
+            f"{detail}, as of {directory.age:.1f} s ago",
+        )
+    part = DENIALS[kind]
+    if part in directory.routes.catalog.incomplete:
+        return refuse_for_now(
+            FailureKind.INCOMPLETE_CONFIGURATION,
+            f"{detail}, and not all of its part is known: {part.value}",
+        )
+    return Failure(kind=kind, detail=detail)
 
 
 def refuse_for_now(kind: FailureKind, detail: str) -> Failure:
--- a/currantdyke/gateway/handler.py
+++ b/currantdyke/gateway/handler.py
@@ -162,8 +162,13 @@
         workspace = routes.workspace_by_key.get(facts.key) if facts.key else None
         needs_key = routes.catalog.workspaces is not None and not route.public
         if needs_key and workspace is None:
+            raise RequestFailedError(self._deny_key(route))
+        if route.problem is not None:
             raise RequestFailedError(
-                deny(self.directory, FailureKind.UNAUTHORIZED, "the key is not known")
+                refuse_for_now(
+                    FailureKind.INCOMPLETE_CONFIGURATION,
+                    f"the route can't be served: {route.problem}",
+                )
             )
         rank = route.rank
         if workspace is not None and workspace.rank is not None:
@@ -216,13 +221,20 @@
             raise RequestFailedError(deny(self.directory, FailureKind.NO_ROUTE, detail))
         return route
 
+    def _deny_key(self, route: Route) -> Failure:
+        """Return the failure of a request without a known key."""
+        if route.public is None:
+            return refuse_for_now(
+                FailureKind.INCOMPLETE_CONFIGURATION,
+                "the key is not known, nor whether the route needs one",
+            )
+        return deny(self.directory, FailureKind.UNAUTHORIZED, "the key is not known")
+
     def _choose_service(self, route: Route) -> str:
         services = [service for service, _ in route.targets]
         if len(services) == 1:
             return services[0]
-        weights = [max(0.0, weight) for _, weight in route.targets]
-        if not any(weights):
-            return services[0]
+        weights = [weight for _, weight in route.targets]
         return self.random_source.choices(services, weights)[0]
 
     async def _forward(self, exchange: Exchange) -> None:
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -87,6 +87,10 @@
             "configuration_revision",
             "Revision of the store at which the configuration in force was written",
         )
+        self.configuration_problems = self.gauge(
+            "configuration_problems",
+            "Entries and fields of the configuration in force that can't be used",
+        )
         self.unreadable_items = self.gauge(
             "unreadable_items",
             "Items of the store that could not be decoded or were rejected",
--- a/currantdyke/platform/fields.py
+++ b/currantdyke/platform/fields.py
@@ -1,120 +1,154 @@
-"""Read the fields of documents of the platform, whose types are checked."""
+"""Read the fields of documents of the platform, whose types are checked.
 
-import math
-from typing import Any
+A field that can't be used has its default, or the nearest value that can be used. What
+could not be used is added to a list of problems. They hold no text of the document,
+which may be a secret.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 __all__ = [
     "FieldError",
+    "describe",
     "read_boolean",
+    "read_entries",
     "read_integer",
     "read_number",
-    "read_objects",
+    "read_object",
     "read_text",
-    "read_texts",
 ]
 
-# Marks fields that have no default.
-REQUIRED: Any = object()
-MAX_SHOWN_LENGTH = 60
+Entry = TypeVar("Entry")
+
+# Larger numbers are not used, so that no calculation overflows.
+MAX_NUMBER = 2**63 - 1
+NUMBER_TYPES = (int, float)
+NAME_BY_TYPE = {str: "a text", list: "a list", dict: "an object", type(None): "null"}
 
 
 class FieldError(ValueError):
-    """A field is missing or has an unexpected value; the text names it."""
+    """An entry can't be used because of one field; the text names it."""
 
 
 def read_integer(
-    entry: dict, key: str, *, default: Any = REQUIRED, lowest: int = 0
+    entry: dict, key: str, problems: list[str], *, default: Any = None, lowest: int = 0
 ) -> Any:
-    """Return an integer, or the default if it is missing or null.
+    """Return an integer, the nearest one for another number, or the default.
 
     Examples
     --------
-    >>> read_integer({"slots": 4}, "slots")
-    4
-    >>> read_integer({"slots": -1}, "slots")
-    Traceback (most recent call last):
-    currantdyke.platform.fields.FieldError: slots is -1, not an integer from 0 on
+    >>> problems = []
+    >>> [read_integer({"slots": n}, "slots", problems) for n in (4, 4.0, 4.5, -1, "4")]
+    [4, 4, 4, 0, None]
+    >>> problems[-1]
+    'slots is a text, not an integer from 0 on'
     """
     value: Any = entry.get(key)
-    if type(value) is int and value >= lowest:
+    if type(value) is int and lowest <= value <= MAX_NUMBER:
         return value
-    if value is not None:
-        raise _error(key, value, f"an integer from {lowest} on")
-    return _default(key, default)
-
-
-def read_number(entry: dict, key: str, *, default: Any = REQUIRED) -> Any:
-    """Return a finite number from 0 on, or the default if it is missing or null."""
+    if value is None:
+        return default
+    nearest = default
+    if type(value) in NUMBER_TYPES:
+        nearest = int(min(MAX_NUMBER, max(lowest, value)))
+    if nearest is None or nearest != value or isinstance(value, bool):
+        problems.append(f"{key} is {describe(value)}, not an integer from {lowest} on")
+    return nearest
+
+
+def read_number(
+    entry: dict, key: str, problems: list[str], *, default: Any = None
+) -> Any:
+    """Return a number from 0 on, or the default."""
     value: Any = entry.get(key)
-    if type(value) in (int, float) and 0 <= value < math.inf:
+    if type(value) in NUMBER_TYPES and 0 <= value <= MAX_NUMBER:
         return value
     if value is not None:
-        raise _error(key, value, "a number from 0 on")
-    return _default(key, default)
+        problems.append(f"{key} is {describe(value)}, not a number from 0 on")
+    return default
 
 
-def read_text(entry: dict, key: str, *, default: Any = REQUIRED) -> Any:
-    """Return a text that is not empty, or the default if it is missing or null."""
+def read_text(entry: dict, key: str, problems: list[str], *, default: Any) -> Any:
+    """Return a text, or the default."""
     value: Any = entry.get(key)
-    if value and isinstance(value, str):
+    if isinstance(value, str):
         return value
     if value is not None:
-        raise _error(key, value, "a text")
-    return _default(key, default)
+        problems.append(f"{key} is {describe(value)}, not a text")
+    return default
 
 
-def read_boolean(entry: dict, key: str) -> bool:
-    """Return a boolean, or False if it is missing or null."""
+def read_boolean(entry: dict, key: str, problems: list[str]) -> bool | None:
+    """Return a boolean, also for the numbers 0 and 1; None if it can't be read.
+
+    A field that is missing or null is false.
+    """
     value: Any = entry.get(key)
-    if value is not None and not isinstance(value, bool):
-        raise _error(key, value, "true or false")
-    return bool(value)
+    if value is None:
+        return False
+    if isinstance(value, bool):
+        return value
+    if type(value) in NUMBER_TYPES and value in (0, 1):
+        return bool(value)
+    problems.append(f"{key} is {describe(value)}, not true or false")
+    return None
 
 
-def read_texts(entry: dict, key: str) -> list[str]:
-    """Return a list of texts that are not empty; they may be secrets."""
-    values = entry.get(key)
-    if not isinstance(values, list):
-        raise FieldError(f"{key} is {type(values).__name__}, not a list of texts")
-    if not all(isinstance(value, str) and value for value in values):
-        raise FieldError(f"{key} has an entry that is no text")
-    return values
+def read_object(entry: dict, key: str, problems: list[str]) -> dict:
+    """Return an object; an empty one if it is missing or can't be read."""
+    value: Any = entry.get(key)
+    if isinstance(value, dict):
+        return value
+    if value is not None:
+        problems.append(f"{key} is {describe(value)}, not an object")
+    return {}
 
 
-def read_objects(
-    entry: dict, key: str, *, default: Any = REQUIRED, may_be_empty: bool = True
-) -> list[dict]:
-    """Return the objects of a list; an error in one names its place.
+def read_entries(
+    entry: dict,
+    key: str,
+    problems: list[str],
+    decode: Callable[[dict, list[str]], Entry],
+) -> list[Entry] | None:
+    """Return the decoded objects of a list, without those that can't be used.
 
     Parameters
     ----------
-    default : list
-        Used if the list is missing or null; by default, that is an error.
-    may_be_empty : bool
-        Whether the list may be empty.
+    decode : callable
+        Decodes an object, and adds the problems of its fields to a list; it raises
+        `FieldError` if the object can't be used.
+
+    Returns
+    -------
+    list or None
+        None if the field is no list.
     """
-    values = entry.get(key)
-    if values is None:
-        values = _default(key, default)
+    values: Any = entry.get(key)
     if not isinstance(values, list):
-        raise _error(key, values, "a list")
-    if not values and not may_be_empty:
-        raise _error(key, values, "a list with entries")
+        problems.append(f"{key} is {describe(values)}, not a list")
+        return None
+    decoded = []
+    found: list[str] = []
     for number, value in enumerate(values):
-        if not isinstance(value, dict):
-            raise _error(f"{key}[{number}]", value, "an object")
-    return values
+        try:
+            if not isinstance(value, dict):
+                raise FieldError(f"it is {describe(value)}, not an object")
+            decoded.append(decode(value, found))
+        except FieldError as error:
+            found.append(f"left out: {error}")
+        if found:
+            problems.extend(f"{key}[{number}]: {text}" for text in found)
+            found.clear()
+    return decoded
 
 
-def _default(key: str, default: Any) -> Any:
-    """Return the value of a field that is missing or null."""
-    if default is REQUIRED:
-        raise FieldError(f"{key} is missing")
-    return default
-
+def describe(value: Any) -> str:
+    """Return a number or boolean as text, and only the type of any other value.
 
-def _error(key: str, value: Any, expected: str) -> FieldError:
-    found = repr(value)
-    if len(found) > MAX_SHOWN_LENGTH:
-        found = f"{found[:MAX_SHOWN_LENGTH]}..."
-    return FieldError(f"{key} is {found}, not {expected}")
+    Examples
+    --------
+    >>> describe(4.5), describe("secret"), describe(None)
+    ('4.5', 'a text', 'null')
+    """
+    return NAME_BY_TYPE.get(type(value)) or repr(value)[:40]
