--- a/currantdyke/platform/configuration.py
+++ b/currantdyke/platform/configuration.py
@@ -215,9 +215,7 @@
     if not isinstance(after, list):
         raise FieldError(f"after is {describe(after)}, not a list")
     for number in after:
-        if isinstance(number, bool) or not isinstance(number, (int, float)):
-            raise FieldError(f"after has {describe(number)}, not an integer")
-        if number != int(number):
+        if type(number) not in (int, float) or number != int(number):
             raise FieldError(f"after has {describe(number)}, not an integer")
     return StageStep(
         service=_read_required_text(entry, "service"),
@@ -287,19 +285,25 @@
     name = _read_required_text(entry, "name")
     if HEADER_TEXT.fullmatch(name) is None:
         raise FieldError("name fits in no header")
+    keys, has_all_keys = _read_keys(entry, problems)
+    return Workspace(
+        name=name,
+        keys=keys,
+        rank=read_integer(entry, "priority", problems),
+        has_all_keys=has_all_keys,
+    )
+
+
+def _read_keys(entry: dict, problems: list[str]) -> tuple[frozenset[str], bool]:
+    """Return the keys of a workspace that can be read, and whether these are all."""
     values: Any = entry.get("api_keys")
     if not isinstance(values, list):
         problems.append(f"api_keys is {describe(values)}, not a list")
-        values = (None,)
+        return frozenset(), False
     keys = [value for value in values if isinstance(value, str)]
-    if len(keys) < len(values) and values != (None,):
+    if len(keys) < len(values):
         problems.append("api_keys has an entry that is no text")
-    return Workspace(
-        name=name,
-        keys=frozenset(keys),
-        rank=read_integer(entry, "priority", problems),
-        has_all_keys=len(keys) == len(values),
-    )
+    return frozenset(keys), len(keys) == len(values)
 
 
 def _decode_caller_limits(
