Report routes and services that a later entry replaces

Of two entries with one host and prefix, or of two services with one name, the last is used, and nothing told the operators that the first is not. The number of such entries is now among the problems of the configuration in force, which are logged and counted.

test_last_entry_of_a_host_and_prefix_is_used failed before.

--- a/currantdyke/platform/configuration.py
+++ b/currantdyke/platform/configuration.py
@@ -115,12 +115,14 @@
         problems += decoded.problems
         if not decoded.has_all:
             incomplete.add(CatalogPart.KEYS)
-    # Of several entries with one name, the last is used.
     route_by_place = {(route.host.lower(), route.prefix): route for route in routes}
+    _report_replaced("route_list", len(routes) - len(route_by_place), problems)
+    service_by_name = {service.name: service for service in services or ()}
+    _report_replaced("services", len(services or ()) - len(service_by_name), problems)
     return Catalog(
         version=version,
         routes=tuple(route_by_place.values()),
-        services={service.name: service for service in services or ()},
+        services=service_by_name,
         limits=limits,
         workspaces=None if decoded is None else decoded.workspaces,
         incomplete=frozenset(incomplete | unnamed_limits),
@@ -128,6 +130,12 @@
     )
 
 
+def _report_replaced(key: str, count: int, problems: list[str]) -> None:
+    """Report entries that a later one of the same name replaces."""
+    if count:
+        problems.append(f"{key}: entries replaced by later ones: {count}")
+
+
 def _read_version(document: dict) -> int:
     """Return the version, which may be written as a text of digits."""
     version: Any = document.get("version")
--- a/currantdyke/platform/tests/test_configuration.py
+++ b/currantdyke/platform/tests/test_configuration.py
@@ -149,6 +149,11 @@
         self.assertEqual(
             [route.targets[0][0] for route in catalog.routes], ["other", "engine"]
         )
+        self.assertEqual(
+            catalog.problems, ("route_list: entries replaced by later ones: 1",)
+        )
+        document = change_document(("services", -1), {"name": "plain"})
+        self.assertEqual(len(decode_document(document).ok.problems), 1)
 
     # Guards against rejecting what operators may leave out.
     def test_fields_with_a_default_may_be_missing_or_null(self):
