--- a/currantdyke/catalog/__init__.py
+++ b/currantdyke/catalog/__init__.py
@@ -1,10 +1,11 @@
 """Typed records of the operator configuration and of announced endpoints."""
 
-from currantdyke.catalog.check import find_problem
+from currantdyke.catalog.check import find_problem, order_stages
 from currantdyke.catalog.table import RouteTable
 from currantdyke.catalog.types import (
     CallerLimits,
     Catalog,
+    CatalogPart,
     Endpoint,
     EngineLimits,
     Repeatability,
@@ -19,6 +20,7 @@
 __all__ = [
     "CallerLimits",
     "Catalog",
+    "CatalogPart",
     "Endpoint",
     "EngineLimits",
     "Repeatability",
@@ -30,4 +32,5 @@
     "Workspace",
     "find_problem",
     "max_event_gap",
+    "order_stages",
 ]
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -98,6 +98,10 @@
             "configuration_decides",
             "Whether refusals by the configuration in force are final",
         )
+        self.configuration_problems = self.gauge(
+            "configuration_problems",
+            "Entries and fields of the configuration in force that can't be used",
+        )
         self.unreadable_items = self.gauge(
             "unreadable_items",
             "Items of the store that could not be decoded or were rejected",
--- a/currantdyke/scheduler/admission.py
+++ b/currantdyke/scheduler/admission.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from currantdyke.catalog import order_stages
 from currantdyke.scheduler.chain import bytes_to_reserve
 from currantdyke.scheduler.messages import PlacementRequest, Refusal
 from currantdyke.scheduler.stages import StageQueues
@@ -130,7 +131,8 @@
 ) -> float:
     """Return the seconds until the last stage ends, given each service's backlog."""
     end_times: dict[int, float] = {}
-    for number, step in enumerate(request.steps):
+    for number in order_stages(request.steps) or ():
+        step = request.steps[number]
         start = max((end_times[predecessor] for predecessor in step.after), default=0.0)
         limits = stages.limits(step.service)
         count = request.pieces[number]
@@ -158,7 +160,7 @@
                 pieces[late] += missing
                 result_bytes[late] += missing * bytes_to_reserve(step)
     seconds_per_piece = limits.call_seconds / limits.batch + limits.piece_seconds
-    slots = sum(stages.call_slots(worker, limits) for worker in workers)
+    slots = sum(stages.call_slots(worker, limits) for worker in workers) or limits.slots
     seconds = [BACKLOG_FACTOR * count * seconds_per_piece / slots for count in pieces]
     hold_seconds = [
         _result_hold_seconds(size, workers, limits.result_memory_bytes)
