Let the soak judge odd documents, and gateways that live by their peers

Callers of two deployments got final refusals by older versions; no pattern of the soak saw it. Documents that are not valid were never versions whose effects were required, gateways were disturbed one at a time, and final refusals of probes counted only at gateways that had been undisturbed for 5 s.

- Versions have forms (forms.py): odd but proper ones, which must come into force; unusable ones, after which the version before may stay, but nothing that the new one allows may be refused finally; and empty ones, which allow nothing.
- The pattern `peers` refuses, cuts off, slows or pauses some gateways, up to all but one, in overlapping series while versions come in quick succession.
A final refusal of what all versions of the last 2 s allow is a violation whatever the faults, reported once a process.
- At the end of a run, requests on added routes must be served at least a quarter as often as those on the first ones, if there are 20.
- Planted faults: `documents` (one odd entry rejects a document) and `newest-known` (an answer to a peer does not tell of a newer document).
Today's code has both; they matter once it is mended.

The count "invalid documents" became "odd versions" and "unusable versions"; the test asks for both.

--- a/currantdyke/soak/configurations.py
+++ b/currantdyke/soak/configurations.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from currantdyke.emulator import StoreEmulator
+from currantdyke.soak.forms import Form
 from currantdyke.testing.gateways import (
     configuration,
     plain_route,
@@ -39,11 +40,14 @@
         When the store acknowledged it.
     size : float
         Bytes of the value as the store sends it.
+    is_required : bool
+        Whether the version must come into force; if not, the one before may stay.
     """
 
     at: float
     version: int
     size: float
+    is_required: bool = True
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -53,7 +57,9 @@
     Attributes
     ----------
     documents : dict of int to dict
-        All versions.
+        All versions, in their plain form.
+    forms : dict of int to Form
+        How versions are written whose form is another.
     grown_prefixes, keys : list of str
         Path prefixes of the added routes, and keys; all later versions contain them.
     replaced_keys : list of str
@@ -78,6 +84,7 @@
 
     store: StoreEmulator
     documents: dict[int, dict] = attrs.field(factory=dict)
+    forms: dict[int, Form] = attrs.field(factory=dict)
     grown_prefixes: list[str] = attrs.field(factory=list)
     keys: list[str] = attrs.field(factory=lambda: [FIRST_KEY])
     replaced_keys: list[str] = attrs.field(factory=list)
@@ -91,24 +98,29 @@
     plain_service: str = "plain"
     lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
-    def publish(self, *, routes: int = 1) -> None:
+    def publish(self, *, routes: int = 1, form: Form | None = None) -> None:
         """Write the next version.
 
         Parameters
         ----------
         routes : int
             One more than the number of its routes that later versions need not contain.
+        form : Form, optional
+            How it is written.
         """
         self.version += 1
         self.documents[self.version] = self._next_document(routes)
+        if form is not None:
+            self.forms[self.version] = form
+            self.documents[self.version] |= form.allowed
         self.write(self.version)
 
-    def grow(self, count: int) -> None:
+    def grow(self, count: int, *, form: Form | None = None) -> None:
         """Write a version with a number of additional routes and one more key."""
         first = len(self.grown_prefixes)
         self.grown_prefixes += [f"/grown/{first + n}/" for n in range(count)]
         self._add_key()
-        self.publish()
+        self.publish(form=form)
 
     def replace_key(self) -> None:
         """Let the next versions contain a new key in place of an earlier one."""
@@ -123,25 +135,36 @@
     def possible_documents(self, since: float) -> list[dict]:
         """Return the documents that may have been in force since a time.
 
-        Those are the last one that was written before it, and all later ones.
+        Those are the last one that was written before it and had to come into force,
+        and all later ones.
         """
         last = max(
-            n for n, write in enumerate(self.writes) if not n or write.at <= since
+            n
+            for n, write in enumerate(self.writes)
+            if not n or (write.at <= since and write.is_required)
         )
         return [self.documents[write.version] for write in self.writes[last:]]
 
     def write(self, version: int) -> None:
         """Write a version, the next one or one that was written before."""
-        document = self.documents[version]
-        self.store.configure(document)
+        document, form = self.documents[version], self.forms.get(version)
+        written = document if form is None else form.write(document)
+        value = written if isinstance(written, bytes) else msgspec.json.encode(written)
+        self.store.configure(value)
         now = anyio.current_time()
         present = [route["prefix"] for route in document["route_list"]]
         for tenant in document["tenants"]:
             present += tenant["api_keys"]
         since = self.allowed_since
         self.allowed_since = {name: since.get(name, now) for name in present}
-        size = len(msgspec.json.encode(document)) * STORE_BYTES_PER_BYTE
-        self.writes.append(Write(at=now, version=version, size=size))
+        self.writes.append(
+            Write(
+                at=now,
+                version=version,
+                size=len(value) * STORE_BYTES_PER_BYTE,
+                is_required=form is None or form.is_required,
+            )
+        )
 
     def both_allowed_since(self, prefix: str, key: str) -> float:
         """Return since when all writes have contained both; infinite if one lacks."""
@@ -162,6 +185,8 @@
         lowest = 0
         for write in self.writes:
             busy_until = max(busy_until, write.at) + write.size / bytes_per_second
+            if not write.is_required:
+                continue
             if busy_until < oldest_read:
                 lowest = write.version
             else:
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -24,7 +24,7 @@
 )
 from currantdyke.soak.configurations import grow_configuration
 from currantdyke.soak.cuts import cut_gateways_off, cut_violations
-from currantdyke.soak.effects import judge_effects, operate
+from currantdyke.soak.effects import effect_violations, judge_effects
 from currantdyke.soak.faults import FAULTS, GATEWAY_FAULTS
 from currantdyke.soak.fragile import (
     change_fragility,
@@ -33,6 +33,8 @@
     start_fragile_engines,
 )
 from currantdyke.soak.limits import change_limits, limit_violations
+from currantdyke.soak.operators import operate, operate_quickly
+from currantdyke.soak.peers import ISOLATIONS
 from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
 from currantdyke.soak.prompts import (
     choose_prompt,
@@ -209,6 +211,16 @@
         activities=(operate, judge_effects),
         think_seconds=0.5,
         fault_series=1,
+        find_violations=effect_violations,
+        transfers_excuse=False,
+    ),
+    "peers": Pattern(
+        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
+        faults=ISOLATIONS,
+        activities=(operate_quickly, judge_effects),
+        think_seconds=0.5,
+        fault_series=2,
+        find_violations=effect_violations,
         transfers_excuse=False,
     ),
     "fragile": Pattern(
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Annotated, Any
 
 import anyio
 import attrs
 import h11
+import msgspec
+from expression import Error
 
+from currantdyke.core import Position
 from currantdyke.crashes import CrashDetector
-from currantdyke.directory import Directory, Follower
+from currantdyke.directory import ChangeSet, Directory, Follower
 from currantdyke.directory.endpoints import EndpointTable
 from currantdyke.forward import attempt, plain
 from currantdyke.forward.attempt import EndpointResponse
@@ -172,6 +175,57 @@
     configuration._decode_workspaces = decode_any
 
 
+class _StrictRoute(msgspec.Struct):
+    host: str
+    prefix: Annotated[str, msgspec.Meta(pattern="^/.*/$")]
+    service: str
+    max_attempts: Annotated[int, msgspec.Meta(ge=1)]
+    priority: Annotated[int, msgspec.Meta(ge=0)]
+    public: bool
+
+
+class _StrictWorkspace(msgspec.Struct):
+    api_keys: list[str]
+
+
+class _StrictDocument(msgspec.Struct):
+    version: int
+    route_list: list[_StrictRoute]
+    tenants: Annotated[list[_StrictWorkspace], msgspec.Meta(max_length=1)]
+    limits: dict[str, int]
+
+
+def _reject_odd_documents() -> None:
+    decode = records.decode_catalog
+
+    def decode_strictly(data: bytes) -> Any:
+        try:
+            msgspec.json.decode(data, type=_StrictDocument)
+        except msgspec.DecodeError as error:
+            return Error(str(error))
+        return decode(data)
+
+    records.decode_catalog = decode_strictly
+
+
+def _tell_changes_only() -> None:
+    tell: Any = Directory.changes_since
+
+    def tell_without_newest(self: Directory, position: Position) -> ChangeSet:
+        changes = tell(self, position)
+        return ChangeSet(
+            changes=changes.changes,
+            revision=changes.revision,
+            era=changes.era,
+            is_snapshot=changes.is_snapshot,
+            grace_period=changes.grace_period,
+            age=changes.age,
+            offers=changes.offers,
+        )
+
+    Directory.changes_since = tell_without_newest  # type: ignore[method-assign]
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -191,4 +245,6 @@
     "versions": _ignore_versions,
     "eras": _ignore_eras,
     "validity": _accept_invalid_configurations,
+    "documents": _reject_odd_documents,
+    "newest-known": _tell_changes_only,
 }
--- a/currantdyke/soak/promises.py
+++ b/currantdyke/soak/promises.py
@@ -240,14 +240,22 @@
         allowed = attempt.sent_at - attempt.allowed_since
         if allowed <= MAX_CONFIGURATION_DELAY_SECONDS:
             return
+        self.add_final_refusal(
+            attempt.gateway,
+            attempt.incarnation,
+            f"{attempt.attempt_id} at {attempt.gateway.name} got {status} for "
+            f"{attempt.target}, allowed for {allowed:.1f} s",
+        )
+
+    def add_final_refusal(
+        self, gateway: SupervisedGateway, incarnation: Incarnation, text: str
+    ) -> None:
+        """Record a wrong final refusal, the first of a process as a violation."""
         self.counts["final refusals"] += 1
-        gateway, number = attempt.gateway.name, attempt.incarnation.number
-        if (gateway, number) not in self.refusing:
-            self.refusing.add((gateway, number))
-            self.add_violation(
-                f"{attempt.attempt_id} at {gateway} got {status} for {attempt.target}, "
-                f"allowed for {allowed:.1f} s"
-            )
+        process = gateway.name, incarnation.number
+        if process not in self.refusing:
+            self.refusing.add(process)
+            self.add_violation(text)
 
     def _check_loss(self, attempt: Attempt) -> None:
         never = float("-inf")
--- a/currantdyke/soak/tests/test_effects.py
+++ b/currantdyke/soak/tests/test_effects.py
@@ -2,13 +2,19 @@
 import unittest
 
 import anyio
+import attrs
 
-from currantdyke.soak.effects import _find_problem
+from currantdyke.soak.effects import _find_problem, effect_violations
+from currantdyke.soak.promises import GuaranteeChecker
 from currantdyke.soak.world import soak
 from currantdyke.testing.gateways import configuration, plain_route
 
 SEED = 1
 SECONDS = 30.0
+# An unusable version stays the newest for seconds while gateways are isolated, and in
+# the second one a version whose document has an odd route.
+PEERS_SEED, ODD_SEED = 165, 25
+PEERS_SECONDS = 10.0
 MIN_JUDGED = 50
 
 
@@ -21,6 +27,13 @@
     )
 
 
+def run_peers(seed=PEERS_SEED, planted=""):
+    """Return the report of a short run in which gateways live by their peers."""
+    return anyio.run(
+        functools.partial(soak, seed, PEERS_SECONDS, pattern="peers", planted=planted)
+    )
+
+
 class TestEffects(unittest.TestCase):
     # Issue 47: no run judged configurations by what their gateways do, and none had
     # documents that are not valid, or a store that returns from a copy.
@@ -28,7 +41,7 @@
         report = run()
         self.assertEqual(report.broken, [], report.text())
         self.assertGreater(report.counts["effects judged"], MIN_JUDGED, report.text())
-        for name in ("returns of the store", "invalid documents"):
+        for name in ("returns of the store", "odd versions", "unusable versions"):
             self.assertGreater(report.counts[name], 0, report.text())
 
     def test_ignored_eras_are_detected(self):
@@ -44,6 +57,53 @@
         self.assertIn("may be in force", " ".join(report.broken), report.text())
 
 
+class TestPeers(unittest.TestCase):
+    # Issue 50: gateways refused finally by an older version, after they had heard of
+    # the newest document only from a peer which did not use it.
+    def test_short_run_has_no_violations(self):
+        report = run_peers()
+        self.assertEqual(report.broken, [], report.text())
+        self.assertGreater(report.counts["effects judged"], MIN_JUDGED, report.text())
+        for name in ("isolated gateways", "odd versions", "unusable versions"):
+            self.assertGreater(report.counts[name], 0, report.text())
+
+    # Issue 50: a document with one odd entry was rejected whole.
+    def test_documents_that_are_rejected_whole_are_detected(self):
+        report = run_peers(ODD_SEED, planted="documents")
+        self.assertIn("may be in force", " ".join(report.broken), report.text())
+
+    def test_untold_newest_versions_are_detected(self):
+        report = run_peers(planted="newest-known")
+        self.assertIn("allowed for", " ".join(report.broken), report.text())
+
+
+@attrs.define(kw_only=True)
+class FakeWorld:
+    checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
+
+
+class TestAddedRoutes(unittest.TestCase):
+    # Issue 50: no run compared how often added routes and the first ones are served.
+    def test_added_routes_that_are_served_too_rarely_are_a_violation(self):
+        for added, served, first_served, expected in (
+            (20, 4, 100, 1),
+            (20, 5, 100, 0),
+            (20, 2, 40, 0),
+            (19, 0, 100, 0),
+        ):
+            with self.subTest(added=added, served=served, first_served=first_served):
+                world = FakeWorld()
+                world.checker.counts.update(
+                    {
+                        "on added routes": added,
+                        "on added routes, served": served,
+                        "on first routes": 100,
+                        "on first routes, served": first_served,
+                    }
+                )
+                self.assertEqual(len(effect_violations(world)), expected)
+
+
 class TestFindProblem(unittest.TestCase):
     def setUp(self):
         routes = [plain_route(), plain_route(prefix="/added/")]
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -68,6 +68,8 @@
         When endpoints said that they are fragile.
     cuts : list of CutPeriod
         When gateways were cut off from the endpoints.
+    isolated : set of str
+        Names of the gateways that do not reach the store, or are paused.
     replacement_lock : Lock
         Held while an endpoint is replaced.
     """
@@ -85,6 +87,7 @@
     pauses: list = attrs.field(factory=list)
     fragile_periods: list = attrs.field(factory=list)
     cuts: list = attrs.field(factory=list)
+    isolated: set[str] = attrs.field(factory=set)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
     checker: GuaranteeChecker = attrs.field(factory=GuaranteeChecker)
