--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -81,6 +81,10 @@
         asyncio.get_running_loop().call_later(seconds, configured, self, *arguments)
 
     Directory._configured = apply_later  # type: ignore[assignment,method-assign]
+    # A daemon knows at once that the version exists.
+    Directory.has_newest = property(  # type: ignore[method-assign, assignment]
+        lambda self: self.routes is not None
+    )
 
 
 def _use_leaving_endpoints() -> None:
