Take no item from a late answer that the last list lacks

Seen: a daemon that starts sends requests to an endpoint that is gone, or that leaves, until its next list of the store.

Cause: it asks a peer for everything while it lists the store, and the older of the two answers may arrive last. An item that is not known counts as new whatever its position. Tombstones do not help: an endpoint that left before the later answer was never known here, and a list names no removals.

Fix: in an answer before the position of the last complete list, an item up to that position that is not known here was removed, and is left out. It was known otherwise, or has a tombstone. Answers from that position on are taken as before, so that a list still brings what a daemon lacks for any reason. The configuration is excepted: it is kept though its item is gone.

The check of the lists is made only in answers that are late, so that others cost one comparison more each.

--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -179,10 +179,12 @@
         A large value that a later change replaces is left out.
         """
         latest = {change.key: change for change in _by_position(changes.changes)}
+        is_late = changes.position < self.tombstones_complete_after
         new = [
             change
             for change in changes.changes
             if self.is_new(change)
+            and not (is_late and self._is_removed(change))
             and (change.value is not None or change.key not in self.retained)
             and (latest[change.key] is change or not _is_large(change))
         ]
@@ -282,6 +284,19 @@
             return known is None or change.era > known.era
         return change.revision > known.revision
 
+    def _is_removed(self, change: Change) -> bool:
+        """Return whether the last complete list shows that a late item is gone.
+
+        An item that was not known before that list has no tombstone.
+        """
+        return (
+            change.position < self.tombstones_complete_after
+            and change.key not in self.items
+            and change.key not in self.tombstones
+            and change.key not in self.pending
+            and change.key not in self.retained
+        )
+
     def reject(self, change: Change) -> None:
         """Keep the value before a change that is not used, also for peers."""
         rejected = self.rejected.get(change.key, Position())
