Show daemons that pass on another document than the one in force

A daemon that starts gets its first configuration from peers if the store's document can't be used. A peer may hold another document than the one it has in force:

- An unusable document that comes a second time, beside a newer unusable one, replaces the one in force in the replica.
So it does if the first list ends before it, and the next watch begins before it.
A daemon that starts then gets no configuration, and answers 503 to everything until the next version.
- A large document whose removal comes in the same answer is put in force, but not stored.
Daemons that start get the version before it, and run requests by it.

--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -101,6 +101,30 @@
             tell(directory, starting)
             self.assertEqual((version_of(directory), version_of(starting)), (7, 7))
 
+    # Guards against daemons that start and get only a document that can't be used.
+    @in_virtual_time
+    def test_document_that_was_rejected_before_is_not_passed_on(self):
+        directory, starting = build_known(7), build_directory()
+        first, second = (
+            build_configuration(number, document=UNUSABLE) for number in (8, 9)
+        )
+        directory.apply(first, source="store")
+        both = ChangeSet(changes=first.changes + second.changes, revision=9)
+        directory.apply(both, source="store")
+        tell(directory, starting)
+        self.assertIsNotNone(starting.routes)
+        self.assertEqual((version_of(directory), version_of(starting)), (7, 7))
+
+    # Guards against a large document that is in force and not passed on.
+    @in_virtual_time
+    def test_document_is_passed_on_though_its_removal_came_with_it(self):
+        directory, starting = build_known(7), build_directory()
+        written = build_configuration(8, routes=100).changes
+        removed = build_changes(0, 9, **{KEY: None}).changes
+        directory.apply(ChangeSet(changes=written + removed, revision=9), source="any")
+        tell(directory, starting)
+        self.assertEqual((version_of(directory), version_of(starting)), (8, 8))
+
 
 class TestVersions(unittest.TestCase):
     # Guards against final refusals by a version that the operators may have withdrawn.
