Store no configuration but the one that is in force

Seen: a daemon that starts gets from a peer only a document that can't be used, and answers 503 to everything; or it gets the version before the one that the peer has in force, and runs requests by it.

Cause: the documents that are not put in force were left out of what is stored by the new ones among them. One that had been rejected before is not new, and counts as new again once a later one is rejected, since only the last rejected position is kept.

Fix: of the changes of the configuration only the document in force is stored.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -320,13 +320,15 @@
             except Exception as error:
                 # The configuration before it stays in force.
                 log_internal_error(self.log, error, where="new configuration")
-        unused = [item for item in documents if item.position != self.configured_at]
-        for document in unused:
-            self.replica.reject(document)
+        for document in documents:
+            if document.position != self.configured_at:
+                self.replica.reject(document)
+        # Neither a document that was rejected before nor a removal hides the one in
+        # force.
         kept = tuple(
             item
             for item in changes.changes
-            if item.key != CONFIGURATION_KEY or item not in unused
+            if item.key != CONFIGURATION_KEY or item.position == self.configured_at
         )
         return attrs.evolve(changes, changes=kept)
 
