Show two states of a configuration that last until the next version

- A daemon that starts beside one of an earlier build asks it once, though the store answers.
If the answer is ahead of its own state, it answers 503 instead of 401, 403, 404, 413 and 431 until the next version.
Each heartbeat of an endpoint moves the position, so that either of two daemons is often ahead.
- A version, and then a document that can't be used, are written while a daemon's history of the store is gone.
It lists the unusable document alone, and runs requests by the version before, though its peers have the newer one in force.

--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -250,6 +250,16 @@
             directory.apply(changes, source="any")
             self.assertTrue(directory.decides)
 
+    # Guards against requests that run by an older version than peers have in force.
+    @in_virtual_time
+    def test_version_before_an_unusable_one_is_learned_from_peers(self):
+        directory, peer = build_known(7), build_known(8)
+        unusable = build_configuration(9, document=UNUSABLE)
+        peer.apply(unusable, source="store")
+        directory.apply(attrs.evolve(unusable, is_snapshot=True), source="store")
+        tell(peer, directory)
+        self.assertEqual(version_of(directory), 8)
+
 
 class TestFollower(unittest.TestCase):
     # Guards against a daemon that starts with the store's copy and asks nobody.
@@ -285,6 +295,28 @@
         self.assertTrue(decides)
         self.assertLessEqual(asked, ASKING_SECONDS / PEER_POLL_SECONDS + 1)
 
+    # Guards against 503 for all that callers may not do, until the next version, after
+    # a start beside a daemon of an earlier build.
+    def test_start_beside_an_earlier_build_allows_final_refusals(self):
+        async def scenario():
+            async def list_all():
+                return list(build_configuration(7).changes), Position(0, 7)
+
+            async def watch(after, wait):
+                await anyio.sleep(wait)
+                return [], Position(0, after.revision + 1)
+
+            async def ask(position):
+                return untold(position.revision + 1)
+
+            store = FakeStore(list_all=list_all, watch=watch)
+            follower = build_follower(store, ask_peer=ask)
+            with anyio.move_on_after(3 * ASKING_SECONDS):
+                await follower.run()
+            return follower.directory.decides
+
+        self.assertTrue(run_virtual(scenario))
+
 
 class TestAnyOrder(unittest.TestCase):
     # Guards against any order of writes, reads and answers of peers after which a
