Use no answer of an earlier build for what only this build tells

Callers of a daemon that had started beside one of an earlier build got 503 instead of 401 and 404 until the next version: it asked that daemon once though the store answered, was led to its position, and could not know which configurations that contains.

Such an answer says nothing about which versions exist, and the store brings the changes, so it is not applied unless the daemon needs changes of a peer. test_start_beside_an_earlier_build_allows_final_refusals failed before.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -332,6 +332,9 @@
         if changes is None:
             return False
         self.heard = True
+        if changes.newest is None and not self._needs_changes():
+            # It does not say which versions exist, and the store brings the changes.
+            return True
         new = self.directory.apply(changes, source="peer")
         if new:
             self.log.write(
@@ -356,12 +359,15 @@
         return self.store.answer_seconds > SLOW_ANSWER_SECONDS
 
     def _needs_peers(self) -> bool:
+        return self._needs_changes() or self._may_lack_version()
+
+    def _needs_changes(self) -> bool:
+        """Return whether the store does not bring the changes, or not soon enough."""
         return (
             self.lost_since is not None
             or self.store_age >= MAX_ANSWER_AGE_SECONDS
             or self._is_answer_slow()
             or not self.directory.complete
-            or self._may_lack_version()
         )
 
     def _may_lack_version(self) -> bool:
