Follow no peer after the start that tells no configurations

Seen: beside gateways of an earlier build, one that starts answers 503 instead of 401, 403, 404, 413 and 431 until the next version, though it reads the store.

Cause: a daemon that starts asks one peer even if the store answers, to learn of versions that the store has lost. A peer of an earlier build does not tell them, but its position led the daemon past changes that it would have read from the store itself.

Fix: while the store answers and the state is complete, an answer that tells no configurations is left out, and does not end the asking: another peer may be of this build. A daemon that can't read the store follows it as before, and then refuses for now as documented.

Test: test_start_beside_an_earlier_build_allows_final_refusals failed before.

--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -103,7 +103,7 @@
     started_at : float
         Time of the start.
     heard : bool
-        Whether a peer or a relay has answered since the start.
+        Whether a peer or a relay has told since the start which versions exist.
     read_requested : anyio.Event
         Set to read the store without delay.
     """
@@ -214,7 +214,7 @@
                 changes = await self.ask_peer(position)
             if changes is None:
                 return False
-            self.heard = True
+            self.heard |= changes.newest is not None
             is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
             is_recent &= changes.era >= self.directory.era
             if is_recent:
@@ -331,7 +331,11 @@
         changes = await self.ask_peer(self._known_position())
         if changes is None:
             return False
-        self.heard = True
+        if changes.newest is None and not self._lacks_changes():
+            # The store answers; after the position of this peer, a read of the store
+            # would not show which configurations were written up to it.
+            return True
+        self.heard |= changes.newest is not None
         new = self.directory.apply(changes, source="peer")
         if new:
             self.log.write(
@@ -356,12 +360,15 @@
         return self.store.answer_seconds > SLOW_ANSWER_SECONDS
 
     def _needs_peers(self) -> bool:
+        return self._lacks_changes() or self._may_lack_version()
+
+    def _lacks_changes(self) -> bool:
+        """Return whether peers may bring changes sooner than the store."""
         return (
             self.lost_since is not None
             or self.store_age >= MAX_ANSWER_AGE_SECONDS
             or self._is_answer_slow()
             or not self.directory.complete
-            or self._may_lack_version()
         )
 
     def _may_lack_version(self) -> bool:
