Hear a peer before refusing for good after a start or a return of the store

Cause, by reading: a daemon that starts, or that was paused or cut off, has missed a version that the store then loses as it returns from a copy. Its configuration is the newest of the copy, its state is recent, and it decides until a peer tells of the lost version; one that does not start asks no peer at all.

Now a daemon asks a peer also after it has learned of a new era, and refuses for now until one has told which versions exist, or for 2 s if none answers. One request for each daemon and return; a daemon that knows of no other decides at once.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -66,6 +66,8 @@
     untold_until : Position
         A configuration may have been written up to this position of which a daemon did
         not tell that led here.
+    awaits_peers : callable
+        Returns whether a peer may yet tell of a version that the store has lost.
     clock : callable
         Returns the time in seconds, suspensions of the VM included.
     unreadable_count : int
@@ -92,6 +94,7 @@
     configured_at: Position = Position()
     newest: NewestConfiguration = NewestConfiguration()
     untold_until: Position = Position()
+    awaits_peers: Callable[[], bool] = lambda: False
     clock: Callable[[], float] = boot_time
     unreadable_count: int = 0
     on_configuration: list[Callable[[Catalog], None]] = attrs.field(factory=list)
@@ -135,9 +138,10 @@
 
         It may if it is the newest that is known to exist, and any configuration that
         this daemon does not know was acknowledged by the store less than
-        ``configuration_delay`` ago.
+        ``configuration_delay`` ago. After the start, and after a return of the store,
+        a peer is heard first.
         """
-        return self.has_newest and self.is_recent
+        return self.has_newest and self.is_recent and not self.awaits_peers()
 
     @property
     def _knows_all_written(self) -> bool:
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -38,8 +38,8 @@
 # answer of that age the store is read.
 MAX_ANSWER_AGE_SECONDS = 1.2
 PEER_POLL_SECONDS = 0.4
-# For this long after the start, a peer is asked even if the store answers: the store
-# may have returned from a copy that lacks a version which peers know.
+# For this long after the start, and after the store has returned from a copy, a peer is
+# asked even if the store answers: the copy may lack a version which peers know.
 FIRST_ANSWER_SECONDS = 2.0
 # Interval of checks whether peers must be asked.
 PEER_CHECK_SECONDS = 0.1
@@ -100,10 +100,12 @@
     peers_first_until : float
         Until when peers are asked before the store is read, since its answers arrive
         slowly.
-    started_at : float
-        Time of the start.
+    has_peers : callable
+        Returns whether there is a peer to ask.
+    asking_since : float
+        Time of the start, or at which the present era of the store was learned.
     heard : bool
-        Whether a peer or a relay has told since the start which versions exist.
+        Whether a peer or a relay has told since then which versions exist.
     read_requested : anyio.Event
         Set to read the store without delay.
     """
@@ -116,6 +118,7 @@
     ask_relay: Callable[[Position], Awaitable[ChangeSet | None]]
     is_fetching: Callable[[], bool] = lambda: False
     reads_itself: Callable[[], bool] = lambda: True
+    has_peers: Callable[[], bool] = lambda: True
     list_at: float = -1.0
     random_source: random.Random = attrs.field(factory=random.Random)
     answered_at: float = -1.0
@@ -125,7 +128,7 @@
     reading: anyio.CancelScope | None = None
     may_pause_read: bool = True
     peers_first_until: float = -1.0
-    started_at: float = -1.0
+    asking_since: float = -1.0
     heard: bool = False
     read_requested: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -141,7 +144,10 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        self.started_at = self.answered_at = anyio.current_time()
+        self.answered_at = anyio.current_time()
+        self._ask_for_versions(self.directory.era)
+        self.directory.on_era.append(self._ask_for_versions)
+        self.directory.awaits_peers = self._may_lack_version
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_store)
             tasks.start_soon(self._follow_peers)
@@ -371,10 +377,15 @@
             or not self.directory.complete
         )
 
+    def _ask_for_versions(self, era: int) -> None:
+        """Ask a peer which versions exist, as the store may lack the newest ones."""
+        self.asking_since = anyio.current_time()
+        self.heard = False
+
     def _may_lack_version(self) -> bool:
         """Return whether nobody has told yet which versions exist."""
-        started = anyio.current_time() - self.started_at < FIRST_ANSWER_SECONDS
-        return started and not self.heard
+        asking = anyio.current_time() - self.asking_since < FIRST_ANSWER_SECONDS
+        return asking and not self.heard and self.has_peers()
 
     def _is_overtaken(self) -> bool:
         """Return whether the answer that is arriving contains nothing new any more."""
--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -22,13 +22,15 @@
     in_virtual_time,
     tell,
 )
-from currantdyke.platform.store import Change
+from currantdyke.platform.store import Change, HistoryGoneError
 from currantdyke.testing.virtual import run_virtual
 
 KEY = "op/config"
 UNUSABLE = b"{"
 # For this long, a daemon that starts asks peers until one has answered.
 ASKING_SECONDS = 2.0
+# Time until a peer's answer, and interval at which a daemon is looked at.
+ANSWER_SECONDS, SAMPLE_SECONDS = 0.4, 0.02
 LARGE = b" " * 200_000
 # Those that come more often are those by which a document is passed over.
 ACTIONS = (
@@ -295,6 +297,49 @@
         self.assertTrue(decides)
         self.assertLessEqual(asked, ASKING_SECONDS / PEER_POLL_SECONDS + 1)
 
+    # From a run of the soak: a daemon that had missed version 7, as it started or had
+    # been paused, refused by the copy of the store before a peer told of that version.
+    def test_no_refusal_is_final_before_a_peer_has_told_which_versions_exist(self):
+        async def scenario(returns_at):
+            def era():
+                return 2 if anyio.current_time() >= started + returns_at else 1
+
+            async def list_all():
+                return list(build_configuration(6, era=era()).changes), Position(
+                    era(), 6
+                )
+
+            async def watch(after, wait):
+                await anyio.sleep(wait)
+                if after.era < era():
+                    raise HistoryGoneError("the store has returned")
+                return [], after
+
+            async def ask(position):
+                await anyio.sleep(ANSWER_SECONDS)
+                if era() == 1:
+                    return build_known(6, era=1).changes_since(position)
+                peer = build_known(7, era=1)
+                copy = build_configuration(6, era=2, is_snapshot=True)
+                peer.apply(copy, source="store")
+                return peer.changes_since(position)
+
+            started = anyio.current_time()
+            store = FakeStore(list_all=list_all, watch=watch)
+            follower = build_follower(store, ask_peer=ask)
+            directory = follower.directory
+            decided = {1: False, 2: False}
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.run)
+                for _ in range(int((returns_at + ASKING_SECONDS) / SAMPLE_SECONDS)):
+                    await anyio.sleep(SAMPLE_SECONDS)
+                    decided[max(1, directory.era)] |= directory.decides
+                tasks.cancel_scope.cancel()
+            return directory.era, decided[1], decided[2]
+
+        self.assertEqual(run_virtual(scenario, 0.0), (2, False, False))
+        self.assertEqual(run_virtual(scenario, 5.0), (2, True, False))
+
     # Guards against 503 for all that callers may not do, until the next version, after
     # a start beside a daemon of an earlier build.
     def test_start_beside_an_earlier_build_allows_final_refusals(self):
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -181,6 +181,7 @@
             ask_relay=self.peers.ask_relay,
             is_fetching=lambda: self.peers.fetcher.progressing,
             reads_itself=self.peers.reads_itself,
+            has_peers=self.peers.has_others,
         )
         self.registration = Registration(
             entry=self.own_entry,
--- a/currantdyke/links/peers.py
+++ b/currantdyke/links/peers.py
@@ -238,9 +238,7 @@
 
         In a large fleet a relay is preferred.
         """
-        ips = {daemon.ip for daemon in self.others()}
-        if not ips:
-            ips = set(self.seed_ips) - {self.own.ip}
+        ips = self._known_ips()
         readers = reader_ips(self.own, self.directory.daemons.values())
         return await self.changes.ask(position, ips, readers & ips)
 
@@ -258,6 +256,15 @@
             relays &= {daemon.ip for daemon in self.others()}
         return await self.changes.ask(position, relays)
 
+    def has_others(self) -> bool:
+        """Return whether another daemon is known that may be asked."""
+        return bool(self._known_ips())
+
+    def _known_ips(self) -> set[str]:
+        """Return the IPs of the other daemons, or of those that are known to start."""
+        ips = {daemon.ip for daemon in self.others()}
+        return ips or set(self.seed_ips) - {self.own.ip}
+
     def reads_itself(self) -> bool:
         """Return whether this daemon reads the store, and has no relay."""
         return not relay_ips(self.own, self.directory.daemons.values())
