Ask peers for a configuration that a list of the store passed over

Callers saw requests run by version 7 though version 8 had been acknowledged, until the next version. Cause: a daemon whose history of the store was gone lists it and gets the last document alone. If that one can't be used, and a usable one was written before it, the daemon is at the position of the last one: peers that have version 8 in force are asked for changes after that position, and never send it. The same holds for daemons whose relay has passed it over, and learns of it later.

A request for changes now names the position of the document in force, while a later one is known that is neither in force nor on its way, and the answer contains the peer's document if it was written after it. Peers are asked for two seconds after such a document became known, also if the store answers. So the answer has one document more and not all changes since the version in force, and nothing is asked when nothing was passed over.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -29,6 +29,9 @@
 
 # Longer than the outages of the store, and of the links to it, that must be tolerated.
 DAEMON_RETENTION_SECONDS = 30.0
+# For this long after a configuration became known that is not in force here, peers are
+# asked for one that this daemon has passed over.
+SEEK_SECONDS = 2.0
 
 # Called with the name of a group, its record, or None if it was removed, and the
 # revision of the change.
@@ -66,6 +69,9 @@
     untold_until : Position
         A configuration may have been written up to this position of which a daemon did
         not tell that led here.
+    passed_over_at : float
+        Time on ``clock`` at which a configuration was last learned of that was neither
+        put in force nor is still to be fetched.
     awaits_peers : callable
         Returns whether a peer may yet tell of a version that the store has lost.
     clock : callable
@@ -94,6 +100,7 @@
     configured_at: Position = Position()
     newest: NewestConfiguration = NewestConfiguration()
     untold_until: Position = Position()
+    passed_over_at: float = float("-inf")
     awaits_peers: Callable[[], bool] = lambda: False
     clock: Callable[[], float] = boot_time
     unreadable_count: int = 0
@@ -143,6 +150,24 @@
         """
         return self.has_newest and self.is_recent and not self.awaits_peers()
 
+    @property
+    def seeks_after(self) -> Position | None:
+        """Position after which a configuration is asked of peers; None if none is.
+
+        A list of the store shows the last document alone. If it can't be used, peers
+        may have one in force that was written between it and the one in force here.
+        """
+        seeks = self.clock() - self.passed_over_at < SEEK_SECONDS
+        return self.configured_at if self._passed_over and seeks else None
+
+    @property
+    def _passed_over(self) -> bool:
+        """Whether a later configuration than the one in force can't be used."""
+        return (
+            self.configured_at < self.newest.position
+            and CONFIGURATION_KEY not in self.replica.pending
+        )
+
     @property
     def _knows_all_written(self) -> bool:
         """Whether no configuration is newer than the newest of which it is known."""
@@ -157,6 +182,7 @@
             All changes after the position of the replica, or all items.
         """
         known = self.replica.position
+        newest, had_passed_over = self.newest, self._passed_over
         self._record_newest(changes, known)
         in_new_era = known.revision > 0 and changes.era > self.era
         if in_new_era:
@@ -167,6 +193,8 @@
             self._start_era(changes, source)
         self.endpoints.extend_grace_period(changes.grace_period)
         new = self.replica.apply(self._configure(changes, source))
+        if self._passed_over and (self.newest != newest or not had_passed_over):
+            self.passed_over_at = self.clock()
         # A sender that knows less than this daemon proves nothing about the rest, and a
         # value that is still to be fetched is not known.
         is_newer = changes.revision > 0 and changes.position >= known
@@ -195,10 +223,27 @@
         changes = ChangeSet(changes=(change,), revision=0, age=math.inf)
         self.apply(changes, source="peer")
 
-    def changes_since(self, position: Position) -> ChangeSet:
-        """Return the changes after a position, to be sent to a peer."""
+    def changes_since(
+        self, position: Position, configuration_after: Position | None = None
+    ) -> ChangeSet:
+        """Return the changes after a position, to be sent to a peer.
+
+        Parameters
+        ----------
+        configuration_after : Position, optional
+            The configuration is contained if it was written after this position too.
+        """
+        changes = self.replica.changes_since(position)
+        document = self.replica.items.get(CONFIGURATION_KEY)
+        if (
+            configuration_after is not None
+            and document is not None
+            and document.position > configuration_after
+            and document not in changes.changes
+        ):
+            changes = attrs.evolve(changes, changes=(*changes.changes, document))
         return attrs.evolve(
-            self.replica.changes_since(position),
+            changes,
             grace_period=self.endpoints.grace_period_left(),
             age=self.age,
             newest=self.newest if self._knows_all_written else None,
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -366,7 +366,11 @@
         return self.store.answer_seconds > SLOW_ANSWER_SECONDS
 
     def _needs_peers(self) -> bool:
-        return self._lacks_changes() or self._may_lack_version()
+        return (
+            self._lacks_changes()
+            or self._may_lack_version()
+            or self.directory.seeks_after is not None
+        )
 
     def _lacks_changes(self) -> bool:
         """Return whether peers may bring changes sooner than the store."""
--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -12,6 +12,7 @@
 from currantdyke.core import Position
 from currantdyke.directory import ChangeSet, Replica
 from currantdyke.directory import directory as directory_module
+from currantdyke.directory.directory import SEEK_SECONDS
 from currantdyke.directory.follow import PEER_POLL_SECONDS
 from currantdyke.directory.tests.builders import (
     FakeStore,
@@ -262,6 +263,23 @@
         tell(peer, directory)
         self.assertEqual(version_of(directory), 8)
 
+    # Guards against the same at daemons whose relay learns of the version later.
+    def test_version_that_a_relay_has_learned_late_is_passed_on(self):
+        async def scenario():
+            directory, relay, peer = build_known(7), build_known(7), build_known(8)
+            unusable = build_configuration(9, document=UNUSABLE)
+            peer.apply(unusable, source="store")
+            relay.apply(attrs.evolve(unusable, is_snapshot=True), source="store")
+            tell(relay, directory)
+            tell(peer, relay)
+            await anyio.sleep(SEEK_SECONDS + 1.0)
+            tell(relay, directory)
+            self.assertEqual(directory.replica.position, relay.replica.position)
+            tell(relay, directory)
+            return version_of(directory)
+
+        self.assertEqual(run_virtual(scenario), 8)
+
 
 class TestFollower(unittest.TestCase):
     # Guards against a daemon that starts with the store's copy and asks nobody.
@@ -340,6 +358,51 @@
         self.assertEqual(run_virtual(scenario, 0.0), (2, False, False))
         self.assertEqual(run_virtual(scenario, 5.0), (2, True, False))
 
+    # Guards against a daemon that reads the store, and passes over a version whose
+    # history is gone; and against peers that are asked for it again and again.
+    def test_peers_are_asked_for_a_version_that_was_passed_over(self):
+        async def scenario(version):
+            written = [(6, None)]
+            asked = []
+
+            def list_now():
+                (number, document) = written[-1]
+                changes = build_configuration(number, document=document).changes
+                return list(changes), Position(0, number)
+
+            async def list_all():
+                return list_now()
+
+            async def watch(after, wait):
+                await anyio.sleep(wait)
+                if written[-1][0] > after.revision:
+                    raise HistoryGoneError("the history is dropped")
+                return [], after
+
+            async def ask(position):
+                asked.append(position)
+                peer = build_known(version)
+                peer.apply(ChangeSet(changes=(), revision=written[-1][0]), source="any")
+                return peer.changes_since(position, directory.seeks_after)
+
+            store = FakeStore(list_all=list_all, watch=watch)
+            follower = build_follower(store, ask_peer=ask)
+            directory = follower.directory
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.run)
+                await anyio.sleep(ASKING_SECONDS)
+                asked.clear()
+                written.append((9, UNUSABLE))
+                await anyio.sleep(30.0)
+                tasks.cancel_scope.cancel()
+            return version_of(directory), len(asked), directory.decides
+
+        for version in (6, 8):
+            with self.subTest(version=version):
+                found, asked, decides = run_virtual(scenario, version)
+                self.assertEqual((found, decides), (version, False))
+                self.assertLessEqual(asked, SEEK_SECONDS / PEER_POLL_SECONDS + 1)
+
     # Guards against 503 for all that callers may not do, until the next version, after
     # a start beside a daemon of an earlier build.
     def test_start_beside_an_earlier_build_allows_final_refusals(self):
--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -39,7 +39,10 @@
         return Unknown()
     # A daemon whose revision can't be placed in this era needs everything.
     position = replica.place(request.position) or Position()
-    changes = directory.changes_since(position)
+    after = request.configuration_after
+    if after is not None:
+        after = replica.place(after) or Position()
+    changes = directory.changes_since(position, after)
     if request.accepts_offers:
         return replica.offer_large(changes, request.bases)
     return changes
@@ -207,6 +210,7 @@
                     accepts_compressed=True,
                     accepts_offers=True,
                     bases=self.directory.replica.bases,
+                    configuration_after=self.directory.seeks_after,
                 )
             )
         except LinkLostError as error:
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -121,6 +121,9 @@
         Whether the response may contain offers of large values.
     bases : tuple of bytes
         Digests of the large values that the sender has.
+    configuration_after : Position or None
+        The response is to contain the configuration if it was written after this
+        position, also if it was written before the other one.
     """
 
     revision: int
@@ -128,6 +131,7 @@
     accepts_offers: bool = False
     bases: tuple[bytes, ...] = ()
     era: int = 0
+    configuration_after: Position | None = None
 
     @property
     def position(self) -> Position:
@@ -275,6 +279,10 @@
             builder.acceptsCompressed = content.accepts_compressed
             builder.acceptsOffers = content.accepts_offers
             builder.bases = list(content.bases)
+            if content.configuration_after is not None:
+                after = builder.init("configurationAfter")
+                after.era = content.configuration_after.era
+                after.revision = content.configuration_after.revision
         case CrashReport() | KeysCleared() | GroupCondemned():
             _encode_crashed(builder.init("crashed"), content)
         case PlacementRequest():
@@ -433,6 +441,14 @@
                 accepts_compressed=reader.acceptsCompressed,
                 accepts_offers=reader.acceptsOffers,
                 bases=tuple(map(bytes, reader.bases)),
+                configuration_after=(
+                    Position(
+                        reader.configurationAfter.era,
+                        reader.configurationAfter.revision,
+                    )
+                    if reader._has("configurationAfter")
+                    else None
+                ),
             )
         case "crashed":
             return _decode_crashed(reader.crashed)
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -46,6 +46,14 @@
   bases @19 :List(Data);
   # Of a request for changes: the era of the revision; 0 if it is not known.
   changesAfterEra @30 :UInt32;
+  # Of a request for changes: the response is to contain the configuration if it was
+  # written after this. Daemons of an earlier build do not read it.
+  configurationAfter @31 :Written;
+}
+
+struct Written {
+  era @0 :UInt32;
+  revision @1 :UInt64;
 }
 
 struct Changes {
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -7,6 +7,11 @@
 from currantdyke.core import Position
 from currantdyke.directory import ChangeSet, Replica
 from currantdyke.directory.newest import NewestConfiguration
+from currantdyke.directory.tests.builders import (
+    build_configuration,
+    build_directory,
+    in_virtual_time,
+)
 from currantdyke.links import ChangesRequest, Frame, Unknown
 from currantdyke.links.changes import ABANDON_SECONDS, answer_changes
 from currantdyke.links.codec import SCHEMA, decode_frame, encode_frame
@@ -20,6 +25,7 @@
 )
 from currantdyke.testing.gateways import record_lines, run_on_sockets
 
+LARGE_ROUTES = 2_000
 CHANGES = build_changes(value_bytes=100_000)
 
 
@@ -27,6 +33,15 @@
     await anyio.sleep_forever()
 
 
+def build_known(version):
+    """Return a daemon that has a version of many routes, in era 2."""
+    directory = build_directory()
+    directory.apply(
+        build_configuration(version, era=2, routes=LARGE_ROUTES), source="store"
+    )
+    return directory
+
+
 def losses(lines):
     """Return the lines on changes that were not received."""
     return [line for line in lines if line["event"] == "changes_not_received"]
@@ -298,6 +313,27 @@
             frame = Frame(number=1, content=changes)
             self.assertEqual(decode_frame(encode_frame(frame)).ok, frame)
 
+    # Guards against a version that peers have in force and that a list of the store did
+    # not show.
+    @in_virtual_time
+    def test_configuration_that_the_asking_daemon_passed_over_is_in_the_answer(self):
+        asked = build_known(8)
+        unusable = build_configuration(9, document=b"{", era=2)
+        asked.apply(unusable, source="store")
+        for after, found in (
+            (None, []),
+            (Position(2, 8), []),
+            (Position(2, 7), [Position(2, 8)]),
+            (Position(1, 90), [Position(2, 8)]),
+        ):
+            for offers in (False, True):
+                request = ChangesRequest(
+                    revision=9, era=2, accepts_offers=offers, configuration_after=after
+                )
+                answer = answer_changes(asked, request)
+                items = answer.changes + answer.offers
+                self.assertEqual([item.position for item in items], found)
+
     # Guards against a frame that can't be sent since operators chose a large number.
     def test_version_beyond_the_field_is_sent_as_the_highest(self):
         newest = NewestConfiguration(position=Position(0, 9), version=2**70)
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from currantdyke.catalog import StageStep
+from currantdyke.core import Position
 from currantdyke.directory import ChangeSet
 from currantdyke.largevalues.messages import ValueOffer
 from currantdyke.links import (
@@ -67,6 +68,8 @@
     ChangesRequest(revision=7),
     ChangesRequest(revision=7, accepts_compressed=True),
     ChangesRequest(revision=7, era=3),
+    ChangesRequest(revision=7, configuration_after=Position()),
+    ChangesRequest(revision=7, era=3, configuration_after=Position(2, 9)),
     ChangeSet(
         revision=9,
         is_snapshot=True,
