Let the peers of a test have a version only once it is written

test_peers_are_asked_for_a_version_that_was_passed_over passed without the change that it is to show: its peers had version 8 when they were asked after the start, before it was written.

--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -381,8 +381,8 @@
 
             async def ask(position):
                 asked.append(position)
-                peer = build_known(version)
-                peer.apply(ChangeSet(changes=(), revision=written[-1][0]), source="any")
+                peer = build_known(version if len(written) > 1 else 6)
+                peer.apply(build_changes(0, written[-1][0]), source="store")
                 return peer.changes_since(position, directory.seeks_after)
 
             store = FakeStore(list_all=list_all, watch=watch)
