Hold versions in the soak until their effects must show

Pattern held-versions: the store refuses all gateways but one until the run ends, and unusable and odd versions are written by turns, each of which moves a route, adds one and takes a key away, and stays the newest for 4.5 s. The random pattern peers stays as it is.

--- a/currantdyke/soak/operators.py
+++ b/currantdyke/soak/operators.py
@@ -8,7 +8,7 @@
 
 from currantdyke.soak.forms import EMPTY, UNUSABLE, Form, draw_odd_forms
 
-__all__ = ["operate", "operate_quickly"]
+__all__ = ["hold_versions", "operate", "operate_quickly"]
 
 MAX_VERSION_INTERVAL_SECONDS = 1.2
 MAX_ROUTES = 3
@@ -16,6 +16,8 @@
 # How long the last version of a series stays the newest: effects of a version show
 # two seconds after it was written.
 MIN_HOLD_SECONDS, MAX_HOLD_SECONDS = 1.0, 4.5
+# Between a version that need not come into force and the next one.
+NEXT_VERSION_SECONDS = 0.5
 # Changes that the copy lacks, besides versions: as many as a large fleet writes.
 MIN_LOST_CHANGES, MAX_LOST_CHANGES = 50, 300
 # Age of the copy from which the store returns, and how long it is away.
@@ -49,6 +51,28 @@
         await _write_and_hold(world, rng, next(rng.choice((odd, others))))
 
 
+async def hold_versions(world, rng: random.Random) -> None:
+    """Write unusable and odd versions by turns, and hold each of them.
+
+    Each moves a route, adds one and takes a key away, so that requests to any gateway
+    show whether it is in force.
+    """
+    configurations = world.configurations
+    odd, unusable = draw_odd_forms(rng), _draw(rng, UNUSABLE)
+    services = itertools.cycle(("other", "plain"))
+    await anyio.sleep(MAX_HOLD_SECONDS)
+    while not world.finished:
+        for form, seconds in (
+            (next(unusable), MAX_HOLD_SECONDS),
+            (None, NEXT_VERSION_SECONDS),
+            (next(odd), MAX_HOLD_SECONDS),
+        ):
+            configurations.plain_service = next(services)
+            configurations.replace_key()
+            _publish(world, 1, form)
+            await anyio.sleep(seconds)
+
+
 def _draw(rng: random.Random, forms: Sequence[Form]) -> Iterator[Form]:
     """Return forms in turn, in a random order."""
     return itertools.cycle(rng.sample(forms, len(forms)))
@@ -79,7 +103,13 @@
     configurations.plain_service = rng.choice(("plain", "other"))
     if rng.random() < 0.5:
         configurations.replace_key()
-    configurations.grow(rng.randint(1, MAX_ROUTES), form=form)
+    _publish(world, rng.randint(1, MAX_ROUTES), form)
+
+
+def _publish(world, routes: int, form: Form | None) -> None:
+    """Write a version with more routes, and count it."""
+    configurations = world.configurations
+    configurations.grow(routes, form=form)
     if form is None:
         kind = "plain versions"
     else:
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -33,8 +33,8 @@
     start_fragile_engines,
 )
 from currantdyke.soak.limits import change_limits, limit_violations
-from currantdyke.soak.operators import operate, operate_quickly
-from currantdyke.soak.peers import ISOLATIONS
+from currantdyke.soak.operators import hold_versions, operate, operate_quickly
+from currantdyke.soak.peers import ISOLATIONS, LASTING_ISOLATION
 from currantdyke.soak.planned_work import LOWEST_TIMEOUT_SECONDS, PLANNED_WORK
 from currantdyke.soak.prompts import (
     choose_prompt,
@@ -223,6 +223,15 @@
         find_violations=effect_violations,
         transfers_excuse=False,
     ),
+    "held-versions": Pattern(
+        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
+        faults=LASTING_ISOLATION,
+        activities=(hold_versions, judge_effects),
+        think_seconds=0.5,
+        fault_series=1,
+        find_violations=effect_violations,
+        transfers_excuse=False,
+    ),
     "fragile": Pattern(
         start_endpoints=start_fragile,
         faults=GATEWAY_FAULTS,
--- a/currantdyke/soak/peers.py
+++ b/currantdyke/soak/peers.py
@@ -2,13 +2,14 @@
 
 import random
 import signal
+from collections.abc import Awaitable, Callable
 
 import anyio
 
 from currantdyke.soak.gateways import SupervisedGateway
 from currantdyke.soak.proxy import Mode
 
-__all__ = ["ISOLATIONS"]
+__all__ = ["ISOLATIONS", "LASTING_ISOLATION"]
 
 MIN_SECONDS, MAX_SECONDS = 0.3, 4.0
 MAX_PAUSE_SECONDS = 1.5
@@ -35,13 +36,30 @@
     return disrupt
 
 
-async def _refuse_calls(world, rng: random.Random) -> None:
-    """Let the store answer 503 to some gateways."""
-    chosen, store = _choose(world, rng), world.store
-    hosts = {gateway.ip for gateway in chosen}
+def _refuse(world, gateways: list[SupervisedGateway]) -> set[str]:
+    """Let the store answer 503 to some gateways; return their hosts."""
+    store = world.store
+    hosts = {gateway.ip for gateway in gateways}
     store.affected_hosts |= hosts
     # Without hosts, the fault would affect all.
     store.fault = "busy" if store.affected_hosts else ""
+    return hosts
+
+
+async def _refuse_all_but_one(world, rng: random.Random) -> None:
+    """Let the store answer 503 to all gateways but one, until the run ends."""
+    gateways = world.gateways[1:]
+    world.isolated |= {gateway.name for gateway in gateways}
+    world.checker.counts["isolated gateways"] += len(gateways)
+    _refuse(world, gateways)
+    while not world.finished:
+        await _hold(world, gateways, RECORD_INTERVAL_SECONDS)
+
+
+async def _refuse_calls(world, rng: random.Random) -> None:
+    """Let the store answer 503 to some gateways for a time."""
+    chosen, store = _choose(world, rng), world.store
+    hosts = _refuse(world, chosen)
     await _hold(world, chosen, rng.uniform(MIN_SECONDS, MAX_SECONDS))
     store.affected_hosts -= hosts
     store.fault = "busy" if store.affected_hosts else ""
@@ -105,3 +123,7 @@
     "slow answers of the store": _disrupt_store_links(Mode.DELAY),
     "paused": _pause,
 }
+
+LASTING_ISOLATION: dict[str, Callable[..., Awaitable[None]]] = {
+    "refused by the store until the end": _refuse_all_but_one
+}
--- a/currantdyke/soak/tests/test_effects.py
+++ b/currantdyke/soak/tests/test_effects.py
@@ -11,10 +11,11 @@
 
 SEED = 1
 SECONDS = 30.0
-# An unusable version stays the newest for seconds while gateways are isolated, and in
-# the second one a version whose document has an odd route.
-PEERS_SEED, ODD_SEED = 165, 25
+# An unusable version stays the newest for seconds while gateways are isolated.
+PEERS_SEED = 165
 PEERS_SECONDS = 10.0
+# The first unusable version and the first odd one are both held.
+HELD_SECONDS = 12.0
 MIN_JUDGED = 50
 
 
@@ -27,10 +28,19 @@
     )
 
 
-def run_peers(seed=PEERS_SEED, planted=""):
+def run_peers():
     """Return the report of a short run in which gateways live by their peers."""
     return anyio.run(
-        functools.partial(soak, seed, PEERS_SECONDS, pattern="peers", planted=planted)
+        functools.partial(soak, PEERS_SEED, PEERS_SECONDS, pattern="peers")
+    )
+
+
+def run_held(planted=""):
+    """Return the same with versions that stay the newest until their effects show."""
+    return anyio.run(
+        functools.partial(
+            soak, SEED, HELD_SECONDS, pattern="held-versions", planted=planted
+        )
     )
 
 
@@ -67,14 +77,22 @@
         for name in ("isolated gateways", "odd versions", "unusable versions"):
             self.assertGreater(report.counts[name], 0, report.text())
 
+    def test_short_run_with_held_versions_has_no_violations(self):
+        report = run_held()
+        self.assertEqual(report.broken, [], report.text())
+        self.assertGreater(report.counts["effects judged"], MIN_JUDGED, report.text())
+        for name in ("isolated gateways", "odd versions", "unusable versions"):
+            self.assertGreater(report.counts[name], 0, report.text())
+
     # Issue 50: a document with one odd entry was rejected whole.
     def test_documents_that_are_rejected_whole_are_detected(self):
-        report = run_peers(ODD_SEED, planted="documents")
+        report = run_held(planted="documents")
         self.assertIn("may be in force", " ".join(report.broken), report.text())
 
     def test_untold_newest_versions_are_detected(self):
-        report = run_peers(planted="newest-known")
+        report = run_held(planted="newest-known")
         self.assertIn("allowed for", " ".join(report.broken), report.text())
+        self.assertGreater(report.counts["final refusals"], 1, report.text())
 
 
 @attrs.define(kw_only=True)
