Refuse no missing key for good while a public route is left out

Callers of a public route got a final 401: the route was left out since its host could not be read, its requests selected one with a shorter prefix that needs a key, and whether a refusal for a key is final depended on the keys alone. It now also depends on the routes that are left out and public, or whose `public` can't be read; other entries that are left out change nothing for callers without a key.

test_key_is_not_refused_for_good_if_a_public_route_was_left_out failed before (401, 503 is due).

--- a/currantdyke/catalog/types.py
+++ b/currantdyke/catalog/types.py
@@ -206,6 +206,7 @@
     """A part of a configuration by which requests are refused for good."""
 
     ROUTES = "routes"
+    PUBLIC_ROUTES = "public routes"
     KEYS = "keys"
     HEADER_LIMIT = "header limit"
     BODY_LIMIT = "body limit"
--- a/currantdyke/gateway/denials.py
+++ b/currantdyke/gateway/denials.py
@@ -7,12 +7,12 @@
 __all__ = ["DENIALS", "deny", "refuse_for_now"]
 
 # Kinds of failure that depend on the configuration, and after which callers do not send
-# the request again, with the part of the configuration by which they are decided.
+# the request again, with the parts of the configuration by which they are decided.
 DENIALS = {
-    FailureKind.NO_ROUTE: CatalogPart.ROUTES,
-    FailureKind.UNAUTHORIZED: CatalogPart.KEYS,
-    FailureKind.TOO_LARGE: CatalogPart.BODY_LIMIT,
-    FailureKind.HEADERS_TOO_LARGE: CatalogPart.HEADER_LIMIT,
+    FailureKind.NO_ROUTE: (CatalogPart.ROUTES,),
+    FailureKind.UNAUTHORIZED: (CatalogPart.KEYS, CatalogPart.PUBLIC_ROUTES),
+    FailureKind.TOO_LARGE: (CatalogPart.BODY_LIMIT,),
+    FailureKind.HEADERS_TOO_LARGE: (CatalogPart.HEADER_LIMIT,),
 }
 # About the interval at which the store or a peer is read.
 TEMPORARY_RETRY_SECONDS = 0.5
@@ -29,8 +29,8 @@
     Returns
     -------
     Failure
-        Of this kind if the directory is current enough to decide, and all of the part
-        that decides was read; otherwise a temporary one, since a newer configuration,
+        Of this kind if the directory is current enough to decide, and all of the parts
+        that decide were read; otherwise a temporary one, since a newer configuration,
         or what could not be read, may allow the request.
     """
     if directory.routes is None:
@@ -40,12 +40,12 @@
             FailureKind.STALE_CONFIGURATION,
             f"{detail}, as of {directory.age:.1f} s ago",
         )
-    part = DENIALS[kind]
-    if part in directory.routes.catalog.incomplete:
-        return refuse_for_now(
-            FailureKind.INCOMPLETE_CONFIGURATION,
-            f"{detail}, and not all of its part is known: {part.value}",
-        )
+    for part in DENIALS[kind]:
+        if part in directory.routes.catalog.incomplete:
+            return refuse_for_now(
+                FailureKind.INCOMPLETE_CONFIGURATION,
+                f"{detail}, and not all of its part is known: {part.value}",
+            )
     return Failure(kind=kind, detail=detail)
 
 
--- a/currantdyke/gateway/tests/test_denials.py
+++ b/currantdyke/gateway/tests/test_denials.py
@@ -69,6 +69,14 @@
                     self.assertEqual(status, 503 if is_open else kind.status)
                     self.assertEqual(b"retry-after" in headers, is_open)
 
+    # Guards against a final 401 on a public route that was left out, below the prefix
+    # of one that needs a key.
+    def test_key_is_not_refused_for_good_if_a_public_route_was_left_out(self):
+        for public, status in ((True, 503), ("yes", 503), (False, 401), (None, 401)):
+            left_out = plain_route(prefix="/plain/open/", public=public, host=["a"])
+            answers = denied(1.0, route_list=[plain_route(), left_out])
+            self.assertEqual(answers[FailureKind.UNAUTHORIZED][0], status)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/currantdyke/platform/configuration.py
+++ b/currantdyke/platform/configuration.py
@@ -106,6 +106,9 @@
         raise FieldError(problems[-1])
     if len(routes) < len(document["route_list"]):
         incomplete.add(CatalogPart.ROUTES)
+        public_count = sum(route.public is not False for route in routes)
+        if public_count < sum(map(_may_be_public, document["route_list"])):
+            incomplete.add(CatalogPart.PUBLIC_ROUTES)
     services: list[Service] | None = None
     if document.get("services") is not None:
         services = read_entries(document, "services", problems, _decode_service)
@@ -130,6 +133,11 @@
     )
 
 
+def _may_be_public(entry: object) -> bool:
+    """Return whether an entry may be a route that needs no key."""
+    return isinstance(entry, dict) and read_boolean(entry, "public", []) is not False
+
+
 def _report_replaced(key: str, count: int, problems: list[str]) -> None:
     """Report entries that a later one of the same name replaces."""
     if count:
