Compare no port of the host of a route

A route whose host is written with its port matched nothing, and its requests got a final 404: the port of a request's host is left out, that of the route's was not.

test_port_of_a_host_is_not_compared failed before.

--- a/currantdyke/catalog/table.py
+++ b/currantdyke/catalog/table.py
@@ -45,7 +45,8 @@
         """Build the index of a catalog."""
         by_host: dict[str, dict[str, Route]] = {}
         for route in catalog.routes:
-            by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+            host = _without_port(route.host).lower()
+            by_host.setdefault(host, {})[route.prefix] = route
         open_by_host = {
             host: by_host.pop(host)
             for host, prefixes in list(by_host.items())
--- a/currantdyke/catalog/tests/test_table.py
+++ b/currantdyke/catalog/tests/test_table.py
@@ -3,12 +3,12 @@
 from currantdyke.catalog import Catalog, Repeatability, Route, RouteTable
 
 
-def build_table(*prefixes):
+def build_table(*prefixes, host="a.example"):
     """Return the table of routes on one host that are named after their prefixes."""
     routes = tuple(
         Route(
             name=prefix,
-            host="a.example",
+            host=host,
             prefix=prefix,
             repeatability=Repeatability.AT_MOST_ONCE,
             targets=(("s", 1.0),),
@@ -39,6 +39,12 @@
                 route = table.find("A.example:80", path)
                 self.assertEqual(route and route.name, prefix)
 
+    # Guards against a final 404 for a host that is written with its port.
+    def test_port_of_a_host_is_not_compared(self):
+        table = build_table("/x/", host="A.example:8080")
+        for host in ("a.example", "A.example:8080", "a.example:80"):
+            self.assertIsNotNone(table.find(host, "/x/y"))
+
     def test_empty_prefix_begins_every_path(self):
         table = build_table("", "/x/")
         self.assertEqual(table.find("a.example", "/y").name, "")
