Seek a passed-over configuration until peers have answered

- A large document came as an offer.
The offer's position is before the one that is known, where the store's history is gone: until it was fetched, each watch ended in a whole list, the age of the state grew, and nothing was sought; if the peer ended meanwhile, until the next version.
- An answer that took over 0.6 s was dropped, since its position is no later.
- Nothing was sought after two seconds, whether or not a peer had answered.

The answer now contains the document as a whole; a pending offer before a rejected document holds neither the position nor the age back; a late answer is used while a configuration is sought; and peers are asked until three have answered, for 30 s at most.

Failed before: test_offer_of_a_version_that_was_passed_over_holds_nothing_up (position 7, not 9), test_late_answer_with_the_configuration_that_is_sought_is_used (version 7 with answers after 0.7 s, and after 1.5 s with eleven peers), and test_peers_are_asked_for_a_version_that_was_passed_over (version 6 where peers were silent for 4 s; five requests where four are allowed).

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -29,9 +29,10 @@
 
 # Longer than the outages of the store, and of the links to it, that must be tolerated.
 DAEMON_RETENTION_SECONDS = 30.0
-# For this long after a configuration became known that is not in force here, peers are
-# asked for one that this daemon has passed over.
-SEEK_SECONDS = 2.0
+# After a configuration became known that is not in force here, peers are asked for one
+# that this daemon has passed over, until so many have answered, or for this long.
+SEEK_ANSWERS = 3
+SEEK_SECONDS = 30.0
 
 # Called with the name of a group, its record, or None if it was removed, and the
 # revision of the change.
@@ -72,6 +73,8 @@
     passed_over_at : float
         Time on ``clock`` at which a configuration was last learned of that was neither
         put in force nor is still to be fetched.
+    seek_answers : int
+        Number of answers of peers in which it is still sought.
     awaits_peers : callable
         Returns whether a peer may yet tell of a version that the store has lost.
     clock : callable
@@ -101,6 +104,7 @@
     newest: NewestConfiguration = NewestConfiguration()
     untold_until: Position = Position()
     passed_over_at: float = float("-inf")
+    seek_answers: int = 0
     awaits_peers: Callable[[], bool] = lambda: False
     clock: Callable[[], float] = boot_time
     unreadable_count: int = 0
@@ -157,15 +161,18 @@
         A list of the store shows the last document alone. If it can't be used, peers
         may have one in force that was written between it and the one in force here.
         """
-        seeks = self.clock() - self.passed_over_at < SEEK_SECONDS
-        return self.configured_at if self._passed_over and seeks else None
+        seeks = (
+            self._passed_over
+            and self.seek_answers > 0
+            and self.clock() - self.passed_over_at < SEEK_SECONDS
+        )
+        return self.configured_at if seeks else None
 
     @property
     def _passed_over(self) -> bool:
         """Whether a later configuration than the one in force can't be used."""
-        return (
-            self.configured_at < self.newest.position
-            and CONFIGURATION_KEY not in self.replica.pending
+        return self.configured_at < self.newest.position and all(
+            o.key != CONFIGURATION_KEY for o in self.replica.awaited
         )
 
     @property
@@ -195,11 +202,12 @@
         new = self.replica.apply(self._configure(changes, source))
         if self._passed_over and (self.newest != newest or not had_passed_over):
             self.passed_over_at = self.clock()
+            self.seek_answers = SEEK_ANSWERS
         # A sender that knows less than this daemon proves nothing about the rest, and a
         # value that is still to be fetched is not known.
         is_newer = changes.revision > 0 and changes.position >= known
         current_at = self.clock() - changes.age
-        if is_newer and not self.replica.pending and current_at > self.current_at:
+        if is_newer and not self.replica.awaited and current_at > self.current_at:
             self.current_at, self.current_by = current_at, source
         for change in new:
             try:
@@ -223,32 +231,35 @@
         changes = ChangeSet(changes=(change,), revision=0, age=math.inf)
         self.apply(changes, source="peer")
 
-    def changes_since(
-        self, position: Position, configuration_after: Position | None = None
-    ) -> ChangeSet:
-        """Return the changes after a position, to be sent to a peer.
+    def changes_since(self, position: Position) -> ChangeSet:
+        """Return the changes after a position, to be sent to a peer."""
+        return attrs.evolve(
+            self.replica.changes_since(position),
+            grace_period=self.endpoints.grace_period_left(),
+            age=self.age,
+            newest=self.newest if self._knows_all_written else None,
+        )
 
-        Parameters
-        ----------
-        configuration_after : Position, optional
-            The configuration is contained if it was written after this position too.
+    def add_configuration(self, changes: ChangeSet, after: Position) -> ChangeSet:
+        """Return changes for a peer with the configuration, if it was written later.
+
+        It is contained as a whole, so that it is known with the answer.
         """
-        changes = self.replica.changes_since(position)
         document = self.replica.items.get(CONFIGURATION_KEY)
-        if (
-            configuration_after is not None
-            and document is not None
-            and document.position > configuration_after
-            and document not in changes.changes
-        ):
-            changes = attrs.evolve(changes, changes=(*changes.changes, document))
+        if document is None or document.position <= after:
+            return changes
+        if document in changes.changes:
+            return changes
         return attrs.evolve(
             changes,
-            grace_period=self.endpoints.grace_period_left(),
-            age=self.age,
-            newest=self.newest if self._knows_all_written else None,
+            changes=(*changes.changes, document),
+            offers=tuple(o for o in changes.offers if o.key != CONFIGURATION_KEY),
         )
 
+    def record_seek_answer(self) -> None:
+        """Record that a peer has answered while a configuration was sought."""
+        self.seek_answers = max(0, self.seek_answers - 1)
+
     def drop_departed(self) -> None:
         """Remove daemons whose entries ended over `DAEMON_RETENTION_SECONDS` ago."""
         oldest = self.endpoints.now() - DAEMON_RETENTION_SECONDS
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -220,7 +220,7 @@
                 changes = await self.ask_peer(position)
             if changes is None:
                 return False
-            self.heard |= changes.newest is not None
+            self._record_told(changes)
             is_recent = changes.age < MAX_ANSWER_AGE_SECONDS
             is_recent &= changes.era >= self.directory.era
             if is_recent:
@@ -341,7 +341,7 @@
             # The store answers; after the position of this peer, a read of the store
             # would not show which configurations were written up to it.
             return True
-        self.heard |= changes.newest is not None
+        self._record_told(changes)
         new = self.directory.apply(changes, source="peer")
         if new:
             self.log.write(
@@ -352,6 +352,12 @@
             )
         return True
 
+    def _record_told(self, changes: ChangeSet) -> None:
+        """Record an answer of a daemon that tells which configurations exist."""
+        if changes.newest is not None:
+            self.heard = True
+            self.directory.record_seek_answer()
+
     def _known_position(self) -> Position:
         """Return the position after which peers are asked for changes.
 
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -118,11 +118,24 @@
     @property
     def position(self) -> Position:
         """The position up to which every change is contained."""
-        if not self.pending:
+        awaited = self.awaited
+        if not awaited:
             return self.listed
-        oldest = min(offer.position for offer in self.pending.values())
+        oldest = min(offer.position for offer in awaited)
         return min(self.listed, Position(oldest.era, oldest.revision - 1))
 
+    @property
+    def awaited(self) -> list[ValueOffer]:
+        """The pending offers without which the items are not complete.
+
+        Of a key whose newest value is rejected, an earlier one is offered besides.
+        """
+        return [
+            offer
+            for offer in self.pending.values()
+            if offer.position > self.rejected.get(offer.key, Position())
+        ]
+
     @property
     def revision(self) -> int:
         """The revision of the position."""
--- a/currantdyke/directory/tests/builders.py
+++ b/currantdyke/directory/tests/builders.py
@@ -88,7 +88,9 @@
 
 def tell(sender, receiver):
     """Let one daemon tell another, over a link, what it does not know yet."""
-    changes = sender.changes_since(receiver.replica.position, receiver.seeks_after)
+    changes = sender.changes_since(receiver.replica.position)
+    if receiver.seeks_after is not None:
+        changes = sender.add_configuration(changes, receiver.seeks_after)
     data = encode_frame(Frame(number=1, content=changes))
     receiver.apply(decode_frame(data).ok.content, source="peer")
 
--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -12,7 +12,7 @@
 from currantdyke.core import Position
 from currantdyke.directory import ChangeSet, Replica
 from currantdyke.directory import directory as directory_module
-from currantdyke.directory.directory import SEEK_SECONDS
+from currantdyke.directory.directory import SEEK_ANSWERS, SEEK_SECONDS
 from currantdyke.directory.follow import PEER_POLL_SECONDS
 from currantdyke.directory.tests.builders import (
     FakeStore,
@@ -263,6 +263,21 @@
         tell(peer, directory)
         self.assertEqual(version_of(directory), 8)
 
+    # Guards against a position before the version, where the history of the store is
+    # gone, and against an age that grows, if a peer offers the version and ends.
+    @in_virtual_time
+    def test_offer_of_a_version_that_was_passed_over_holds_nothing_up(self):
+        directory = build_known(7)
+        unusable = build_configuration(9, document=UNUSABLE, is_snapshot=True)
+        directory.apply(unusable, source="store")
+        offers = offer_large(LARGE, 8)
+        offer = attrs.evolve(offers.offers[0], data=b"")
+        directory.apply(attrs.evolve(offers, offers=(offer,)), source="peer")
+        self.assertEqual(directory.replica.position, Position(0, 9))
+        self.assertIsNotNone(directory.seeks_after)
+        directory.apply(build_changes(0, 10), source="store")
+        self.assertEqual((directory.age, directory.replica.revision), (0.0, 10))
+
     # Guards against the same at daemons whose relay learns of the version later.
     def test_version_that_a_relay_has_learned_late_is_passed_on(self):
         async def scenario():
@@ -273,6 +288,7 @@
             tell(relay, directory)
             tell(peer, relay)
             await anyio.sleep(SEEK_SECONDS + 1.0)
+            self.assertIsNone(directory.seeks_after)
             tell(relay, directory)
             self.assertEqual(directory.replica.position, relay.replica.position)
             tell(relay, directory)
@@ -361,7 +377,7 @@
     # Guards against a daemon that reads the store, and passes over a version whose
     # history is gone; and against peers that are asked for it again and again.
     def test_peers_are_asked_for_a_version_that_was_passed_over(self):
-        async def scenario(version):
+        async def scenario(version, silent_seconds):
             written = [(6, None)]
             asked = []
 
@@ -380,28 +396,36 @@
                 return [], after
 
             async def ask(position):
-                asked.append(position)
                 peer = build_known(version if len(written) > 1 else 6)
                 peer.apply(build_changes(0, written[-1][0]), source="store")
-                return peer.changes_since(position, directory.seeks_after)
+                if anyio.current_time() < written_at + silent_seconds:
+                    return None
+                asked.append(position)
+                changes = peer.changes_since(position)
+                if directory.seeks_after is None:
+                    return changes
+                return peer.add_configuration(changes, directory.seeks_after)
 
             store = FakeStore(list_all=list_all, watch=watch)
             follower = build_follower(store, ask_peer=ask)
             directory = follower.directory
+            written_at = -silent_seconds
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(follower.run)
                 await anyio.sleep(ASKING_SECONDS)
                 asked.clear()
+                written_at = anyio.current_time()
                 written.append((9, UNUSABLE))
                 await anyio.sleep(30.0)
                 tasks.cancel_scope.cancel()
             return version_of(directory), len(asked), directory.decides
 
-        for version in (6, 8):
-            with self.subTest(version=version):
-                found, asked, decides = run_virtual(scenario, version)
+        for version, silent_seconds in ((6, 0.0), (8, 0.0), (8, 4.0)):
+            with self.subTest(version=version, silent_seconds=silent_seconds):
+                found, asked, decides = run_virtual(scenario, version, silent_seconds)
                 self.assertEqual((found, decides), (version, False))
-                self.assertLessEqual(asked, SEEK_SECONDS / PEER_POLL_SECONDS + 1)
+                # The answer by which the version is learned of begins the search anew.
+                self.assertLessEqual(asked, SEEK_ANSWERS + 1)
 
     # Guards against 503 for all that callers may not do, until the next version, after
     # a start beside a daemon of an earlier build.
--- a/currantdyke/links/changes.py
+++ b/currantdyke/links/changes.py
@@ -39,13 +39,13 @@
         return Unknown()
     # A daemon whose revision can't be placed in this era needs everything.
     position = replica.place(request.position) or Position()
-    after = request.configuration_after
-    if after is not None:
-        after = replica.place(after) or Position()
-    changes = directory.changes_since(position, after)
+    changes = directory.changes_since(position)
     if request.accepts_offers:
-        return replica.offer_large(changes, request.bases)
-    return changes
+        changes = replica.offer_large(changes, request.bases)
+    after = request.configuration_after
+    if after is None:
+        return changes
+    return directory.add_configuration(changes, replica.place(after) or Position())
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -171,10 +171,14 @@
     def _find_transfer(self, position: Position) -> str | None:
         """Return the IP of a transfer with new changes or with progress, if any."""
         now = anyio.current_time()
+        # An answer that is no newer may contain the configuration that is sought.
+        seeks = self.directory.seeks_after is not None
         for ip, transfer in list(self.transfers.items()):
             if transfer.request.done.is_set():
                 content = transfer.request.content
-                if isinstance(content, ChangeSet) and content.position > position:
+                if isinstance(content, ChangeSet) and (
+                    seeks or content.position > position
+                ):
                     return ip
                 self._remove(ip, transfer)
             elif not transfer.stalled:
--- a/currantdyke/links/tests/test_changes.py
+++ b/currantdyke/links/tests/test_changes.py
@@ -1,3 +1,4 @@
+import itertools
 import math
 import unittest
 
@@ -13,7 +14,7 @@
     in_virtual_time,
 )
 from currantdyke.links import ChangesRequest, Frame, Unknown
-from currantdyke.links.changes import ABANDON_SECONDS, answer_changes
+from currantdyke.links.changes import ABANDON_SECONDS, ChangesClient, answer_changes
 from currantdyke.links.codec import SCHEMA, decode_frame, encode_frame
 from currantdyke.links.tests.builders import (
     PORT,
@@ -21,11 +22,14 @@
     build_entry,
     build_peers,
     run_daemons,
+    run_linked,
     serve_slowly,
 )
 from currantdyke.testing.gateways import record_lines, run_on_sockets
+from currantdyke.testing.virtual import run_virtual
 
 LARGE_ROUTES = 2_000
+POLL_SECONDS = 0.4
 CHANGES = build_changes(value_bytes=100_000)
 
 
@@ -33,12 +37,10 @@
     await anyio.sleep_forever()
 
 
-def build_known(version):
-    """Return a daemon that has a version of many routes, in era 2."""
+def build_known(version, routes=LARGE_ROUTES):
+    """Return a daemon that has a version in era 2."""
     directory = build_directory()
-    directory.apply(
-        build_configuration(version, era=2, routes=LARGE_ROUTES), source="store"
-    )
+    directory.apply(build_configuration(version, era=2, routes=routes), source="store")
     return directory
 
 
@@ -331,8 +333,48 @@
                     revision=9, era=2, accepts_offers=offers, configuration_after=after
                 )
                 answer = answer_changes(asked, request)
-                items = answer.changes + answer.offers
-                self.assertEqual([item.position for item in items], found)
+                self.assertEqual([item.position for item in answer.changes], found)
+                self.assertEqual(answer.offers, ())
+
+    # Guards against answers with the version that are dropped, since they took longer
+    # than the time after which another peer is asked.
+    def test_late_answer_with_the_configuration_that_is_sought_is_used(self):
+        async def run(seconds, peer_count):
+            asking, asked = build_known(7, routes=1), build_known(8)
+            unusable = build_configuration(9, document=b"{", era=2)
+            asked.apply(unusable, source="store")
+            listed = attrs.evolve(unusable, is_snapshot=True)
+            asking.apply(listed, source="store")
+
+            async def answer(link, content):
+                await anyio.sleep(seconds)
+                return answer_changes(asked, content)
+
+            async def scenario(near, far):
+                async def connect(ip):
+                    return near
+
+                client = ChangesClient(
+                    log=asking.log,
+                    directory=asking,
+                    fetcher=None,
+                    connect=connect,
+                    on_response=lambda ip: None,
+                    on_failure=lambda ip: None,
+                )
+                ips = set(map(str, range(peer_count)))
+                for _ in range(20):
+                    changes = await client.ask(asking.replica.position, ips)
+                    if changes is not None:
+                        asking.apply(changes, source="peer")
+                    await anyio.sleep(POLL_SECONDS)
+                return asking.routes.catalog.version
+
+            return await run_linked(answer, scenario)
+
+        for seconds, peer_count in itertools.product((0.3, 0.7, 1.5), (1, 11)):
+            with self.subTest(seconds=seconds, peer_count=peer_count):
+                self.assertEqual(run_virtual(run, seconds, peer_count), 8)
 
     # Guards against a frame that can't be sent since operators chose a large number.
     def test_version_beyond_the_field_is_sent_as_the_highest(self):
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -215,12 +215,8 @@
 def _tell_changes_only() -> None:
     tell: Any = Directory.changes_since
 
-    def tell_without_newest(
-        self: Directory,
-        position: Position,
-        configuration_after: Position | None = None,
-    ) -> ChangeSet:
-        changes = tell(self, position, configuration_after)
+    def tell_without_newest(self: Directory, position: Position) -> ChangeSet:
+        changes = tell(self, position)
         return ChangeSet(
             changes=changes.changes,
             revision=changes.revision,
