Count a list without the configuration as a later one

A daemon whose history of the store was gone refused for good by version 7, after version 8 had been written and the item removed: the list shows neither, so that 7 was taken for the newest. A list that lacks the item now counts as a configuration at its position. The daemon refuses for now, and asks peers for what it has passed over. Found by a review.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -328,6 +328,9 @@
             if item.key == CONFIGURATION_KEY and item.value is not None
         ]
         written += [o.position for o in changes.offers if o.key == CONFIGURATION_KEY]
+        if changes.is_snapshot and not written:
+            # The last one was removed, and others may have been written before.
+            written.append(changes.position)
         # In an era, the configuration counts as written when the era began.
         written.append(Position(changes.era, 0))
         self.newest = self.newest.with_positions(written)
--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -130,6 +130,16 @@
 
 
 class TestVersions(unittest.TestCase):
+    # Guards against final refusals by a version before one that a list does not show.
+    @in_virtual_time
+    def test_list_without_the_item_ends_final_refusals(self):
+        directory, peer = build_known(7), build_known(8)
+        directory.apply(snapshot(0, 9), source="store")
+        self.assertFalse(directory.decides)
+        peer.apply(build_changes(0, 9, **{KEY: None}), source="store")
+        tell(peer, directory)
+        self.assertEqual(version_of(directory), 8)
+
     # Guards against final refusals by a version that the operators may have withdrawn.
     @in_virtual_time
     def test_lower_version_ends_final_refusals_until_the_higher_is_written_again(self):
