Be told which configurations exist by a daemon that knows

A daemon that waits to be told says so in its answers, and others go on asking, for two seconds at most. What it knows of configurations is used all the same. The field has a bit that is set in this state only, so that no other answer grows.

test_answer_of_a_daemon_that_was_told_nothing_itself_is_not_enough failed before.

--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -238,6 +238,7 @@
             grace_period=self.endpoints.grace_period_left(),
             age=self.age,
             newest=self.newest if self._knows_all_written else None,
+            has_heard=not self.awaits_peers(),
         )
 
     def add_configuration(self, changes: ChangeSet, after: Position) -> ChangeSet:
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -105,7 +105,8 @@
     asking_since : float
         Time of the start, or at which the present era of the store was learned.
     heard : bool
-        Whether a peer or a relay has told since then which versions exist.
+        Whether a peer or a relay that knows it has told since then which versions
+        exist.
     read_requested : anyio.Event
         Set to read the store without delay.
     """
@@ -355,7 +356,7 @@
     def _record_told(self, changes: ChangeSet) -> None:
         """Record an answer of a daemon that tells which configurations exist."""
         if changes.newest is not None:
-            self.heard = True
+            self.heard |= changes.has_heard
             self.directory.record_seek_answer()
 
     def _known_position(self) -> Position:
--- a/currantdyke/directory/replica.py
+++ b/currantdyke/directory/replica.py
@@ -41,6 +41,9 @@
     newest : NewestConfiguration or None
         The newest configuration that a daemon knows of which sent the changes; None if
         it does not tell. Without a position, the changes alone show it.
+    has_heard : bool
+        Whether a daemon that sent the changes was itself told which configurations
+        exist, if it had to be.
     """
 
     changes: tuple[Change, ...]
@@ -51,6 +54,7 @@
     offers: tuple[ValueOffer, ...] = ()
     era: int = 0
     newest: NewestConfiguration | None = NewestConfiguration()
+    has_heard: bool = True
 
     @property
     def position(self) -> Position:
--- a/currantdyke/directory/tests/test_final_refusals.py
+++ b/currantdyke/directory/tests/test_final_refusals.py
@@ -384,6 +384,42 @@
         self.assertEqual(run_virtual(scenario, 0.0), (2, False, False))
         self.assertEqual(run_virtual(scenario, 5.0), (2, True, False))
 
+    # Guards against final refusals by the copy of the store, after the answer of one
+    # that has started too and was not told itself.
+    def test_answer_of_a_daemon_that_was_told_nothing_itself_is_not_enough(self):
+        async def scenario():
+            async def list_all():
+                return list(copy.changes), copy.position
+
+            async def watch(after, wait):
+                await anyio.sleep(wait)
+                return [], after
+
+            async def ask_earlier(position):
+                await anyio.sleep(ANSWER_SECONDS)
+                return earlier.changes_since(position)
+
+            async def ask_first(position):
+                return first.directory.changes_since(position)
+
+            earlier = build_known(7, era=1)
+            copy = build_configuration(6, era=2, revision=3, is_snapshot=True)
+            earlier.apply(copy, source="store")
+            store = FakeStore(list_all=list_all, watch=watch)
+            first = build_follower(store, ask_peer=ask_earlier)
+            second = build_follower(store, ask_peer=ask_first)
+            decided = False
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(first.run)
+                tasks.start_soon(second.run)
+                for _ in range(int(3 * ASKING_SECONDS / SAMPLE_SECONDS)):
+                    await anyio.sleep(SAMPLE_SECONDS)
+                    decided |= first.directory.decides or second.directory.decides
+                tasks.cancel_scope.cancel()
+            return decided
+
+        self.assertFalse(run_virtual(scenario))
+
     # Guards against a daemon that reads the store, and passes over a version whose
     # history is gone; and against peers that are asked for it again and again.
     def test_peers_are_asked_for_a_version_that_was_passed_over(self):
--- a/currantdyke/links/codec.py
+++ b/currantdyke/links/codec.py
@@ -358,6 +358,7 @@
     builder.settling = changes.grace_period > 0.0
     builder.settlingMilliseconds = milliseconds(changes.grace_period)
     builder.ageMilliseconds = milliseconds(changes.age)
+    builder.newestAwaited = not changes.has_heard
     if changes.newest is not None:
         builder.newestTold = True
         builder.newestEra = changes.newest.position.era
@@ -540,6 +541,7 @@
         grace_period=_decode_grace_period(reader),
         age=reader.ageMilliseconds / 1000,
         newest=_decode_newest(reader),
+        has_heard=not reader.newestAwaited,
         changes=tuple(
             Change(
                 key=item.key,
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -75,6 +75,8 @@
   newestRevision @10 :UInt64;
   newestVersion @11 :UInt64;
   newestTold @12 :Bool;
+  # Whether the sender still waits to be told by others which configurations exist.
+  newestAwaited @13 :Bool;
 }
 
 struct Offer {
--- a/currantdyke/links/tests/test_links.py
+++ b/currantdyke/links/tests/test_links.py
@@ -70,6 +70,7 @@
     ChangesRequest(revision=7, era=3),
     ChangesRequest(revision=7, configuration_after=Position()),
     ChangesRequest(revision=7, era=3, configuration_after=Position(2, 9)),
+    ChangeSet(revision=9, changes=(), has_heard=False),
     ChangeSet(
         revision=9,
         is_snapshot=True,
