--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -152,6 +152,25 @@
     (StageEmulator, "rank", 2),
 )
 
+
+def _judge_configurations(
+    write_versions: Activity,
+    *,
+    faults: dict[str, Callable[..., Awaitable[None]]],
+    fault_series: int = 1,
+) -> Pattern:
+    """Return a pattern whose configurations are judged by their effects."""
+    return Pattern(
+        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
+        faults=faults,
+        activities=(write_versions, judge_effects),
+        think_seconds=0.5,
+        fault_series=fault_series,
+        find_violations=effect_violations,
+        transfers_excuse=False,
+    )
+
+
 PATTERNS = {
     "faults": Pattern(endpoints=ENDPOINTS, faults=FAULTS),
     "silent": Pattern(
@@ -201,37 +220,16 @@
         fault_series=1,
         find_violations=cut_violations,
     ),
-    "configurations": Pattern(
-        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
+    "configurations": _judge_configurations(
+        operate,
         # Few, since bounds start anew after each.
         faults={
             name: FAULTS[name]
             for name in ("kill a gateway", "pause a gateway", "replace an endpoint")
         },
-        activities=(operate, judge_effects),
-        think_seconds=0.5,
-        fault_series=1,
-        find_violations=effect_violations,
-        transfers_excuse=False,
-    ),
-    "peers": Pattern(
-        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
-        faults=ISOLATIONS,
-        activities=(operate_quickly, judge_effects),
-        think_seconds=0.5,
-        fault_series=2,
-        find_violations=effect_violations,
-        transfers_excuse=False,
-    ),
-    "held-versions": Pattern(
-        endpoints=(*ENDPOINTS, (PlainEmulator, "other", 2)),
-        faults=LASTING_ISOLATION,
-        activities=(hold_versions, judge_effects),
-        think_seconds=0.5,
-        fault_series=1,
-        find_violations=effect_violations,
-        transfers_excuse=False,
     ),
+    "peers": _judge_configurations(operate_quickly, faults=ISOLATIONS, fault_series=2),
+    "held-versions": _judge_configurations(hold_versions, faults=LASTING_ISOLATION),
     "fragile": Pattern(
         start_endpoints=start_fragile,
         faults=GATEWAY_FAULTS,
