Ignore a second signal also when another thread takes it

Cause: asyncio restores the default action of a signal when its handler is removed. The signals were blocked meanwhile, but only in the main thread. A gateway has three or four more, which resolve the addresses of its listeners, and any of them may take a signal of the process. The test sent its signal to the main thread, which hid this.

Change: receive_signals() keeps one handler from the start of the process to the moment from which signals are ignored, so that the default action never holds in between. The mask goes.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import uuid
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from typing import Any
 
 import anyio
@@ -76,6 +76,7 @@
 from currantdyke.scheduler.scheduler import Scheduler
 from currantdyke.scheduler.stagecall import free_results, run_pieces
 from currantdyke.scheduler.stages import StageQueues
+from currantdyke.signals import receive_signals
 from currantdyke.streamversions.client import FleetStreamVersions
 from currantdyke.streamversions.messages import StreamVersions, VersionRequest
 from currantdyke.streamversions.recorder import VersionsRecorder
@@ -410,6 +411,17 @@
 
     async def run(self) -> None:
         """Serve until a stop is requested, then finish the requests in progress."""
+        if self.settings_file is None:
+            await self._serve()
+            return
+        self.settings_file.apply = self._apply_settings
+        with receive_signals(*SIGNALS) as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._handle_signals, self.settings_file, signals)
+                await self._serve()
+                tasks.cancel_scope.cancel()
+
+    async def _serve(self) -> None:
         self.log.write(
             "started",
             incarnation=self.own_entry.incarnation,
@@ -463,21 +475,14 @@
                 jitter=0.0,
             )
             if self.settings_file is not None:
-                self.settings_file.apply = self._apply_settings
                 self.timers.every(
                     SETTINGS_CHECK_SECONDS,
                     self.settings_file.check,
                     name="check settings file",
                 )
-                tasks.start_soon(self._watch_signals, self.settings_file)
             await self.stop_requested.wait()
             await self._stop()
-            if self.settings_file is not None:
-                # The handler of signals may end before the other tasks.
-                signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
             tasks.cancel_scope.cancel()
-        if self.settings_file is not None:
-            self._ignore_signals()
         self.log.write("stopped", serving=self.caller_server.requests_in_progress)
         self.log.flush()
 
@@ -554,19 +559,14 @@
         metrics.log_lines_dropped.set(self.log.dropped)
         return Page(status=200, body=metrics.render())
 
-    async def _watch_signals(self, settings_file: SettingsFile) -> None:
-        with anyio.open_signal_receiver(*SIGNALS) as signals:
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    self.stop_requested.set()
-                else:
-                    settings_file.reload()
-
-    def _ignore_signals(self) -> None:
-        """Ignore further signals, whose default would change the exit status."""
-        for number in SIGNALS:
-            signal.signal(number, signal.SIG_IGN)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+    async def _handle_signals(
+        self, settings_file: SettingsFile, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        async for number in signals:
+            if number == signal.SIGTERM:
+                self.stop_requested.set()
+            else:
+                settings_file.reload()
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs."""
--- a/currantdyke/gateway/tests/test_closings_process.py
+++ b/currantdyke/gateway/tests/test_closings_process.py
@@ -3,6 +3,7 @@
 docs/design/closings.md lists the ways from a request to the end of its connection.
 """
 
+import os
 import pathlib
 import signal
 import unittest
@@ -242,9 +243,10 @@
                 signal.raise_signal(signal.SIGTERM)
                 await wait_for_end(deployment.lines[gateway.settings.name])
             for number in (signal.SIGTERM, signal.SIGHUP):
-                signal.raise_signal(number)
+                os.kill(os.getpid(), number)
 
-    # As above; the handler of signals ends before the other tasks have ended.
+    # As above; the tasks end one after another. The signals are sent to the process, of
+    # which any thread may take them (pattern silent).
     @run_on_sockets
     async def test_signal_while_tasks_end_does_not_end_the_process(self):
         async def signal_late():
@@ -253,7 +255,8 @@
             finally:
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(0.1)
-                signal.raise_signal(signal.SIGTERM)
+                for number in (signal.SIGTERM, signal.SIGHUP):
+                    os.kill(os.getpid(), number)
 
         async with run_deployment(configuration(1, [plain_route()])) as deployment:
             gateway = deployment.start_gateway()
