Handle signals of "currantdyke serve" until it has ended

What callers saw: a second SIGTERM, or SIGHUP, during a graceful shutdown ended the process at once and cut the requests in flight.

Cause: the receiver of signals was closed at the first SIGTERM, which restores their default action. Change: it uses receive_signals(), and goes on reading.

--- a/currantdyke/cli/serve.py
+++ b/currantdyke/cli/serve.py
@@ -1,6 +1,7 @@
 """Command that runs a daemon until SIGTERM or SIGINT."""
 
 import signal
+from collections.abc import AsyncIterator
 
 import anyio
 import click
@@ -11,6 +12,7 @@
 from currantdyke.daemon import RunningDaemon, serve
 from currantdyke.logs import set_up_logs
 from currantdyke.settings import DaemonSettings, check_settings
+from currantdyke.signals import receive_signals
 
 __all__ = ["serve_command"]
 
@@ -41,17 +43,21 @@
             "callers at %s, operators at %s", running.callers_url, running.operators_url
         )
 
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_handle_signals, stop, bundle_files)
-        await serve(settings, stop, on_started=announce)
-        tasks.cancel_scope.cancel()
-
-
-async def _handle_signals(stop: anyio.Event, bundle_files: list[BundleFile]) -> None:
-    with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
-        async for signal_number in signals:
-            if signal_number != signal.SIGHUP:
-                stop.set()
-                return
-            for bundle_file in bundle_files:
-                await bundle_file.read()
+    with receive_signals(*HANDLED_SIGNALS) as signals:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_handle_signals, signals, stop, bundle_files)
+            await serve(settings, stop, on_started=announce)
+            tasks.cancel_scope.cancel()
+
+
+async def _handle_signals(
+    signals: AsyncIterator[signal.Signals],
+    stop: anyio.Event,
+    bundle_files: list[BundleFile],
+) -> None:
+    async for signal_number in signals:
+        if signal_number != signal.SIGHUP:
+            stop.set()
+            continue
+        for bundle_file in bundle_files:
+            await bundle_file.read()
--- a/currantdyke/daemon/tests/test_processes.py
+++ b/currantdyke/daemon/tests/test_processes.py
@@ -124,6 +124,9 @@
         daemon.terminate()
         terminated_at = time.monotonic()
         await poll_ready_status(client, daemon, 503)
+        # Further signals change nothing.
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            daemon.popen.send_signal(number)
         late_stream = tasks.create_task(read_stream(client, "POST", url))
         await set_token_interval(client, stub_urls, FAST_TOKEN_SECONDS)
     ended = [stream.result() for stream in streams]
