--- a/currantdyke/cli/serve.py
+++ b/currantdyke/cli/serve.py
@@ -25,8 +25,8 @@
     """Run a daemon on this machine with the settings in SETTINGS_FILE.
 
     SIGTERM or SIGINT shuts it down gracefully: it completes the requests in flight
-    and exits 0. SIGHUP reads the bundle file again immediately. Exits 2 if the
-    settings are invalid.
+    and exits 0. A SIGINT after that ends it at once. SIGHUP reads the bundle file again
+    immediately. Exits 2 if the settings are invalid.
     """
     settings = read_valid_file(settings_file, check_settings)
     set_up_logs(settings.log_format)
@@ -58,6 +58,7 @@
     async for signal_number in signals:
         if signal_number != signal.SIGHUP:
             stop.set()
+            signal.signal(signal.SIGINT, signal.default_int_handler)
             continue
         for bundle_file in bundle_files:
             await bundle_file.read()
--- a/currantdyke/daemon/tests/test_processes.py
+++ b/currantdyke/daemon/tests/test_processes.py
@@ -154,6 +154,23 @@
             self.assertEqual(names[-1], "answer")
             self.assertEqual(last_data["output"]["text"], "".join(expected))
 
+    def test_second_interrupt_ends_the_process_at_once(self):
+        with (
+            start_endpoints(build_endpoints()) as stand_ins,
+            running_daemon(stand_ins.urls, leave_seconds=TEST_TIMEOUT_SECONDS) as (
+                daemon,
+                _,
+            ),
+        ):
+            daemon.popen.send_signal(signal.SIGINT)
+            run_with_timeout(wait_for_ready_status(daemon, 503))
+            daemon.popen.send_signal(signal.SIGINT)
+            started = time.monotonic()
+            code = daemon.wait()
+            seconds = time.monotonic() - started
+        self.assertNotEqual(code, 0)
+        self.assertLess(seconds, MAX_SHUTDOWN_SECONDS)
+
     def test_caller_that_disconnects_resumes_its_stream(self):
         with (
             start_endpoints(build_endpoints()) as stand_ins,
--- a/currantdyke/signals.py
+++ b/currantdyke/signals.py
@@ -22,6 +22,8 @@
     `anyio.open_signal_receiver` restores their default action, which ends a process
     that receives another one as it exits. To block them meanwhile is not enough: any
     other thread, such as one that resolves addresses, may take a signal of the process.
+    Within the context, handlers of signals of the event loop must not be added, since
+    the loop then takes what threads write.
 
     Parameters
     ----------
@@ -38,10 +40,12 @@
         receiver.setblocking(False)
         sender.setblocking(False)
         # Whichever thread takes a signal writes its number.
-        previous = signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
-        for number in numbers:
-            signal.signal(number, _do_nothing)
+        previous = signal.set_wakeup_fd(sender.fileno())
         try:
+            for number in numbers:
+                signal.signal(number, _do_nothing)
+                # System calls of other threads go on.
+                signal.siginterrupt(number, False)
             yield _read_signals(receiver, numbers)
         finally:
             for number in numbers:
