--- a/currantdyke/cli/serve.py
+++ b/currantdyke/cli/serve.py
@@ -58,6 +58,7 @@
     async for signal_number in signals:
         if signal_number != signal.SIGHUP:
             stop.set()
+            # A request that never ends would leave only SIGKILL.
             signal.signal(signal.SIGINT, signal.default_int_handler)
             continue
         for bundle_file in bundle_files:
