--- a/currantdyke/scheduler/chain.py
+++ b/currantdyke/scheduler/chain.py
@@ -6,7 +6,7 @@
 from currantdyke.catalog import StageStep
 from currantdyke.scheduler.messages import PlacementRequest, Refusal
 
-__all__ = ["Chain", "Piece", "StageWork", "bytes_to_reserve"]
+__all__ = ["Chain", "MissingResultError", "Piece", "StageWork", "bytes_to_reserve"]
 
 # The configured size of a result is approximate. A margin is reserved because a call
 # whose result finds no memory is wasted.
@@ -18,6 +18,10 @@
     return int(step.result_bytes * RESULT_SIZE_MARGIN)
 
 
+class MissingResultError(Exception):
+    """A result is needed that was not made, or was lost since."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class Piece:
     """The unit of a stage's work, which has one result; a call runs one or more.
@@ -60,6 +64,20 @@
             self.handle = None
             self.chain.missing[self.stage] += 1
 
+    def existing_handle(self) -> str:
+        """Return the handle of the result.
+
+        Raises
+        ------
+        MissingResultError
+            If there is no result.
+        """
+        if self.handle is None:
+            raise MissingResultError(
+                f"piece {self.index} of stage {self.stage} has no result"
+            )
+        return self.handle
+
 
 @attrs.define(kw_only=True, eq=False)
 class StageWork:
@@ -86,6 +104,9 @@
 class Chain:
     """The pieces of a request's stages and their progress.
 
+    The stages run again if a result was lost. What was called for an earlier run may
+    still end: its results are used, its failures are not.
+
     Attributes
     ----------
     target_at, deadline_at : float
@@ -96,8 +117,13 @@
         The pieces of each stage.
     missing : list of int
         Number of outstanding results of each stage.
+    run : int
+        Number of the current run of the stages, from 0.
     started, released : set of int
-        Stages that were started, and stages whose results were released.
+        Stages that were started in this run, and stages whose results were released.
+    returned : list of Piece
+        Pieces of started stages whose call has ended without a result in this run, and
+        that were not queued again.
     followers : list of list of int
         For each stage, the stages that take its results as inputs.
     stage_seconds, stage_seconds_by
@@ -115,13 +141,14 @@
     preferred_zone: str = ""
     pieces: list[list[Piece]] = attrs.field(factory=list)
     missing: list[int] = attrs.field(factory=list)
+    run: int = 0
     started: set[int] = attrs.field(factory=set)
     released: set[int] = attrs.field(factory=set)
+    returned: list[Piece] = attrs.field(factory=list)
     followers: list[list[int]] = attrs.field(init=False)
     stage_seconds: dict[int, float] = attrs.field(factory=dict)
     stage_seconds_by: object = None
     refusal: Refusal | None = None
-    restarts: int = 0
     ended: anyio.Event = attrs.field(factory=anyio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -180,11 +207,49 @@
             if other != stage and self.request.steps[other].after
         )
 
+    def take_ready_work(self, now: float) -> list[StageWork]:
+        """Return the work that can be queued, and count it as queued.
+
+        All work of a chain is queued from here, so that none is before its inputs
+        exist. The pieces of a stage that starts are one work, since their results
+        should all fit in memory; a piece that runs again needs memory for itself only.
+        """
+        pieces_by_work = []
+        while stages := self.ready_stages():
+            for stage in stages:
+                self.started.add(stage)
+                pieces_by_work.append(
+                    [piece for piece in self.pieces[stage] if piece.handle is None]
+                )
+        pieces_by_work += [[piece] for piece in self.returned if piece.handle is None]
+        self.returned.clear()
+        return [
+            StageWork(chain=self, stage=pieces[0].stage, pieces=pieces, queued_at=now)
+            for pieces in pieces_by_work
+            if pieces
+        ]
+
+    def restart(self) -> None:
+        """Begin a further run of the stages, without the results of the one before."""
+        self.run += 1
+        self.started.clear()
+        self.released.clear()
+        self.returned.clear()
+        for pieces in self.pieces:
+            for piece in pieces:
+                piece.discard_result()
+
     def input_handles(self, stage: int) -> tuple[str, ...]:
-        """Return the handles of all results that a stage takes as inputs."""
+        """Return the handles of all results that a stage takes as inputs.
+
+        Raises
+        ------
+        MissingResultError
+            If one of them does not exist.
+        """
         step = self.request.steps[stage]
         return tuple(
-            str(piece.handle)
+            piece.existing_handle()
             for predecessor in step.after
             for piece in self.pieces[predecessor]
         )
@@ -194,9 +259,15 @@
         return [n for n, followers in enumerate(self.followers) if not followers]
 
     def final_handles(self) -> tuple[str, ...]:
-        """Return the handles that the engine fetches."""
+        """Return the handles that the engine fetches.
+
+        Raises
+        ------
+        MissingResultError
+            If a result does not exist.
+        """
         return tuple(
-            str(piece.handle)
+            piece.existing_handle()
             for stage in self.final_stages()
             for piece in self.pieces[stage]
         )
--- a/currantdyke/scheduler/livecall.py
+++ b/currantdyke/scheduler/livecall.py
@@ -16,6 +16,8 @@
 
     Attributes
     ----------
+    runs : list of int
+        For each piece, the run of its chain for which it is called.
     expected_seconds : float
         Duration of the call at an endpoint that is as fast as configured.
     late_at : float
@@ -32,6 +34,11 @@
 
     worker: Worker
     pieces: list[Piece]
+    runs: list[int] = attrs.field(
+        default=attrs.Factory(
+            lambda self: [piece.chain.run for piece in self.pieces], takes_self=True
+        )
+    )
     expected_seconds: float
     late_at: float
     ends_at: float
@@ -39,3 +46,14 @@
     checked: bool = False
     given_up: bool = False
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+    def awaited_pieces(self) -> list[Piece]:
+        """Return the pieces that would have to be called again if the call failed.
+
+        The others belong to a chain that has ended, or whose stages run anew.
+        """
+        return [
+            piece
+            for piece, run in zip(self.pieces, self.runs, strict=True)
+            if run == piece.chain.run and not piece.chain.ended.is_set()
+        ]
--- a/currantdyke/scheduler/queue.py
+++ b/currantdyke/scheduler/queue.py
@@ -39,6 +39,14 @@
         removed = set(map(id, pieces))
         self.ready = [piece for piece in self.ready if id(piece) not in removed]
 
+    def withdraw(self, piece: Piece) -> None:
+        """Remove a piece that needs no call any more."""
+        self.remove_pieces([piece])
+        for work in self.waiting:
+            if piece in work.pieces:
+                work.pieces.remove(piece)
+        self.waiting = [work for work in self.waiting if work.pieces]
+
     def chain_stages(self) -> list[tuple[Chain, int]]:
         """Return each chain and stage with work in this queue."""
         found = {(id(work.chain), work.stage): work for work in self.waiting}
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -159,24 +159,14 @@
         return min(limits.slots, rate * full_call)
 
     def start(self, chain: Chain) -> None:
-        """Queue the work of all stages that can start, and end a chain that is done."""
+        """Queue all work of a chain that can start, and end a chain that is done."""
         if chain.ended.is_set():
             return
         self.active_chains[chain.request.attempt_id] = chain
         services = []
-        while stages := chain.ready_stages():
-            for stage in stages:
-                chain.started.add(stage)
-                missing = [p for p in chain.pieces[stage] if p.handle is None]
-                if missing:
-                    work = StageWork(
-                        chain=chain,
-                        stage=stage,
-                        pieces=missing,
-                        queued_at=anyio.current_time(),
-                    )
-                    self.queue(work.step.service).waiting.append(work)
-                    services.append(work.step.service)
+        for work in chain.take_ready_work(anyio.current_time()):
+            self.queue(work.step.service).waiting.append(work)
+            services.append(work.step.service)
         if all(chain.is_done(stage) for stage in range(len(chain.pieces))):
             self.active_chains.pop(chain.request.attempt_id, None)
             chain.finish()
@@ -412,11 +402,10 @@
     async def _run_call(self, limits: StageLimits, call: LiveCall) -> None:
         worker, pieces, expected = call.worker, call.pieces, call.expected_seconds
         started = anyio.current_time()
-        calls = [self._piece_call(piece, started) for piece in pieces]
         self.live_calls.append(call)
         outcome = CallOutcome(reason="silent")
         with call.scope:
-            outcome = await self._run_in_slot(call, calls, call.ends_at - started)
+            outcome = await self._run_in_slot(call, started)
         self.live_calls.remove(call)
         now = anyio.current_time()
         worker.calls -= 1
@@ -424,38 +413,31 @@
         if outcome.results is not None:
             if all(result.handle is not None for result in outcome.results):
                 worker.record_success(now - started, expected, now)
-            for piece, result in zip(pieces, outcome.results, strict=True):
-                self._handle_result(piece, result, worker, limits, now, since=started)
-            self._restart_chains(pieces, outcome.results)
+            self._handle_results(call, outcome.results, limits, now, since=started)
         elif outcome.evacuated:
-            for piece in pieces:
-                if not piece.chain.ended.is_set():
-                    self._requeue(piece)
+            for piece in call.awaited_pieces():
+                self._requeue(piece)
         else:
-            self._handle_failed_call(
-                worker, pieces, outcome, now, prepaid=call.given_up
-            )
+            self._handle_failed_call(call, outcome, now)
         for chain in {id(piece.chain): piece.chain for piece in pieces}.values():
             self._advance(chain)
         self.dispatch(worker.endpoint.service)
 
-    async def _run_in_slot(
-        self, call: LiveCall, calls: list[PieceCall], timeout: float
-    ) -> CallOutcome:
+    async def _run_in_slot(self, call: LiveCall, now: float) -> CallOutcome:
         """Call an endpoint, and free the slot of the call."""
         rejected = False
         try:
-            outcome = await self._run_pieces(call.worker, calls, timeout)
+            outcome = await self._run_pieces(call, now)
             rejected = outcome.not_run and not outcome.misdirected
         finally:
             self.endpoint_slots.release(call.slot, rejected=rejected)
         return outcome
 
-    async def _run_pieces(
-        self, worker: Worker, calls: list[PieceCall], timeout: float
-    ) -> CallOutcome:
+    async def _run_pieces(self, call: LiveCall, now: float) -> CallOutcome:
         try:
-            return await self.run_pieces(worker.endpoint, calls, timeout)
+            pieces = [self._piece_call(piece, now) for piece in call.pieces]
+            timeout = call.ends_at - now
+            return await self.run_pieces(call.worker.endpoint, pieces, timeout)
         except Exception as error:
             # An internal error in one call must not end the stages of other requests.
             log_internal_error(self.log, error, where="stage call")
@@ -496,74 +478,88 @@
             remaining=chain.deadline_at - now,
         )
 
-    def _handle_result(
+    def _handle_results(
         self,
-        piece: Piece,
-        result: PieceResult,
-        worker: Worker,
+        call: LiveCall,
+        results: list[PieceResult],
         limits: StageLimits,
         now: float,
         *,
         since: float,
     ) -> None:
-        if result.handle is not None:
-            ends_at = now + limits.result_ttl
-            size = piece.result_bytes
-            self.results.add(result.handle, worker, size, ends_at, since=since)
-            if piece.chain.ended.is_set() or piece.handle is not None:
-                self.results.release(result.handle)
-            else:
-                piece.set_result(result.handle)
-            return
-        if piece.chain.ended.is_set():
+        """Take the results of a call, and queue the pieces without one again."""
+        awaited = call.awaited_pieces()
+        lost = []
+        for piece, result in zip(call.pieces, results, strict=True):
+            if result.handle is not None:
+                ends_at = now + limits.result_ttl
+                size = piece.result_bytes
+                self.results.add(result.handle, call.worker, size, ends_at, since=since)
+                self._take_result(piece, result.handle)
+                continue
+            if result.failure is PieceFailure.NO_ROOM:
+                self._record_no_room(piece, call.worker, limits, now)
+            if piece not in awaited or piece.chain.ended.is_set():
+                continue
+            match result.failure:
+                case PieceFailure.LATE:
+                    self._fail(piece.chain, "deadline", "a stage was too late")
+                case PieceFailure.INPUT_GONE:
+                    lost.append(piece.chain)
+                case PieceFailure.NO_ROOM:
+                    self._requeue(piece)
+                case _:
+                    self._retry(piece, "a stage failed")
+        for chain in dict.fromkeys(lost):
+            if not chain.ended.is_set():
+                self._restart(chain, call.worker)
+
+    def _take_result(self, piece: Piece, handle: str) -> None:
+        """Use a result, or release it if its request has no use for it."""
+        if piece.chain.ended.is_set() or piece.handle is not None:
+            self.results.release(handle)
             return
-        match result.failure:
-            case PieceFailure.LATE:
-                self._fail(piece.chain, "deadline", "a stage was too late")
-            case PieceFailure.INPUT_GONE:
-                # `_run_call` restarts the whole chain once for all of its pieces.
-                return
-            case PieceFailure.NO_ROOM:
-                worker.record_no_room(limits, now)
-                self.log.write(
-                    "stage_no_room",
-                    failure=True,
-                    request=piece.chain.request.attempt_id,
-                    endpoint=worker.endpoint.instance,
-                    service=worker.endpoint.service,
-                    result_bytes=piece.result_bytes,
-                    room_expected=worker.unaccounted_bytes,
-                    results=len(worker.results),
-                )
-                self._requeue(piece)
-            case _:
-                self._retry(piece, "a stage failed")
+        piece.set_result(handle)
+        # A call of an earlier run of the chain may end after the piece was queued anew.
+        self.queue(piece.step.service).withdraw(piece)
+
+    def _record_no_room(
+        self, piece: Piece, worker: Worker, limits: StageLimits, now: float
+    ) -> None:
+        worker.record_no_room(limits, now)
+        self.log.write(
+            "stage_no_room",
+            failure=True,
+            request=piece.chain.request.attempt_id,
+            endpoint=worker.endpoint.instance,
+            service=worker.endpoint.service,
+            result_bytes=piece.result_bytes,
+            room_expected=worker.unaccounted_bytes,
+            results=len(worker.results),
+        )
 
     def _handle_failed_call(
-        self,
-        worker: Worker,
-        pieces: list[Piece],
-        outcome: CallOutcome,
-        now: float,
-        *,
-        prepaid: bool = False,
+        self, call: LiveCall, outcome: CallOutcome, now: float
     ) -> None:
+        worker = call.worker
         if outcome.not_run and not outcome.misdirected:
             worker.avoid_until = now + BUSY_AVOID_SECONDS
         else:
             worker.record_failure(now)
+        awaited = call.awaited_pieces()
         self.log.write(
             "stage_call_failed",
             failure=True,
             service=worker.endpoint.service,
             endpoint=worker.endpoint.instance,
-            requests=[piece.chain.request.attempt_id for piece in pieces[:8]],
-            pieces=len(pieces),
+            requests=[piece.chain.request.attempt_id for piece in call.pieces[:8]],
+            pieces=len(call.pieces),
+            awaited=len(awaited),
             reason=outcome.reason,
         )
-        for piece in pieces:
+        for piece in awaited:
             if not piece.chain.ended.is_set():
-                self._retry(piece, outcome.reason, prepaid=prepaid)
+                self._retry(piece, outcome.reason, prepaid=call.given_up)
 
     def _give_up_late_calls(self) -> None:
         """Give up the late calls whose pieces may run elsewhere; the others go on."""
@@ -571,23 +567,22 @@
         for call in self.live_calls:
             if now >= call.late_at and not call.checked:
                 call.checked = True
-                if self._take_retries(call.worker, call.pieces):
+                if self._take_retries(call.worker, call.awaited_pieces()):
                     call.given_up = True
                     call.scope.cancel()
 
     def _take_retries(self, worker: Worker, pieces: list[Piece]) -> bool:
-        """Take a retry for each piece of a late call; return whether all may retry.
+        """Take a retry for each awaited piece of a late call, if all may retry.
 
-        Another endpoint must be reachable.
+        Another endpoint must be reachable. Return whether the retries were taken.
         """
         now = anyio.current_time()
         service = worker.endpoint.service
         others = (w for w in self.service_workers(service) if w is not worker)
-        live = [piece for piece in pieces if not piece.chain.ended.is_set()]
-        return not live or (
+        return not pieces or (
             any(other.is_reachable(now) for other in others)
-            and all(piece.failed_calls + 1 < MAX_FAILED_CALLS for piece in live)
-            and all(self._take_retry(service) for _ in live)
+            and all(piece.failed_calls + 1 < MAX_FAILED_CALLS for piece in pieces)
+            and all(self._take_retry(service) for _ in pieces)
         )
 
     def _take_retry(self, service: str) -> bool:
@@ -613,36 +608,28 @@
             self._fail(piece.chain, "stage_failed", reason)
 
     def _requeue(self, piece: Piece) -> None:
-        work = StageWork(
-            chain=piece.chain,
-            stage=piece.stage,
-            pieces=[piece],
-            queued_at=anyio.current_time(),
-        )
-        self.queue(piece.step.service).waiting.append(work)
-
-    def _restart_chains(self, pieces: list[Piece], results: list[PieceResult]) -> None:
-        """Restart the chains of which an endpoint has lost a result."""
-        chains = dict.fromkeys(
-            piece.chain
-            for piece, result in zip(pieces, results, strict=True)
-            if result.failure is PieceFailure.INPUT_GONE
-        )
-        for chain in chains:
-            if not chain.ended.is_set():
-                self._restart(chain)
+        """Have a piece of the current run queued again by `start`."""
+        piece.chain.returned.append(piece)
 
-    def _restart(self, chain: Chain) -> None:
-        if chain.restarts >= MAX_RESTARTS:
+    def _restart(self, chain: Chain, worker: Worker) -> None:
+        """Run the stages of a chain anew, since an endpoint has found a result gone."""
+        self.log.write(
+            "stages_restarted",
+            failure=True,
+            request=chain.request.attempt_id,
+            run=chain.run,
+            service=worker.endpoint.service,
+            endpoint=worker.endpoint.instance,
+            calls=sum(
+                any(piece.chain is chain for piece in call.awaited_pieces())
+                for call in self.live_calls
+            ),
+        )
+        if chain.run >= MAX_RESTARTS:
             self._fail(chain, "input_gone", "a result was gone twice")
             return
-        chain.restarts += 1
         self.remove_chain(chain)
-        chain.started.clear()
-        chain.released.clear()
-        for pieces in chain.pieces:
-            for piece in pieces:
-                piece.discard_result()
+        chain.restart()
 
     def _advance(self, chain: Chain) -> None:
         """Release results that are no longer needed and start stages that can start."""
--- a/currantdyke/scheduler/tests/builders.py
+++ b/currantdyke/scheduler/tests/builders.py
@@ -3,12 +3,18 @@
 import math
 import random
 
-from currantdyke.catalog import StageLimits, StageStep
+import anyio
+import attrs
+
+from currantdyke.catalog import Endpoint, StageLimits, StageStep
 from currantdyke.platform.requests import PromptPart
+from currantdyke.platform.stagecalls import PieceCall, PieceFailure, PieceResult
+from currantdyke.scheduler.stagecall import CallOutcome
 from currantdyke.testing.stage_fleet import RequestKind, StageFleet
 
 __all__ = [
     "LARGE_LOAD_FACTOR",
+    "RecordedCalls",
     "ZONES",
     "chain_kinds",
     "fragile_stage_fleet",
@@ -296,3 +302,94 @@
     }
     fleet = StageFleet(services=services, zones=3 * ZONES[:3], engines=12, seed=seed)
     return fleet, chain_kinds()
+
+
+@attrs.define(kw_only=True)
+class RecordedCalls:
+    """Calls to the stage endpoints of a fleet, and their inputs and results.
+
+    Of the calls of the second stage, the first finds its inputs gone after
+    `GONE_SECONDS`, and the second ends as told; all others run.
+
+    Attributes
+    ----------
+    ending : CallOutcome, PieceResult or None
+        How the second call ends, or what it returns for each piece; None if it returns
+        its results.
+    seconds : float
+        How long the second call takes at least.
+    made : dict of str to (str, int, int)
+        Attempt id, stage and index of the piece of each result, by its handle.
+    calls : list of (float, PieceCall)
+        All pieces that were called, and when.
+    foreign_inputs : list of PieceCall
+        Pieces that were called with other inputs than all results of the stages before.
+    """
+
+    GONE_SECONDS = 0.02
+
+    ending: CallOutcome | PieceResult | None
+    seconds: float
+    made: dict[str, tuple[str, int, int]] = attrs.field(factory=dict)
+    calls: list[tuple[float, PieceCall]] = attrs.field(factory=list)
+    foreign_inputs: list[PieceCall] = attrs.field(factory=list)
+    second_stage_calls: int = 0
+    gone_at: float = math.inf
+
+    def attach(self, fleet: StageFleet) -> None:
+        """Take the calls of a fleet."""
+        original = fleet.stages.run_pieces
+
+        async def run_pieces(
+            endpoint: Endpoint, pieces: list[PieceCall], timeout: float
+        ) -> CallOutcome:
+            self._record(fleet, pieces)
+            number = 0
+            if pieces[0].stage == 1:
+                number = self.second_stage_calls = self.second_stage_calls + 1
+            if number == 1:
+                await anyio.sleep(self.GONE_SECONDS)
+                self.gone_at = anyio.current_time()
+                return _outcome_of_each(PieceFailure.INPUT_GONE, pieces)
+            if number == 2 and self.ending is not None:
+                await anyio.sleep(self.seconds)
+                if isinstance(self.ending, CallOutcome):
+                    return self.ending
+                return CallOutcome(results=[self.ending] * len(pieces))
+            if any(piece in self.foreign_inputs for piece in pieces):
+                return _outcome_of_each(PieceFailure.INPUT_GONE, pieces)
+            outcome = await original(endpoint, pieces, timeout)
+            for piece, result in zip(pieces, outcome.results or (), strict=False):
+                if result.handle is not None:
+                    made = piece.attempt_id, piece.stage, piece.index
+                    self.made[result.handle] = made
+            if number == 2:
+                await anyio.sleep(self.seconds)
+            return outcome
+
+        fleet.stages.run_pieces = run_pieces
+
+    def _record(self, fleet: StageFleet, pieces: list[PieceCall]) -> None:
+        now = anyio.current_time()
+        for piece in pieces:
+            self.calls.append((now, piece))
+            request = fleet.scheduler.chains[piece.attempt_id].request
+            wanted = [
+                (piece.attempt_id, stage, index)
+                for stage in request.steps[piece.stage].after
+                for index in range(request.pieces[stage])
+            ]
+            if sorted(self.made.get(h, ("", -1, -1)) for h in piece.inputs) != wanted:
+                self.foreign_inputs.append(piece)
+
+    def pieces_called_after_loss(self, stage: int) -> list[int]:
+        """Return the indices of a stage's pieces that were called after the loss."""
+        return [
+            piece.index
+            for called_at, piece in self.calls
+            if piece.stage == stage and called_at > self.gone_at
+        ]
+
+
+def _outcome_of_each(failure: PieceFailure, pieces: list[PieceCall]) -> CallOutcome:
+    return CallOutcome(results=[PieceResult(failure=failure)] * len(pieces))
--- /dev/null
+++ b/currantdyke/scheduler/tests/test_restarted_chains.py
@@ -0,0 +1,79 @@
+"""Chains whose stages run again, since an endpoint has lost a result."""
+
+import unittest
+
+import attrs
+
+from currantdyke.platform.stagecalls import PieceFailure, PieceResult
+from currantdyke.scheduler.messages import Placement
+from currantdyke.scheduler.stagecall import CallOutcome
+from currantdyke.scheduler.tests.builders import RecordedCalls
+from currantdyke.scheduler.tests.test_stages import REQUEST, place
+from currantdyke.testing.virtual import run_virtual
+
+# The second stage takes two calls, of 14 pieces and of 6.
+SPLIT_REQUEST = attrs.evolve(REQUEST, pieces=(2, 20, 16))
+# How the second of two calls in progress ends after the first has found inputs gone.
+ENDINGS = {
+    "failed": CallOutcome(reason="status 500"),
+    "silent": CallOutcome(reason="silent"),
+    "rejected": CallOutcome(reason="status 503", not_run=True),
+    "misdirected": CallOutcome(reason="status 421", not_run=True, misdirected=True),
+    "evacuated": CallOutcome(reason="its zone is evacuated", evacuated=True),
+    "no room": PieceResult(failure=PieceFailure.NO_ROOM),
+    "error": PieceResult(failure=PieceFailure.ERROR),
+    "gone": PieceResult(failure=PieceFailure.INPUT_GONE),
+    "done": None,
+}
+
+
+def run_with_second_call(ending, *, seconds=0.1):
+    """Place a request of which one call finds inputs gone while another goes on."""
+    recorded = RecordedCalls(ending=ending, seconds=seconds)
+    fleet, answers = run_virtual(
+        lambda: place([SPLIT_REQUEST], prepare=recorded.attach, settle_seconds=1.0)
+    )
+    return fleet, answers["r"], recorded
+
+
+class TestCallsOfAnEarlierRun(unittest.TestCase):
+    # Guards against pieces that are called with the text "None" for each input.
+    def test_pieces_get_each_input_of_their_request_once(self):
+        for name, ending in ENDINGS.items():
+            with self.subTest(ending=name):
+                _, _, recorded = run_with_second_call(ending)
+                self.assertEqual(recorded.foreign_inputs, [])
+
+    # Guards against a refusal because two calls have found the same result gone.
+    def test_request_is_served(self):
+        for name, ending in ENDINGS.items():
+            with self.subTest(ending=name):
+                _, answer, recorded = run_with_second_call(ending)
+                self.assertIsInstance(answer, Placement)
+                made = sorted(recorded.made[handle] for handle in answer.handles)
+                self.assertEqual(made, [("r", 2, index) for index in range(16)])
+
+    # Guards against pieces that are queued by the end of a call and by the new run.
+    def test_no_piece_is_queued_twice(self):
+        for name, ending in ENDINGS.items():
+            with self.subTest(ending=name):
+                _, _, recorded = run_with_second_call(ending)
+                called = recorded.pieces_called_after_loss(1)
+                self.assertEqual(len(called), len(set(called)))
+
+    # Guards against results of a request that nobody releases.
+    def test_late_results_are_used_or_released(self):
+        for seconds in (0.1, 0.5):
+            with self.subTest(seconds=seconds):
+                fleet, answer, _ = run_with_second_call(None, seconds=seconds)
+                self.assertIsInstance(answer, Placement)
+                held = [
+                    handle
+                    for worker in fleet.workers.values()
+                    for handle in worker.results
+                ]
+                self.assertEqual(sorted(held), sorted(answer.handles))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/currantdyke/scheduler/tests/test_stages.py
+++ b/currantdyke/scheduler/tests/test_stages.py
@@ -30,8 +30,14 @@
 )
 
 
-async def place(requests, *, prepare=lambda fleet: None):
-    """Place requests concurrently, and return the fleet and the answers."""
+async def place(requests, *, prepare=lambda fleet: None, settle_seconds=0.0):
+    """Place requests concurrently, and return the fleet and the answers.
+
+    Parameters
+    ----------
+    settle_seconds : float
+        For how long the endpoints run on after the last answer.
+    """
     fleet = small_fleet()
     prepare(fleet)
     answers = {}
@@ -45,6 +51,7 @@
         async with anyio.create_task_group() as asking:
             for request in requests:
                 asking.start_soon(ask, request)
+        await anyio.sleep(settle_seconds)
         tasks.cancel_scope.cancel()
     return fleet, answers
 
