Take no retry from the budget for a stage call that was not sent

Cause: each piece of a failed call took a retry from the budget of its service, also if no connection was opened. Each crash made two such calls of four pieces, and the budget was empty for what the crash had cut.

Change: CallOutcome.sent says whether a call may have reached its endpoint; only then a retry is taken. A piece still fails at most four times, so that a service of which nothing is reached refuses at once. test_calls_that_were_not_sent_take_no_retries failed before ("True != False": a request was refused), and holds that sent calls take retries.

--- a/currantdyke/scheduler/stagecall.py
+++ b/currantdyke/scheduler/stagecall.py
@@ -48,6 +48,8 @@
     ----------
     results : list of PieceResult or None
         Results in the order of the pieces; None if the call did not run or failed.
+    sent : bool
+        Whether the call may have reached the endpoint.
     not_run : bool
         Whether the endpoint answered that it did not run the call.
     misdirected : bool
@@ -59,6 +61,7 @@
     """
 
     results: list[PieceResult] | None = None
+    sent: bool = True
     not_run: bool = False
     misdirected: bool = False
     evacuated: bool = False
@@ -99,8 +102,10 @@
     except TimeoutError:
         return CallOutcome(reason="silent")
     except EvacuatedError as error:
-        return CallOutcome(evacuated=True, reason=str(error))
-    except (NotSentError, MaybeRanError) as error:
+        return CallOutcome(sent=False, evacuated=True, reason=str(error))
+    except NotSentError as error:
+        return CallOutcome(sent=False, reason=str(error))
+    except MaybeRanError as error:
         return CallOutcome(reason=str(error))
     if answer.facts.status == 200:
         return CallOutcome(
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -559,7 +559,9 @@
         )
         for piece in awaited:
             if not piece.chain.ended.is_set():
-                self._retry(piece, outcome.reason, prepaid=call.given_up)
+                # What was not sent has loaded no endpoint, so that it costs no retry.
+                prepaid = call.given_up or not outcome.sent
+                self._retry(piece, outcome.reason, prepaid=prepaid)
 
     def _give_up_late_calls(self) -> None:
         """Give up the late calls whose pieces may run elsewhere; the others go on."""
@@ -596,7 +598,7 @@
         Parameters
         ----------
         prepaid : bool
-            Whether the retry was taken from the budget before.
+            Whether the retry was taken from the budget before, or costs none.
         """
         piece.failed_calls += 1
         allowed = piece.failed_calls < MAX_FAILED_CALLS and (
--- a/currantdyke/scheduler/tests/test_stages.py
+++ b/currantdyke/scheduler/tests/test_stages.py
@@ -56,6 +56,33 @@
     return fleet, answers
 
 
+async def place_beside_endpoint_that_is_down(sent):
+    """Place requests without any retries left, while one endpoint of a stage is down.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether the calls to that endpoint may have reached it.
+    """
+
+    def take_one_down(fleet):
+        original = fleet.stages.run_pieces
+        down = fleet.stages.service_workers("roll")[0].endpoint
+        budget = FleetRetryBudget(ratio=0.0, window=10.0, slack=0.0)
+        fleet.stages.retry_budget = lambda service: budget
+
+        async def run_pieces(endpoint, pieces, timeout):
+            if endpoint is down:
+                await anyio.sleep(0.01)
+                return CallOutcome(sent=sent, reason="connection refused")
+            return await original(endpoint, pieces, timeout)
+
+        fleet.stages.run_pieces = run_pieces
+
+    requests = [attrs.evolve(REQUEST, attempt_id=f"r{n}") for n in range(4)]
+    return await place(requests, prepare=take_one_down)
+
+
 def use_nominal_sizes(fleet):
     """Make all results as large as configured."""
     fleet.size_spread = 0.0
@@ -164,6 +191,32 @@
         _, answers = run_virtual(place, [REQUEST], prepare=break_all)
         self.assertIsInstance(answers["r"], Refusal)
 
+    # Guards against refusals while one endpoint of several is down (review case 7).
+    def test_calls_that_were_not_sent_take_no_retries(self):
+        for sent in (False, True):
+            with self.subTest(sent=sent):
+                _, answers = run_virtual(place_beside_endpoint_that_is_down, sent)
+                refused = [a for a in answers.values() if isinstance(a, Refusal)]
+                self.assertEqual(bool(refused), sent)
+
+    # Guards against requests that wait for a service of which nothing is reached.
+    def test_request_is_refused_at_once_if_no_endpoint_is_reached(self):
+        def break_all(fleet):
+            async def unreachable(endpoint, pieces, timeout):
+                await anyio.sleep(0.01)
+                return CallOutcome(sent=False, reason="connection refused")
+
+            fleet.stages.run_pieces = unreachable
+
+        async def place_one():
+            started = anyio.current_time()
+            _, answers = await place([REQUEST], prepare=break_all)
+            return answers["r"], anyio.current_time() - started
+
+        answer, seconds = run_virtual(place_one)
+        self.assertIsInstance(answer, Refusal)
+        self.assertLess(seconds, REQUEST.target)
+
     def test_internal_error_in_a_call_fails_no_request(self):
         def prepare(fleet):
             original = fleet.stages.run_pieces
