--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -29,13 +29,13 @@
 MAX_DIRECT_WRITE_BYTES = 8_192
 # Endpoints send at most a few interim responses.
 MAX_INTERIM_RESPONSES = 32
-# Failures of endpoints have short bodies, in few parts.
-MAX_FAILURE_BYTES = 1_048_576
-MAX_FAILURE_PARTS = 4_096
+# Failures, and answers to calls of stages, have short bodies in few parts.
+MAX_SHORT_BODY_BYTES = 1_048_576
+MAX_SHORT_BODY_PARTS = 4_096
 # Marks that are kept of the responses on one connection, which is closed then.
 MAX_MARKS = 4_096
-# Parts of a body after which other tasks run, even if more parts have arrived.
-PARTS_PER_CHECKPOINT = 64
+# Parts of a body that are read at once if they have arrived; then other tasks run.
+MAX_PARTS_PER_READ = 64
 
 
 class NotSentError(Exception):
@@ -85,6 +85,10 @@
         Whether the whole request was written. The value is determined when the block of
         ``attempt`` ends without an exception; until then, and after an exception, it is
         True.
+    parts_read : int
+        Parts in which the body has arrived so far.
+    following : h11.Event, h11.RemoteProtocolError or None
+        What has arrived behind the data that was returned last, if it is no data.
     identified : bool
         Whether a second copy of the response would be recognised, so that other
         responses may follow on the connection.
@@ -95,6 +99,7 @@
     facts: ResponseMetadata
     written: bool = True
     parts_read: int = 0
+    following: h11.Event | h11.RemoteProtocolError | None = None
     identified: bool = attrs.field(
         default=attrs.Factory(
             lambda self: self.facts.attempt_id is not None, takes_self=True
@@ -118,42 +123,68 @@
         self.identified = len(known) <= MAX_MARKS
 
     async def read(self) -> bytes | None:
-        """Return the next part of the body, or None after its end.
+        """Return the next bytes of the body, or None after its end.
+
+        Small parts that have arrived are returned together, so that their number costs
+        little beyond the parsing.
 
         Raises
         ------
         MaybeRanError
             If the response is incomplete.
         """
-        self.parts_read += 1
-        if self.parts_read % PARTS_PER_CHECKPOINT == 0:
-            await anyio.lowlevel.checkpoint()
+        event, self.following = self.following, None
         try:
-            event = await self.connection.next_event()
+            if event is None:
+                event = await self.connection.next_event()
+            elif isinstance(event, h11.RemoteProtocolError):
+                raise event
         except (ConnectionLostError, h11.ProtocolError) as error:
             raise MaybeRanError(f"the answer broke off: {error}") from error
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return await self._join_arrived(event)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise MaybeRanError("the endpoint closed the connection in its answer")
 
-    async def read_failure(self) -> bytes:
-        """Return the body of a failure.
+    async def _join_arrived(self, first: h11.Data) -> bytes:
+        """Return a part of the body with those that have arrived behind it."""
+        parts = [bytes(first.data)]
+        while self.following is None and len(parts) < MAX_PARTS_PER_READ:
+            try:
+                event = self.connection.arrived_event()
+            except h11.RemoteProtocolError as error:
+                # Raised by the next call, since the data comes first.
+                self.following = error
+                break
+            if event is None:
+                break
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            else:
+                self.following = event
+        self.parts_read += len(parts)
+        if len(parts) == MAX_PARTS_PER_READ:
+            await anyio.lowlevel.checkpoint()
+        return b"".join(parts)
+
+    async def read_short_body(self) -> bytes:
+        """Return the whole body of a short response, such as a failure.
 
         Raises
         ------
         MaybeRanError
-            If the response is incomplete, or the body too long for a failure.
+            If the response is incomplete, or the body too long.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while (data := await self.read()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > MAX_FAILURE_BYTES or len(parts) > MAX_FAILURE_PARTS:
-                raise MaybeRanError("the body of a failure is too long")
-        return b"".join(parts)
+            body += data
+            if (
+                len(body) > MAX_SHORT_BODY_BYTES
+                or self.parts_read > MAX_SHORT_BODY_PARTS
+            ):
+                raise MaybeRanError("the body is too long")
+        return bytes(body)
 
 
 @contextlib.asynccontextmanager
--- a/currantdyke/forward/plain.py
+++ b/currantdyke/forward/plain.py
@@ -313,19 +313,17 @@
             self.context.connections, endpoint, request, on_send=on_send
         ) as response:
             if not response.facts.success:
-                return _buffered(response, await response.read_failure())
-            parts: list[bytes] = []
-            size = 0
+                return _buffered(response, await response.read_short_body())
+            body = bytearray()
             while (data := await response.read()) is not None:
                 run.record_heard()
                 evidence.record_data()
-                parts.append(data)
-                size += len(data)
+                body += data
                 self.race.extend(self.silence_seconds)
-                if size > MAX_BUFFERED_BYTES:
-                    await self._relay_long(response, run, b"".join(parts))
+                if len(body) > MAX_BUFFERED_BYTES:
+                    await self._relay_long(response, run, bytes(body))
                     return None
-            return _buffered(response, b"".join(parts))
+            return _buffered(response, bytes(body))
 
     async def _relay(self, response: BufferedResponse) -> None:
         headers = end_to_end_headers(response.head)
--- a/currantdyke/forward/race.py
+++ b/currantdyke/forward/race.py
@@ -17,6 +17,7 @@
 SILENT_RUN_SECONDS = 0.5
 GIVEN_UP = "given up for another"
 SILENT = "silent until the end"
+WITHIN_EVENT = "cancelled within an event that did not end"
 CANCELLED = "cancelled"
 INTERNAL_ERROR = "internal error"
 
@@ -38,7 +39,11 @@
     version : str
         Software version of the endpoint.
     heard_at : float
-        Monotonic time in seconds at which it was sent or last received anything.
+        Monotonic time in seconds at which it was sent or last received anything; of a
+        stream, the last whole event.
+    partial_since : float or None
+        Monotonic time in seconds at which a part of an event arrived whose end has not;
+        None if there is no such event.
     """
 
     instance: str = ""
@@ -47,17 +52,36 @@
     given_up: bool = False
     version: str = ""
     heard_at: float = attrs.field(factory=anyio.current_time)
+    partial_since: float | None = None
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
     def record_heard(self) -> None:
         """Record that something was received."""
         self.heard = True
         self.heard_at = anyio.current_time()
+        self.partial_since = None
+
+    def record_partial_event(self) -> None:
+        """Record that a part of an event was received, but not its end."""
+        if self.partial_since is None:
+            self.partial_since = anyio.current_time()
+
+    def partial_seconds(self) -> float:
+        """Return for how long an event has been arriving; 0 if none has begun."""
+        if self.partial_since is None:
+            return 0.0
+        return anyio.current_time() - self.partial_since
+
+    def is_stuck(self) -> bool:
+        """Return whether an event began long ago and has not ended."""
+        return self.partial_seconds() >= SILENT_RUN_SECONDS
 
     def cancelled_outcome(self) -> str:
         """Return the log's outcome of an attempt that was cancelled."""
         if self.given_up:
             return GIVEN_UP
+        if self.is_stuck():
+            return WITHIN_EVENT
         silent = anyio.current_time() - self.heard_at >= SILENT_RUN_SECONDS
         return SILENT if silent else CANCELLED
 
--- a/currantdyke/forward/stream.py
+++ b/currantdyke/forward/stream.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 
-from currantdyke.catalog import Endpoint
+from currantdyke.catalog import Endpoint, max_event_gap
 from currantdyke.core import FailureKind
 from currantdyke.crashes import EndpointRun
 from currantdyke.directory.endpoints import EVACUATED_RETRY_SECONDS
@@ -351,6 +351,9 @@
                 evidence.lose()
         except anyio.get_cancelled_exc_class():
             end = RunEnd(outcome=run.cancelled_outcome())
+            if run.is_stuck():
+                # Its caller has left, but the next one need not wait there.
+                end = attrs.evolve(end, progress=ProgressKind.ENGINE_LOST)
             if run.sent and evidence is not None:
                 if run.given_up:
                     evidence.lose(abandoned=True)
@@ -443,11 +446,15 @@
         caller = self.exchange.caller
         splitter = EventSplitter()
         started = False
+        parts = 0
         while (data := await response.read()) is not None:
-            events, last_id = splitter.feed(data)
+            new_parts, parts = response.parts_read - parts, response.parts_read
+            events, last_id = splitter.feed(data, new_parts)
             if not events:
                 if splitter.has_foreign_bytes:
                     raise MaybeRanError("bytes that are no event")
+                run.record_partial_event()
+                self._check_event_ends(run)
                 continue
             run.record_heard()
             evidence.record_data()
@@ -485,10 +492,16 @@
         evidence.finish()
         await caller.finish()
 
+    def _check_event_ends(self, run: Run) -> None:
+        """Raise MaybeRanError if an event takes longer than callers wait for one."""
+        limit = max_event_gap(self.exchange.route)
+        if run.partial_seconds() > limit:
+            raise MaybeRanError(f"an event did not end within {limit:g} s")
+
     async def _handle_failure(self, run: Run, response: EndpointResponse) -> RunEnd:
         """Relay an engine's failure unless another engine may serve the request."""
         exchange = self.exchange
-        body = await response.read_failure()
+        body = await response.read_short_body()
         facts = response.facts
         if facts.not_run:
             exchange.record_not_run()
--- a/currantdyke/forward/tests/test_silence.py
+++ b/currantdyke/forward/tests/test_silence.py
@@ -27,6 +27,7 @@
 
     facts = types.SimpleNamespace(status=200)
     head = types.SimpleNamespace(headers=[])
+    parts_read = 1
 
     def __init__(self, race):
         self.race = race
--- a/currantdyke/gateway/tests/builders.py
+++ b/currantdyke/gateway/tests/builders.py
@@ -25,6 +25,7 @@
     "pause_after",
     "plain_configuration",
     "refuse",
+    "send_chunks",
     "send_endlessly",
     "signed_head",
     "start_engines",
@@ -175,6 +176,25 @@
     return handle
 
 
+def send_chunks(chunk: bytes, bytes_per_second: float):
+    """Return a handler of a stream that sends chunks until its connection is closed."""
+    framed = b"%x\r\n%s\r\n" % (len(chunk), chunk)
+
+    async def handle(request, reply):
+        lines = (b"content-type: text/event-stream", b"transfer-encoding: chunked")
+        await reply.send_raw(signed_head(request, *lines))
+        started = anyio.current_time()
+        sent = 0
+        while True:
+            await anyio.sleep(0.02)
+            due = (anyio.current_time() - started) * bytes_per_second / len(chunk)
+            count = int(due) - sent
+            await reply.send_raw(framed * count)
+            sent += count
+
+    return handle
+
+
 async def start_plain(deployment, *handlers) -> list[PlainEmulator]:
     """Start a plain endpoint for each handler; None is one without faults."""
     return await _start(deployment, PlainEmulator, "plain", handlers)
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -137,6 +137,17 @@
                 raise ConnectionLostError(str(error) or "reset") from error
             self.state.receive_data(data)
 
+    def arrived_event(self):
+        """Return the next event if all of it has arrived, or None.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            If the peer's data is not HTTP.
+        """
+        event = self.state.next_event()
+        return None if event is h11.NEED_DATA else event
+
     async def send(self, *events: h11.Event) -> None:
         """Write events, in a single send unless they are large."""
         parts = [self.state.send(event) or b"" for event in events]
--- a/currantdyke/scheduler/stagecall.py
+++ b/currantdyke/scheduler/stagecall.py
@@ -8,7 +8,6 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.forward.attempt import (
-    EndpointResponse,
     EvacuatedError,
     MaybeRanError,
     NotSentError,
@@ -36,7 +35,6 @@
     "run_pieces",
 ]
 
-MAX_ANSWER_BYTES = 1_048_576
 FREE_TIMEOUT_SECONDS = 1.0
 
 
@@ -94,7 +92,7 @@
             async with attempt(
                 connections, endpoint, request, on_send=_ignore
             ) as answer:
-                body = await _read_body(answer)
+                body = await answer.read_short_body()
                 if answer.facts.status == 200:
                     results = decode_results(body, len(pieces))
                     # An endpoint gives each result a handle of its own.
@@ -118,15 +116,6 @@
     )
 
 
-async def _read_body(answer: EndpointResponse) -> bytes:
-    body = b""
-    while (data := await answer.read()) is not None:
-        body += data
-        if len(body) > MAX_ANSWER_BYTES:
-            raise MaybeRanError("the answer is too long")
-    return body
-
-
 async def free_results(
     connections: EndpointConnections, endpoint: Endpoint, handles: list[str]
 ) -> bool:
@@ -137,7 +126,7 @@
             async with attempt(
                 connections, endpoint, request, on_send=_ignore
             ) as answer:
-                if has_results(await _read_body(answer)):
+                if has_results(await answer.read_short_body()):
                     raise MaybeRanError("the answer to another call")
                 # A second copy would confirm at most a release that was sent.
                 answer.identified |= answer.facts.status == 200
--- a/currantdyke/tunnels/stream.py
+++ b/currantdyke/tunnels/stream.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import attrs
 
 from currantdyke.http1 import CONNECTION_ERRORS
@@ -57,7 +58,10 @@
             if not self.block_left:
                 self.ended = True
                 raise anyio.EndOfStream
-        if not self.buffer:
+        if self.buffer:
+            # The blocks of an endpoint may be small, and many may have arrived.
+            await anyio.lowlevel.checkpoint()
+        else:
             await self._read()
         size = min(max_bytes, self.block_left, len(self.buffer))
         data = bytes(self.buffer[:size])
