Keep no connection on which a request is still being written

What could happen: an endpoint answers a long request at once and reads on later.

Cause: EndpointResponse.written was True until the block of `attempt` ended without an exception, and so after each exception.

Change: whether the request was written decides, however the block ends. test_connection_with_a_request_half_written_is_not_kept failed before ("{'early': [IdleConnection(...)]} != {}").

--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -81,10 +81,6 @@
 
     Attributes
     ----------
-    written : bool
-        Whether the whole request was written. The value is determined when the block of
-        ``attempt`` ends without an exception; until then, and after an exception, it is
-        True.
     parts_read : int
         Parts in which the body has arrived so far.
     following : h11.Event, h11.RemoteProtocolError or None
@@ -97,7 +93,6 @@
     connection: Http1Connection
     head: h11.Response
     facts: ResponseMetadata
-    written: bool = True
     parts_read: int = 0
     following: h11.Event | h11.RemoteProtocolError | None = None
     identified: bool = attrs.field(
@@ -233,18 +228,17 @@
         await connection.close()
         raise
     response = None
+    written = anyio.Event()
     sent_at = anyio.current_time()
     on_send()
     try:
         async with anyio.create_task_group() as tasks:
-            written = anyio.Event()
             await _write_request(connection, head, request.body, tasks, written)
             response = await _read_head(connection, request)
             stream = connection.stream
             via = stream.peer_ip if isinstance(stream, TunnelStream) else ""
             connections.on_response(endpoint, response.facts, sent_at, via)
             yield response
-            response.written = written.is_set()
             tasks.cancel_scope.cancel()
     except BaseExceptionGroup as group:
         # The group contains the exception from the body of the caller's "async with".
@@ -252,7 +246,7 @@
     finally:
         if (
             response is not None
-            and response.written
+            and written.is_set()
             and connection.reusable
             and response.identified
         ):
