Take no part of an answer for all of it if the connection is reset

Cause: the end of the endpoint's direction was the end of the answer, and a reset behind it was reported to nobody: nothing is read any more, and what the kernel had taken of the request counted as written. The same in a tunnel.

Evidence: test_early_answers.

Change: a body that ends with its connection is whole only if no reset follows while bytes of the request are unacknowledged; that is awaited for half a second at most, by the daemon that is connected with the endpoint. An endpoint that reads on, or keeps the connection, has answered as before.

--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -10,7 +10,12 @@
 
 from currantdyke.catalog import Endpoint
 from currantdyke.forward.connections import EndpointConnections
-from currantdyke.http1 import ConnectionLostError, Http1Connection
+from currantdyke.http1 import (
+    ConnectionLostError,
+    Http1Connection,
+    header_values,
+    is_reset_unread,
+)
 from currantdyke.platform.answers import ResponseMetadata, decode_response_metadata
 from currantdyke.tunnels.stream import TunnelStream
 
@@ -139,9 +144,26 @@
         if isinstance(event, h11.Data):
             return await self._join_arrived(event)
         if isinstance(event, h11.EndOfMessage):
+            if self._ends_with_connection():
+                await self._check_not_reset()
             return None
         raise MaybeRanError("the endpoint closed the connection in its answer")
 
+    def _ends_with_connection(self) -> bool:
+        headers = self.head.headers
+        return not (
+            header_values(headers, b"content-length")
+            or header_values(headers, b"transfer-encoding")
+        )
+
+    async def _check_not_reset(self) -> None:
+        """Raise MaybeRanError if the endpoint resets the connection behind its end.
+
+        Nothing but the end of the connection shows that such a body is complete.
+        """
+        if await is_reset_unread(self.connection.stream):
+            raise MaybeRanError("the connection was reset while the request was sent")
+
     async def _join_arrived(self, first: h11.Data) -> bytes:
         """Return a part of the body with those that have arrived behind it."""
         parts = [bytes(first.data)]
@@ -280,7 +302,7 @@
         try:
             await connection.send(*events)
         except ConnectionLostError:
-            # Reading from the connection fails as well and reports the error.
+            # Reading fails as well, unless the response has ended before.
             return
         written.set()
 
--- a/currantdyke/http1/__init__.py
+++ b/currantdyke/http1/__init__.py
@@ -4,6 +4,7 @@
     CONNECTION_ERRORS,
     ConnectionLostError,
     Http1Connection,
+    is_reset_unread,
     limit_reading,
     set_socket_options,
 )
@@ -22,6 +23,7 @@
     "Http1Connection",
     "MessageTooLargeError",
     "header_values",
+    "is_reset_unread",
     "limit_reading",
     "one_value",
     "read_body",
--- a/currantdyke/http1/connection.py
+++ b/currantdyke/http1/connection.py
@@ -16,6 +16,7 @@
     "CONNECTION_ERRORS",
     "ConnectionLostError",
     "Http1Connection",
+    "is_reset_unread",
     "limit_reading",
     "set_socket_options",
 ]
@@ -36,6 +37,11 @@
     OSError,
 )
 
+# A peer that ends its direction and closes the connection with bytes unread resets it
+# at once. These are the time for which that is awaited, and the interval of the checks.
+RESET_NOTICE_SECONDS = 0.5
+RESET_CHECK_SECONDS = 0.01
+
 # Keep-alive probes detect an unresponsive peer: the first is sent after 2 s without
 # data, then one per second. The user time-out below decides when they give up, whatever
 # their number; the number counts where that option does not exist.
@@ -81,6 +87,38 @@
     transport.max_size = SOCKET_READ_BYTES
 
 
+def _socket_bytes(raw_socket: socket.socket, request: int) -> int:
+    """Return a number of bytes in a buffer of a socket; 0 if it is closed."""
+    if raw_socket.fileno() < 0:
+        return 0
+    count = fcntl.ioctl(raw_socket.fileno(), request, bytes(4))
+    return int.from_bytes(count, sys.byteorder)
+
+
+async def is_reset_unread(stream: anyio.abc.ByteStream) -> bool:
+    """Return whether the peer resets a connection of which it has ended its direction.
+
+    A peer that has received all bytes has read the request, as far as this side can
+    know. As long as it has not, a reset is awaited for `RESET_NOTICE_SECONDS`.
+    """
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+    if raw_socket is None:
+        return False
+    ends_at = anyio.current_time() + RESET_NOTICE_SECONDS
+    while True:
+        if raw_socket.fileno() < 0:
+            # The event loop closes the socket when writing to it fails.
+            return True
+        poll = select.poll()
+        poll.register(raw_socket.fileno(), select.POLLERR | select.POLLHUP)
+        if poll.poll(0):
+            return True
+        unread = _socket_bytes(raw_socket, termios.TIOCOUTQ)
+        if not unread or anyio.current_time() >= ends_at:
+            return False
+        await anyio.sleep(RESET_CHECK_SECONDS)
+
+
 class Http1Connection:
     """HTTP/1.1 connection over a byte stream.
 
@@ -188,10 +226,7 @@
 
     def _socket_bytes(self, request: int) -> int:
         raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
-        if raw_socket is None or raw_socket.fileno() < 0:
-            return 0
-        count = fcntl.ioctl(raw_socket.fileno(), request, bytes(4))
-        return int.from_bytes(count, sys.byteorder)
+        return 0 if raw_socket is None else _socket_bytes(raw_socket, request)
 
     async def close(self) -> None:
         """Close the transport immediately."""
--- a/currantdyke/tunnels/stream.py
+++ b/currantdyke/tunnels/stream.py
@@ -13,7 +13,7 @@
 import anyio.lowlevel
 import attrs
 
-from currantdyke.http1 import CONNECTION_ERRORS
+from currantdyke.http1 import CONNECTION_ERRORS, is_reset_unread
 
 __all__ = ["LENGTH_BYTES", "READ_BYTES", "TunnelStream", "forward"]
 
@@ -119,7 +119,11 @@
             data = await endpoint.receive(READ_BYTES)
             await asking.send(len(data).to_bytes(LENGTH_BYTES, "big") + data)
     except anyio.EndOfStream:
-        await _send_end(asking, scope)
+        if await is_reset_unread(endpoint):
+            # Its answer may be cut, since the request was not read.
+            scope.cancel()
+        else:
+            await _send_end(asking, scope)
     except CONNECTION_ERRORS:
         # Without the empty block, the asking daemon sees a broken connection.
         scope.cancel()
