Take a status above 599 for no answer

Cause: the parser accepts any three digits, and only successes were checked further. HTTP has the statuses 100 to 599 and asks a client to take others for a failure of the server (RFC 9110, section 15). That an endpoint's status is returned unchanged is said of answers; the 502 that takes its place has no signature.

Change: such a head is no answer. The request may have run: it goes to another endpoint if it may be repeated, else its caller gets 502. test_no_caller_gets_them failed before for 600, 700 and 999 on three kinds of routes ("(600, True) != (502, False)").

--- a/currantdyke/forward/attempt.py
+++ b/currantdyke/forward/attempt.py
@@ -34,6 +34,9 @@
 MAX_DIRECT_WRITE_BYTES = 8_192
 # Endpoints send at most a few interim responses.
 MAX_INTERIM_RESPONSES = 32
+# HTTP has no other statuses. A client takes an answer with another one for a failure of
+# the server (RFC 9110, section 15).
+MAX_STATUS = 599
 # Failures, and answers to calls of stages, have short bodies in few parts.
 MAX_SHORT_BODY_BYTES = 1_048_576
 MAX_SHORT_BODY_PARTS = 4_096
@@ -327,6 +330,8 @@
         raise MaybeRanError(f"no answer: {error}") from error
     if not isinstance(event, h11.Response):
         raise MaybeRanError("the endpoint closed the connection without an answer")
+    if event.status_code > MAX_STATUS:
+        raise MaybeRanError(f"the status {event.status_code} is none of HTTP")
     facts = decode_response_metadata(event)
     if facts.attempt_id not in (request.attempt_id, None):
         raise MaybeRanError("the answer is to another request")
--- a/currantdyke/gateway/tests/test_broken_answers.py
+++ b/currantdyke/gateway/tests/test_broken_answers.py
@@ -309,6 +309,47 @@
         self.assertLess(answer.seconds, ANSWER_SECONDS)
 
 
+class TestStatusesThatAreNone(unittest.TestCase):
+    # From other operators: an answer with the status 000 reached the caller. HTTP has
+    # statuses from 100 to 599; with others, what was received is no answer.
+    @run_on_sockets
+    async def test_no_caller_gets_them(self):
+        for status in (b"000", b"099", b"600", b"700", b"999"):
+
+            async def handle(request, reply, status=status):
+                lines = (b"content-length: 4", b"content-type: text/event-stream")
+                await reply.send_raw(signed_head(request, *lines, status=status))
+                await reply.send_raw(b"body")
+                return True
+
+            for send, document, start in (
+                (ask, plain_configuration(), start_plain),
+                (post, plain_configuration(type="non_idempotent"), start_plain),
+                (stream, stream_configuration(), start_engines),
+            ):
+                async with run_deployment(document) as deployment:
+                    await start(deployment, handle)
+                    await deployment.gateway()
+                    answer = await send(deployment)
+                with self.subTest(status=status, send=send.__name__):
+                    self.assertEqual((answer.status, answer.signed), (502, False))
+
+    # Guards against a sound endpoint that is not asked.
+    @run_on_sockets
+    async def test_another_endpoint_is_asked(self):
+        async def handle(request, reply):
+            lines = (b"content-length: 0",)
+            await reply.send_raw(signed_head(request, *lines, status=b"700 x"))
+            return True
+
+        arrival = FirstArrival(handle, None)
+        async with run_deployment(plain_configuration()) as deployment:
+            await start_plain(deployment, arrival, arrival)
+            await deployment.gateway()
+            answer = await ask(deployment)
+        self.assertEqual(answer.status, 200)
+
+
 class TestOddAnswers(unittest.TestCase):
     # Guards against a connection closed without an answer because of what an endpoint
     # sent.
