--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -16,12 +16,13 @@
 from currantdyke.endpointslots.client import EndpointSlots
 from currantdyke.endpointstates.pauses import PauseTable
 from currantdyke.forward.budget import FleetRetryBudget
-from currantdyke.platform.stagecalls import PieceCall, PieceFailure, PieceResult
+from currantdyke.platform.stagecalls import PieceCall
 from currantdyke.scheduler.batches import (
     ResultMemory,
     chains_with_whole_stage,
     next_batch,
 )
+from currantdyke.scheduler.callends import MAX_FAILED_CALLS, CallEnds
 from currantdyke.scheduler.chain import Chain, Piece, StageWork
 from currantdyke.scheduler.livecall import LiveCall
 from currantdyke.scheduler.messages import Refusal
@@ -40,15 +41,9 @@
 CALL_TIMEOUT_EXTRA_SECONDS = 0.5
 # Interval of the check for calls that exceed their time-out.
 LATE_CHECK_SECONDS = 0.1
-# A request is refused when this many calls with one of its pieces have failed.
-MAX_FAILED_CALLS = 4
-# A chain is restarted once if an endpoint has lost one of its results.
-MAX_RESTARTS = 1
 # Interval of the dispatch of work that waits for an avoided endpoint, or for one in its
 # preferred zone.
 RECHECK_INTERVAL_SECONDS = 0.08
-# An endpoint that rejected a call as busy is avoided for about a quarter of a call.
-BUSY_AVOID_SECONDS = 0.08
 # Work that waits for memory may be overtaken by work with results of the same size or
 # larger for this long, about one call. Without a limit it would starve.
 MAX_OVERTAKING_SECONDS = 0.3
@@ -104,14 +99,24 @@
     calls: int = 0
     pieces_called: int = 0
     results: HeldResults = attrs.field(init=False)
+    ends: CallEnds = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Dispatch waiting work when released results free memory."""
+        """Create the state of results and of the ends of calls."""
         self.results = HeldResults(
             free_results=self._free_results,
             may_release=self._may_release,
             on_released=self.dispatch,
         )
+        self.ends = CallEnds(
+            results=self.results,
+            live_calls=self.live_calls,
+            log=self.log,
+            queue=self.queue,
+            take_retry=self._take_retry,
+            fail=self._fail,
+            remove_chain=self.remove_chain,
+        )
 
     async def run(self) -> None:
         """Run calls until cancelled."""
@@ -405,25 +410,16 @@
         self.tasks.start_soon(self._run_call, limits, call)
 
     async def _run_call(self, limits: StageLimits, call: LiveCall) -> None:
-        worker, pieces, expected = call.worker, call.pieces, call.expected_seconds
+        worker, pieces = call.worker, call.pieces
         started = anyio.current_time()
         self.live_calls.append(call)
         outcome = CallOutcome(reason="silent")
         with call.scope:
             outcome = await self._run_in_slot(call, started)
         self.live_calls.remove(call)
-        now = anyio.current_time()
         worker.calls -= 1
         worker.reserved -= sum(piece.result_bytes for piece in pieces)
-        if outcome.results is not None:
-            if all(result.handle is not None for result in outcome.results):
-                worker.record_success(now - started, expected, now)
-            self._handle_results(call, outcome.results, limits, now, since=started)
-        elif outcome.evacuated:
-            for piece in call.awaited_pieces():
-                self._requeue(piece)
-        else:
-            self._handle_failed_call(call, outcome, now)
+        self.ends.apply(call, outcome, limits, since=started)
         for chain in {id(piece.chain): piece.chain for piece in pieces}.values():
             self._advance(chain)
         self.dispatch(worker.endpoint.service)
@@ -483,91 +479,6 @@
             remaining=chain.deadline_at - now,
         )
 
-    def _handle_results(
-        self,
-        call: LiveCall,
-        results: list[PieceResult],
-        limits: StageLimits,
-        now: float,
-        *,
-        since: float,
-    ) -> None:
-        """Take the results of a call, and queue the pieces without one again."""
-        awaited = call.awaited_pieces()
-        lost = []
-        for piece, result in zip(call.pieces, results, strict=True):
-            if result.handle is not None:
-                ends_at = now + limits.result_ttl
-                size = piece.result_bytes
-                self.results.add(result.handle, call.worker, size, ends_at, since=since)
-                self._take_result(piece, result.handle)
-                continue
-            if result.failure is PieceFailure.NO_ROOM:
-                self._record_no_room(piece, call.worker, limits, now)
-            if piece not in awaited or piece.chain.ended.is_set():
-                continue
-            match result.failure:
-                case PieceFailure.LATE:
-                    self._fail(piece.chain, "deadline", "a stage was too late")
-                case PieceFailure.INPUT_GONE:
-                    lost.append(piece.chain)
-                case PieceFailure.NO_ROOM:
-                    self._requeue(piece)
-                case _:
-                    self._retry(piece, "a stage failed")
-        for chain in dict.fromkeys(lost):
-            if not chain.ended.is_set():
-                self._restart(chain, call.worker)
-
-    def _take_result(self, piece: Piece, handle: str) -> None:
-        """Use a result, or release it if its request has no use for it."""
-        if piece.chain.ended.is_set() or piece.handle is not None:
-            self.results.release(handle)
-            return
-        piece.set_result(handle)
-        # A call of an earlier run of the chain may end after the piece was queued anew.
-        self.queue(piece.step.service).withdraw(piece)
-
-    def _record_no_room(
-        self, piece: Piece, worker: Worker, limits: StageLimits, now: float
-    ) -> None:
-        worker.record_no_room(limits, now)
-        self.log.write(
-            "stage_no_room",
-            failure=True,
-            request=piece.chain.request.attempt_id,
-            endpoint=worker.endpoint.instance,
-            service=worker.endpoint.service,
-            result_bytes=piece.result_bytes,
-            room_expected=worker.unaccounted_bytes,
-            results=len(worker.results),
-        )
-
-    def _handle_failed_call(
-        self, call: LiveCall, outcome: CallOutcome, now: float
-    ) -> None:
-        worker = call.worker
-        if outcome.not_run and not outcome.misdirected:
-            worker.avoid_until = now + BUSY_AVOID_SECONDS
-        else:
-            worker.record_failure(now)
-        awaited = call.awaited_pieces()
-        self.log.write(
-            "stage_call_failed",
-            failure=True,
-            service=worker.endpoint.service,
-            endpoint=worker.endpoint.instance,
-            requests=[piece.chain.request.attempt_id for piece in call.pieces[:8]],
-            pieces=len(call.pieces),
-            awaited=len(awaited),
-            reason=outcome.reason,
-        )
-        for piece in awaited:
-            if not piece.chain.ended.is_set():
-                # What was not sent has loaded no endpoint, so that it costs no retry.
-                prepaid = call.given_up or not outcome.sent
-                self._retry(piece, outcome.reason, prepaid=prepaid)
-
     def _give_up_late_calls(self) -> None:
         """Give up the late calls whose pieces may run elsewhere; the others go on."""
         now = anyio.current_time()
@@ -597,47 +508,6 @@
             now=anyio.current_time(), daemons=self.count_daemons()
         )
 
-    def _retry(self, piece: Piece, reason: str, *, prepaid: bool = False) -> None:
-        """Queue a piece again within the retry budget, or refuse its chain.
-
-        Parameters
-        ----------
-        prepaid : bool
-            Whether the retry was taken from the budget before, or costs none.
-        """
-        piece.failed_calls += 1
-        allowed = piece.failed_calls < MAX_FAILED_CALLS and (
-            prepaid or self._take_retry(piece.step.service)
-        )
-        if allowed:
-            self._requeue(piece)
-        else:
-            self._fail(piece.chain, "stage_failed", reason)
-
-    def _requeue(self, piece: Piece) -> None:
-        """Have a piece of the current run queued again by `start`."""
-        piece.chain.returned.append(piece)
-
-    def _restart(self, chain: Chain, worker: Worker) -> None:
-        """Run the stages of a chain anew, since an endpoint has found a result gone."""
-        self.log.write(
-            "stages_restarted",
-            failure=True,
-            request=chain.request.attempt_id,
-            run=chain.run,
-            service=worker.endpoint.service,
-            endpoint=worker.endpoint.instance,
-            calls=sum(
-                any(piece.chain is chain for piece in call.awaited_pieces())
-                for call in self.live_calls
-            ),
-        )
-        if chain.run >= MAX_RESTARTS:
-            self._fail(chain, "input_gone", "a result was gone twice")
-            return
-        self.remove_chain(chain)
-        chain.restart()
-
     def _advance(self, chain: Chain) -> None:
         """Release results that are no longer needed and start stages that can start."""
         if chain.ended.is_set():
