Fix what a stage call says of a piece when the piece is chosen

Cause: a call is sent by a task of its own. In the step in which its pieces are chosen, another call of the same chain may find a result gone, and the chain restarts before the task's first step, in which the entries were made.

Change: the entries are made when the pieces are chosen.

--- a/currantdyke/scheduler/livecall.py
+++ b/currantdyke/scheduler/livecall.py
@@ -4,6 +4,7 @@
 import attrs
 
 from currantdyke.endpointslots.client import Slot
+from currantdyke.platform.stagecalls import PieceCall
 from currantdyke.scheduler.chain import Piece
 from currantdyke.scheduler.workers import Worker
 
@@ -16,6 +17,10 @@
 
     Attributes
     ----------
+    entries : list of PieceCall or None
+        What the endpoint is told of the pieces, as of the moment in which they were
+        chosen: until the call is sent, the chain may begin another run. None if there
+        was an internal error.
     runs : list of int
         For each piece, the run of its chain for which it is called.
     expected_seconds : float
@@ -34,6 +39,7 @@
 
     worker: Worker
     pieces: list[Piece]
+    entries: list[PieceCall] | None
     runs: list[int] = attrs.field(
         default=attrs.Factory(
             lambda self: [piece.chain.run for piece in self.pieces], takes_self=True
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -23,7 +23,7 @@
     next_batch,
 )
 from currantdyke.scheduler.callends import MAX_FAILED_CALLS, CallEnds
-from currantdyke.scheduler.chain import Chain, Piece, StageWork
+from currantdyke.scheduler.chain import Chain, MissingResultError, Piece, StageWork
 from currantdyke.scheduler.livecall import LiveCall
 from currantdyke.scheduler.messages import Refusal
 from currantdyke.scheduler.queue import ServiceQueue
@@ -390,6 +390,7 @@
         call = LiveCall(
             worker=worker,
             pieces=pieces,
+            entries=self._entries(pieces, now),
             expected_seconds=expected,
             late_at=now + timeout,
             ends_at=max(now + timeout, deadline),
@@ -435,10 +436,11 @@
         return outcome
 
     async def _run_pieces(self, call: LiveCall, now: float) -> CallOutcome:
+        if call.entries is None:
+            return CallOutcome(sent=False, reason="internal error")
         try:
-            pieces = [self._piece_call(piece, now) for piece in call.pieces]
             timeout = call.ends_at - now
-            return await self.run_pieces(call.worker.endpoint, pieces, timeout)
+            return await self.run_pieces(call.worker.endpoint, call.entries, timeout)
         except Exception as error:
             # An internal error in one call must not end the stages of other requests.
             log_internal_error(self.log, error, where="stage call")
@@ -467,6 +469,15 @@
             log_internal_error(self.log, error, where="release of results")
             return False
 
+    def _entries(self, pieces: list[Piece], now: float) -> list[PieceCall] | None:
+        """Return the entries of a call, or None after an internal error."""
+        try:
+            return [self._piece_call(piece, now) for piece in pieces]
+        except MissingResultError as error:
+            # It must not end the calls of other requests.
+            log_internal_error(self.log, error, where="entries of a stage call")
+            return None
+
     def _piece_call(self, piece: Piece, now: float) -> PieceCall:
         chain = piece.chain
         is_first = not piece.step.after
--- a/currantdyke/scheduler/tests/builders.py
+++ b/currantdyke/scheduler/tests/builders.py
@@ -309,7 +309,8 @@
     """Calls to the stage endpoints of a fleet, and their inputs and results.
 
     Of the calls of the second stage, the first finds its inputs gone after
-    `GONE_SECONDS`, and the second ends as told; all others run.
+    `GONE_SECONDS`, and the second ends as told; all others run. If they end together,
+    the first ends in the same moment as the second, just after it.
 
     Attributes
     ----------
@@ -330,6 +331,8 @@
 
     ending: CallOutcome | PieceResult | None
     seconds: float
+    together: bool = False
+    second_ended: anyio.Event = attrs.field(factory=anyio.Event)
     made: dict[str, tuple[str, int, int]] = attrs.field(factory=dict)
     calls: list[tuple[float, PieceCall]] = attrs.field(factory=list)
     foreign_inputs: list[PieceCall] = attrs.field(factory=list)
@@ -348,11 +351,15 @@
             if pieces[0].stage == 1:
                 number = self.second_stage_calls = self.second_stage_calls + 1
             if number == 1:
-                await anyio.sleep(self.GONE_SECONDS)
+                if self.together:
+                    await self.second_ended.wait()
+                else:
+                    await anyio.sleep(self.GONE_SECONDS)
                 self.gone_at = anyio.current_time()
                 return _outcome_of_each(PieceFailure.INPUT_GONE, pieces)
             if number == 2 and self.ending is not None:
                 await anyio.sleep(self.seconds)
+                self.second_ended.set()
                 if isinstance(self.ending, CallOutcome):
                     return self.ending
                 return CallOutcome(results=[self.ending] * len(pieces))
--- a/currantdyke/scheduler/tests/test_restarted_chains.py
+++ b/currantdyke/scheduler/tests/test_restarted_chains.py
@@ -1,6 +1,7 @@
 """Chains whose stages run again, since an endpoint has lost a result."""
 
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -13,6 +14,10 @@
 
 # The second stage takes two calls, of 14 pieces and of 6.
 SPLIT_REQUEST = attrs.evolve(REQUEST, pieces=(2, 20, 16))
+# All four endpoints have a call of the second stage, and pieces wait.
+LONG_REQUEST = attrs.evolve(REQUEST, pieces=(2, 80, 16))
+# The seed determines which of two tasks that are ready goes first.
+RUNS = 20
 # How the second of two calls in progress ends after the first has found inputs gone.
 ENDINGS = {
     "failed": CallOutcome(reason="status 500"),
@@ -75,5 +80,24 @@
                 self.assertEqual(sorted(held), sorted(answer.handles))
 
 
+async def place_long_request(recorded):
+    """Place a request whose second stage takes more calls than there are endpoints."""
+    return await place([LONG_REQUEST], prepare=recorded.attach)
+
+
+class TestCallsThatStartAtARestart(unittest.TestCase):
+    # Guards against a call whose pieces were chosen just before their inputs were lost.
+    def test_pieces_are_called_with_the_inputs_that_they_were_chosen_with(self):
+        for seed in range(RUNS):
+            recorded = RecordedCalls(
+                ending=ENDINGS["evacuated"], seconds=0.1, together=True
+            )
+            with mock.patch("currantdyke.testing.virtual.SCHEDULE_SEED", seed):
+                fleet, answers = run_virtual(place_long_request, recorded)
+            self.assertEqual(recorded.foreign_inputs, [])
+            self.assertEqual(fleet.stages.log.internal_errors, 0)
+            self.assertIsInstance(answers["r"], Placement)
+
+
 if __name__ == "__main__":
     unittest.main()
