Await no piece that has the result of an earlier run

What could happen: the stages of a request run anew, a call of the first run brings a piece's result after all, and the piece's second call, in progress, fails. The piece took a retry and a failed call, and without a retry left its request was refused; inputs found gone by the second call had the stages run once more, or the request refused.

Change: such a piece is not awaited by the second call. test_piece_with_a_result_is_not_awaited failed before ("[[0, 1], [0, 1]] != [[1], [1]]").

--- a/currantdyke/scheduler/livecall.py
+++ b/currantdyke/scheduler/livecall.py
@@ -56,10 +56,13 @@
     def awaited_pieces(self) -> list[Piece]:
         """Return the pieces that would have to be called again if the call failed.
 
-        The others belong to a chain that has ended, or whose stages run anew.
+        The others belong to a chain that has ended, or whose stages run anew, or have
+        the result of a call of an earlier run.
         """
         return [
             piece
             for piece, run in zip(self.pieces, self.runs, strict=True)
-            if run == piece.chain.run and not piece.chain.ended.is_set()
+            if run == piece.chain.run
+            and piece.handle is None
+            and not piece.chain.ended.is_set()
         ]
--- a/currantdyke/scheduler/tests/test_restarted_chains.py
+++ b/currantdyke/scheduler/tests/test_restarted_chains.py
@@ -5,11 +5,15 @@
 
 import attrs
 
+from currantdyke.catalog import Endpoint
 from currantdyke.platform.stagecalls import PieceFailure, PieceResult
+from currantdyke.scheduler.chain import Chain
+from currantdyke.scheduler.livecall import LiveCall
 from currantdyke.scheduler.messages import Placement
 from currantdyke.scheduler.stagecall import CallOutcome
 from currantdyke.scheduler.tests.builders import RecordedCalls
 from currantdyke.scheduler.tests.test_stages import REQUEST, place
+from currantdyke.scheduler.workers import Worker
 from currantdyke.testing.virtual import run_virtual
 
 # The second stage takes two calls, of 14 pieces and of 6.
@@ -18,6 +22,9 @@
 LONG_REQUEST = attrs.evolve(REQUEST, pieces=(2, 80, 16))
 # The seed determines which of two tasks that are ready goes first.
 RUNS = 20
+STAGE_ENDPOINT = Endpoint(
+    instance="i-1", service="roll", address="10.0.0.1:8000", availability_zone="zone-a"
+)
 # How the second of two calls in progress ends after the first has found inputs gone.
 ENDINGS = {
     "failed": CallOutcome(reason="status 500"),
@@ -80,6 +87,46 @@
                 self.assertEqual(sorted(held), sorted(answer.handles))
 
 
+async def awaited_after(change):
+    """Return the indices of the awaited pieces of two calls, around a change.
+
+    Parameters
+    ----------
+    change : callable
+        Called with the chain of the pieces, between the starts of the calls.
+    """
+    chain = Chain.of(request=SPLIT_REQUEST, now=0.0)
+
+    def start_call():
+        return LiveCall(
+            worker=Worker(endpoint=STAGE_ENDPOINT),
+            pieces=chain.pieces[0],
+            entries=[],
+            expected_seconds=0.2,
+            late_at=1.0,
+            ends_at=1.0,
+        )
+
+    before = start_call()
+    change(chain)
+    calls = before, start_call()
+    return [[piece.index for piece in call.awaited_pieces()] for call in calls]
+
+
+class TestAwaitedPieces(unittest.TestCase):
+    # Guards against a request that is refused, or run anew, for a call whose piece has
+    # the result of an earlier run.
+    def test_piece_with_a_result_is_not_awaited(self):
+        def take_result(chain):
+            chain.pieces[0][0].set_result("10.0.0.1:8000/1")
+
+        self.assertEqual(run_virtual(awaited_after, take_result), [[1], [1]])
+
+    def test_pieces_of_an_earlier_run_are_not_awaited(self):
+        found = run_virtual(awaited_after, lambda chain: chain.restart())
+        self.assertEqual(found, [[], [0, 1]])
+
+
 async def place_long_request(recorded):
     """Place a request whose second stage takes more calls than there are endpoints."""
     return await place([LONG_REQUEST], prepare=recorded.attach)
