Take the time-out of a stage call where it is used

The time at which a call's task began was handed through two functions only to compute what is left until the end of the call, in the same step; it is computed there now. The test of early answers wrote out the limits of the tests' configuration again, and changes the two that differ.

--- a/currantdyke/gateway/tests/test_early_answers.py
+++ b/currantdyke/gateway/tests/test_early_answers.py
@@ -30,19 +30,15 @@
 EVENTS = b"content-type: text/event-stream\r\n"
 
 
-def deployment_document(**changes):
+def deployment_document():
     """Return a configuration that takes bodies of this size."""
-    limits = {
-        "max_header_bytes": 16_384,
-        "max_body_bytes": 4_194_304,
-        "header_timeout_ms": 3_000,
-        "idle_timeout_ms": 15_000,
-    }
     routes = [
-        plain_route(timeout_ms=5_000, **changes),
+        plain_route(timeout_ms=5_000),
         stream_route(timeout_ms=9_000, stream_resume=False),
     ]
-    return configuration(1, routes, limits=limits)
+    document = configuration(1, routes)
+    document["limits"] |= {"max_body_bytes": 4_194_304, "header_timeout_ms": 3_000}
+    return document
 
 
 class CallerError(Exception):
--- a/currantdyke/scheduler/stages.py
+++ b/currantdyke/scheduler/stages.py
@@ -416,7 +416,7 @@
         self.live_calls.append(call)
         outcome = CallOutcome(reason="silent")
         with call.scope:
-            outcome = await self._run_in_slot(call, started)
+            outcome = await self._run_in_slot(call)
         self.live_calls.remove(call)
         worker.calls -= 1
         worker.reserved -= sum(piece.result_bytes for piece in pieces)
@@ -425,21 +425,21 @@
             self._advance(chain)
         self.dispatch(worker.endpoint.service)
 
-    async def _run_in_slot(self, call: LiveCall, now: float) -> CallOutcome:
+    async def _run_in_slot(self, call: LiveCall) -> CallOutcome:
         """Call an endpoint, and free the slot of the call."""
         rejected = False
         try:
-            outcome = await self._run_pieces(call, now)
+            outcome = await self._run_pieces(call)
             rejected = outcome.not_run and not outcome.misdirected
         finally:
             self.endpoint_slots.release(call.slot, rejected=rejected)
         return outcome
 
-    async def _run_pieces(self, call: LiveCall, now: float) -> CallOutcome:
+    async def _run_pieces(self, call: LiveCall) -> CallOutcome:
         if call.entries is None:
             return CallOutcome(sent=False, reason="internal error")
         try:
-            timeout = call.ends_at - now
+            timeout = call.ends_at - anyio.current_time()
             return await self.run_pieces(call.worker.endpoint, call.entries, timeout)
         except Exception as error:
             # An internal error in one call must not end the stages of other requests.
