--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -135,8 +135,8 @@
             }
         )
 
-    async def start_gateways(self, count: int) -> bool:
-        """Start gateways; return whether all became ready."""
+    async def start_gateways(self, count: int, *, bounds: dict | None = None) -> bool:
+        """Start gateways, with further bounds; return whether all became ready."""
         ips = [free_ip() for _ in range(count)]
         ports = free_ports(ips[0], 4)
         for number, ip in enumerate(ips, 1):
@@ -176,7 +176,8 @@
                     "retry_budget_ratio": 0.2,
                     "retry_window_s": 10,
                     "retry_budget_slack": 104,
-                },
+                }
+                | (bounds or {}),
                 "platform": {
                     "address": self.store.address,
                     "form": "kv",
@@ -204,14 +205,14 @@
         service: str = "llm",
         version: str = "v1",
         options: list[str] | None = None,
-        first_beat_after: float = 0.0,
+        cold_ms: int = 0,
     ) -> None:
         """Run one lifetime of a runner and write its entry until the process ends.
 
         Parameters
         ----------
-        first_beat_after : float
-            Seconds from the start of the process to the first write of the entry.
+        cold_ms : int
+            For how long it is cold after its start.
         """
         born = int(time.time() * 1_000)
         process = subprocess.Popen(
@@ -220,7 +221,7 @@
                 str(ROOT / "review" / "runner_3.py"),
                 *("--address", address, "--instance", instance),
                 *("--version", version, "--born", str(born)),
-                *("--record", str(self.runner_record)),
+                *("--record", str(self.runner_record), "--cold-ms", str(cold_ms)),
                 *(options or []),
             ],
             cwd=ROOT,
@@ -233,7 +234,7 @@
                 await (await anyio.connect_tcp(host, int(port))).aclose()
                 break
             await anyio.sleep(0.02)
-        next_beat = time.monotonic() + first_beat_after
+        next_beat = listens_at = time.monotonic()
         sequence = 0
         while process.poll() is None:
             if time.monotonic() >= next_beat and not self.store_away:
@@ -246,7 +247,9 @@
                     "version": version,
                     "slots": 64,
                     "state": "ready",
-                    "cold_remaining_ms": 0,
+                    "cold_remaining_ms": max(
+                        0, cold_ms - int((time.monotonic() - listens_at) * 1_000)
+                    ),
                     "sequence": sequence,
                     "born": born,
                 }
@@ -266,6 +269,14 @@
             self.store.withdraw(instance)
             self.log("entry_removed", runner=instance)
 
+    async def take_store_away(self, seconds: float) -> None:
+        """Let the store answer 503 for some seconds; it loses nothing."""
+        self.log("store_away")
+        self.store_away, self.store.fault = True, "busy"
+        await anyio.sleep(seconds)
+        self.store_away, self.store.fault = False, ""
+        self.log("store_back")
+
     async def request(
         self,
         gateway: Gateway,
--- a/review/runner_3.py
+++ b/review/runner_3.py
@@ -2,8 +2,8 @@
 
 It speaks what the users' pages say of runners: slots and a queue, streams of events in
 chunks, the header X-Expect-Instance, /api/report with `born`, and the header
-Last-Event-Id. It can end at once, like a crashed process, when it begins to write an
-answer to a prompt with a given part that is not the last one.
+Last-Event-Id. It may be cold for some time after its start, and ends at once, like a
+crashed process, if it then gets far more requests a second than it tolerates.
 """
 
 import argparse
@@ -24,6 +24,22 @@
         self.slots = asyncio.Semaphore(options.slots)
         self.running = 0
         self.waiting = 0
+        self.started_at = time.monotonic()
+        self.arrivals: list[float] = []
+
+    @property
+    def cold_ms(self) -> int:
+        """For how long this lifetime is still cold."""
+        age_ms = (time.monotonic() - self.started_at) * 1_000
+        return max(0, int(self.options.cold_ms - age_ms))
+
+    def count_arrival(self) -> None:
+        """Count a request; end if there are too many a second for a cold runner."""
+        now = time.monotonic()
+        self.arrivals = [at for at in self.arrivals if at > now - 1.0] + [now]
+        if self.cold_ms and len(self.arrivals) > self.options.cold_crash:
+            self.record("crashed", running=self.running, waiting=self.waiting)
+            os._exit(1)
 
     def record(self, event: str, **fields: object) -> None:
         """Append a line to the record; the clock is the same in all processes."""
@@ -94,17 +110,18 @@
             }
             await self.reply(writer, 200, {}, json.dumps(document).encode())
             return
+        if target == "/healthz":
+            health = {"X-Instance-Id": options.instance, "X-Cold-Ms": str(self.cold_ms)}
+            await self.reply(writer, 200, health, b"")
+            return
         attempt = headers.get("x-attempt-id", "")
-        parts = [
-            entry.partition(":")[0] for entry in headers["x-prefix-hash"].split(",")
-        ]
-        bad = bool(options.crash_part) and options.crash_part in parts[:-1]
         expected = headers.get("x-expect-instance", options.instance)
         if expected != options.instance:
             await self.reply(writer, 421, {"X-Instance-Id": options.instance}, b"")
             return
         first = int(headers.get("last-event-id", "0")) + 1
-        self.record("arrived", id=attempt, bad=bad, first=first)
+        self.record("arrived", id=attempt, first=first, cold_ms=self.cold_ms)
+        self.count_arrival()
         if self.waiting >= options.queue and self.slots.locked():
             await self.reply(
                 writer, 503, {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}, b""
@@ -118,14 +135,6 @@
         self.running += 1
         try:
             await asyncio.sleep(options.start_ms / 1_000)
-            if bad:
-                self.record(
-                    "crashed",
-                    id=attempt,
-                    running=self.running,
-                    waiting=self.waiting,
-                )
-                os._exit(1)
             await self.stream(attempt, first, writer)
         finally:
             self.running -= 1
@@ -182,7 +191,8 @@
     parser.add_argument("--events", type=int, default=8)
     parser.add_argument("--event-ms", type=float, default=200)
     parser.add_argument("--start-ms", type=float, default=50)
-    parser.add_argument("--crash-part", default="")
+    parser.add_argument("--cold-ms", type=int, default=0)
+    parser.add_argument("--cold-crash", type=int, default=0)
     runner = Runner(parser.parse_args())
     host, _, port = runner.options.address.rpartition(":")
     server = await asyncio.start_server(
