--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -361,4 +362,6 @@
     world = World(
         folder / "record.txt", disrupted=disrupted, store=store or StoreEmulator()
     )
+    # The end of the time that run.sh allows ends the processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     return anyio.run(world.main, script)
