--- a/review/14/case.py
+++ b/review/14/case.py
@@ -11,6 +11,8 @@
 from currantdyke.emulator import PlainEmulator, StoreEmulator
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent))
 
 from deployment_3 import (  # noqa: E402
@@ -53,6 +55,14 @@
         await super()._handle(request, reply)
 
 
+class RecordingRunner(PlainEmulator):
+    """The project's emulated plain endpoint, which records what it runs."""
+
+    async def _serve(self, request, reply) -> None:
+        self.world.log("ran", runner=self.instance, id=request.attempt_id)
+        await super()._serve(request, reply)
+
+
 async def call(world: World, rng: random.Random) -> None:
     """Send requests that may run once, one after the other."""
     while True:
@@ -100,12 +110,13 @@
     service = {"name": "desk", "health_path": "/healthz", "max_connections": 192}
     world.configure(routes=[route], services=[service])
     runners = [
-        PlainEmulator(
+        RecordingRunner(
             instance=f"i-{number}", service="desk", slots=6, work_seconds=0.09
         )
         for number in (1, 2)
     ]
     for runner in runners:
+        runner.world = world
         runner.born = int(time.time() * 1_000)
         await world.tasks.start(runner.run)
     world.tasks.start_soon(keep_entries, world, runners)
@@ -154,4 +165,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(script, FOLDER, store=CuttingStore()))
+    sys.exit(run(script, RECORD, store=CuttingStore()))
--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -353,15 +353,13 @@
 
 def run(
     script: Callable[[World], Awaitable[int]],
-    folder: pathlib.Path,
+    record: pathlib.Path,
     *,
     store: StoreEmulator | None = None,
 ) -> int:
-    """Run a script; TROUBLE=0 leaves the disruption out."""
+    """Run a script and write its record; TROUBLE=0 leaves the disruption out."""
     disrupted = os.environ.get("TROUBLE", "1") != "0"
-    world = World(
-        folder / "record.txt", disrupted=disrupted, store=store or StoreEmulator()
-    )
+    world = World(record, disrupted=disrupted, store=store or StoreEmulator())
     # The end of the time that run.sh allows ends the processes as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     return anyio.run(world.main, script)
