Back up which version began a stream before a service has a second one

Cause: a daemon told others which version began its streams only once it knew of a second version. One that stands still or has ended by then tells nobody, and an unknown version may not be assumed.

Change: a daemon tells its streams at services with one version to its two backups, the daemons that follow it on the ring, 20 times a second at most. When a second version appears, all that know a stream notify the daemons that will be asked for it. Nothing is concluded that was not recorded, so no stream can get events of two versions by it. A daemon that stops hands over also if no service has several versions.

--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -235,6 +235,7 @@
             table=LimitTable(position=self.position_among_daemons),
         )
         self.versions = FleetStreamVersions(
+            own_ip=settings.ip,
             directory=self.directory,
             log=log,
             request=self.peers.request,
--- a/currantdyke/links/fleet_state.py
+++ b/currantdyke/links/fleet_state.py
@@ -102,6 +102,8 @@
             report.versions = list(content.versions)
             report.digests = [digest for digest, _ in content.streams]
             report.numbers = [number for _, number in content.streams]
+            if content.service:
+                report.service = content.service
         case VersionRequest():
             request = builder.init("versionRequest")
             request.digest = content.digest
@@ -137,4 +139,6 @@
     if max(numbers, default=-1) >= len(versions):
         raise ValueError("a stream has a version without a name")
     streams = zip(reader.digests, numbers, strict=True)
-    return StreamVersions(versions=versions, streams=tuple(streams))
+    return StreamVersions(
+        versions=versions, streams=tuple(streams), service=reader.service
+    )
--- a/currantdyke/links/link.capnp
+++ b/currantdyke/links/link.capnp
@@ -216,6 +216,8 @@
   digests @1 :List(UInt64);
   # Of the version of each digest.
   numbers @2 :List(UInt16);
+  # Empty unless the receiver is a backup of the sender.
+  service @3 :Text;
 }
 
 struct VersionRequest {
--- a/currantdyke/links/tests/test_earlier_build.py
+++ b/currantdyke/links/tests/test_earlier_build.py
@@ -93,6 +93,7 @@
             TokenGrant(wait=0.0),
             TokenGrant(wait=0.0, limited=False, age=1.5),
             StreamVersions(versions=("v1", ""), streams=((2**64 - 1, 0), (1, 1))),
+            StreamVersions(versions=("v1",), streams=((1, 0),), service="s"),
             VersionRequest(digest=7, service="s"),
             VersionAnswer(known=True, version="", several=True),
             VersionAnswer(known=True),
--- a/currantdyke/streamversions/client.py
+++ b/currantdyke/streamversions/client.py
@@ -28,6 +28,9 @@
 REPLICAS_ASKED = REPLICAS + 1
 # Callers come back within milliseconds.
 BATCH_SECONDS = 0.005
+# Of a service with one version, a stream is known without its record until a second
+# version appears; this bounds the messages of a daemon to 40 a second.
+BACKUP_BATCH_SECONDS = 0.05
 ASK_TIMEOUT_SECONDS = 0.3
 RING_CACHE_SECONDS = 0.25
 # Fits into a frame with room to spare.
@@ -38,12 +41,16 @@
 class FleetStreamVersions:
     """The versions that began streams, kept by a few daemons for each stream.
 
-    The daemon that relays the first event of a stream notifies two others, which are
-    determined by the attempt id, if the service has several versions. The daemon at
-    which the stream is resumed asks them.
+    The daemon that relays the first event of a stream notifies two others. If the
+    service has several versions, they are determined by the attempt id, and the daemon
+    at which the stream is resumed asks them. If it has one, they are the backups of the
+    daemon, the same for all its streams; once a second version appears, all that know
+    these streams notify the daemons that will be asked.
 
     Attributes
     ----------
+    own_ip : str
+        IP of this daemon, which determines its backups.
     request, send : callable
         Send a request or a notification to a daemon by its IP.
     others : callable
@@ -54,6 +61,7 @@
         Requests to other daemons, and streams that could not be resumed.
     """
 
+    own_ip: str
     directory: Directory
     log: DecisionLog
     request: Callable[[str, VersionRequest], Awaitable[Any]]
@@ -68,6 +76,7 @@
     recorded: set[str] = attrs.field(factory=set)
     tasks: anyio.abc.TaskGroup | None = None
     pending: list[tuple[int, str]] = attrs.field(factory=list)
+    pending_backups: dict[str, list[tuple[int, str]]] = attrs.field(factory=dict)
     ring: list[tuple[int, str]] = attrs.field(factory=list)
     ring_until: float = 0.0
     asked: int = 0
@@ -83,12 +92,12 @@
         return service in self.recorded or len(self.services.recent(service)) > 1
 
     def on_endpoint_change(self, instance: str, endpoint: Endpoint | None) -> None:
-        """Follow the directory; a new version of a service needs replicas."""
+        """Follow the directory; streams of two versions are asked for by their ids."""
         service = "" if endpoint is None else endpoint.service
         had_several = self.has_several(service)
         self.services.update(instance, endpoint)
         if not had_several and self.has_several(service):
-            self._publish(self.streams.recent(service))
+            self._publish(self.streams.by_service().get(service, []))
 
     def on_record(self, service: str, exists: bool) -> None:
         """Follow the store's record of the services with several versions."""
@@ -98,19 +107,24 @@
         had_several = self.has_several(service)
         self.recorded.add(service)
         if not had_several:
-            self._publish(self.streams.recent(service))
+            self._publish(self.streams.by_service().get(service, []))
 
     def record(self, attempt_id: str, service: str, version: str) -> None:
         """Record that an engine of a version began a stream, or goes on with it."""
         digest = digest_of(attempt_id)
         self.streams.record(digest, version, service)
-        if self.has_several(service):
-            self._publish([(digest, version)])
+        self._share(service, [(digest, version)])
 
     def handle(self, content: StreamVersions) -> None:
-        """Record the versions that another daemon reports."""
-        for digest, number in content.streams:
-            self.streams.record(digest, content.versions[number])
+        """Record the versions that another daemon reports.
+
+        The other one may not know a second version of the service yet.
+        """
+        streams = [(digest, content.versions[n]) for digest, n in content.streams]
+        for digest, version in streams:
+            self.streams.record(digest, version, content.service)
+        if content.service and self.has_several(content.service):
+            self._publish(streams)
 
     def answer(self, request: VersionRequest) -> VersionAnswer:
         """Return what this daemon knows of a stream."""
@@ -154,8 +168,8 @@
 
     def hand_over(self) -> None:
         """Replicate all that this daemon knows, since it stops."""
-        if self.services.services_with_several() or self.recorded:
-            self._publish(self.streams.recent())
+        for service, streams in self.streams.by_service().items():
+            self._share(service, streams)
 
     async def _ask(
         self, ips: list[str], digest: int, service: str
@@ -182,6 +196,35 @@
                     tasks.start_soon(ask, ip, tasks.cancel_scope)
         return answers
 
+    def _share(self, service: str, streams: list[tuple[int, str]]) -> None:
+        """Notify the daemons that are to know streams of a service.
+
+        Parameters
+        ----------
+        service : str
+            Empty for streams of which this daemon is a replica.
+        """
+        if not service or self.has_several(service):
+            self._publish(streams)
+        else:
+            self._back_up(service, streams)
+
+    def _back_up(self, service: str, streams: list[tuple[int, str]]) -> None:
+        """Notify the backups of streams soon, many at a time."""
+        if not streams or self.tasks is None:
+            return
+        if not self.pending_backups:
+            self.tasks.start_soon(self._send_backups)
+        self.pending_backups.setdefault(service, []).extend(streams)
+
+    async def _send_backups(self) -> None:
+        await anyio.sleep(BACKUP_BATCH_SECONDS)
+        pending, self.pending_backups = self.pending_backups, {}
+        backups = self._replicas(_position_of(self.own_ip), REPLICAS)
+        for service, streams in pending.items():
+            for ip in backups:
+                self._notify(ip, streams, service)
+
     def _publish(self, streams: list[tuple[int, str]]) -> None:
         """Notify the replicas of streams soon, many at a time."""
         if not streams or self.tasks is None:
@@ -198,28 +241,36 @@
             for ip in self._replicas(stream[0], REPLICAS):
                 batches.setdefault(ip, []).append(stream)
         for ip, streams in batches.items():
-            for start in range(0, len(streams), MAX_BATCH_STREAMS):
-                self.send(
-                    ip, _build_message(streams[start : start + MAX_BATCH_STREAMS])
-                )
+            self._notify(ip, streams)
+
+    def _notify(
+        self, ip: str, streams: list[tuple[int, str]], service: str = ""
+    ) -> None:
+        for start in range(0, len(streams), MAX_BATCH_STREAMS):
+            batch = streams[start : start + MAX_BATCH_STREAMS]
+            self.send(ip, _build_message(batch, service))
 
     def _replicas(self, digest: int, count: int) -> list[str]:
         """Return the daemons that follow a digest on a ring of hashed IPs."""
         now = anyio.current_time()
         if now >= self.ring_until:
-            self.ring = sorted(
-                (xxhash.xxh64_intdigest(ip.encode()), ip) for ip in self.others()
-            )
+            self.ring = sorted((_position_of(ip), ip) for ip in self.others())
             self.ring_until = now + RING_CACHE_SECONDS
         start = bisect.bisect(self.ring, (digest, ""))
         turned = self.ring[start:] + self.ring[:start]
         return [ip for _, ip in turned[:count]]
 
 
-def _build_message(streams: list[tuple[int, str]]) -> StreamVersions:
+def _position_of(ip: str) -> int:
+    """Return the position of a daemon on the ring."""
+    return xxhash.xxh64_intdigest(ip.encode())
+
+
+def _build_message(streams: list[tuple[int, str]], service: str) -> StreamVersions:
     versions = tuple(dict.fromkeys(version for _, version in streams))
     numbers = {version: number for number, version in enumerate(versions)}
     return StreamVersions(
+        service=service,
         versions=versions,
         streams=tuple((digest, numbers[version]) for digest, version in streams),
     )
--- a/currantdyke/streamversions/messages.py
+++ b/currantdyke/streamversions/messages.py
@@ -15,10 +15,14 @@
         The versions, each once.
     streams : tuple of (int, int)
         64-bit digest of each stream's attempt id, and the number of its version.
+    service : str
+        The service of the streams, if the receiver is a backup of the sender; empty if
+        it is the daemon that is asked for them.
     """
 
     versions: tuple[str, ...]
     streams: tuple[tuple[int, int], ...]
+    service: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/currantdyke/streamversions/table.py
+++ b/currantdyke/streamversions/table.py
@@ -29,7 +29,7 @@
     version : str or None
         None if engines of several versions began streams of the same attempt.
     service : str
-        Empty if another daemon began it.
+        Empty if this daemon neither began it nor is a backup of the one that did.
     until : float
         Monotonic time in seconds at which it is forgotten.
     """
@@ -77,22 +77,20 @@
             return None
         return known
 
-    def recent(self, service: str | None = None) -> list[tuple[int, str]]:
-        """Return digests and versions of streams that one version began.
+    def by_service(self) -> dict[str, list[tuple[int, str]]]:
+        """Return digests and versions of the streams that one version began.
 
-        Parameters
-        ----------
-        service : str or None
-            Only streams that this daemon began at a service; None for all.
+        Returns
+        -------
+        dict
+            By service; streams of which this daemon is only asked are under "".
         """
         now = self.now()
-        return [
-            (digest, stream.version)
-            for digest, stream in self.streams.items()
-            if stream.until >= now
-            and stream.version is not None
-            and service in (None, stream.service)
-        ]
+        found: dict[str, list[tuple[int, str]]] = {}
+        for digest, stream in self.streams.items():
+            if stream.until >= now and stream.version is not None:
+                found.setdefault(stream.service, []).append((digest, stream.version))
+        return found
 
 
 @attrs.define(kw_only=True, eq=False)
