Start a grace period only after an outage in which entries may have lapsed

An endpoint whose entry was removed gets work until it ends, seven seconds later; requests that it runs then are lost.

Cause: each read that failed, a cut watch too, counted as an outage of the store in which entries may have lapsed, and began a grace period of 2 s in which the whole table kept removed endpoints. Each further one extended it, also that of another daemon, so that with interruptions less than 2 s apart no removal took effect.

Evidence: three gateways logged `store_lost` 21 times in 17 s and `endpoint_lapsed` once; the removal itself was read within a second. A stand-in that closes every watch in an orderly way showed that this was read as a malformed answer.

Change: a grace period starts only if nobody, neither this daemon nor a peer that told it, has read the store for two heartbeats, the time that an entry needs to lapse in an outage; shorter ones keep no endpoint from writing in time. An entry that is removed in it has an end of its own, and a peer's grace period holds for the removals that it sends. A cut watch is no outage: the next read does not wait. A fleet of more than 24 does not fall back to its retry interval of 1.5 s for it, and no line is logged for each.

--- a/currantdyke/decisionlog/explain.py
+++ b/currantdyke/decisionlog/explain.py
@@ -18,6 +18,7 @@
         "stood_still",
         "store_lost",
         "store_regained",
+        "store_watch_cut",
         "store_history_gone",
         "configuration_in_force",
         "endpoint_announced",
--- a/currantdyke/directory/directory.py
+++ b/currantdyke/directory/directory.py
@@ -210,7 +210,6 @@
                 self.log.write("era_not_listed", era=changes.era, source=source)
                 return 0
             self._start_era(changes, source)
-        self.endpoints.extend_grace_period(changes.grace_period)
         new = self.replica.apply(self._configure(changes, source))
         if self._passed_over and (self.newest != newest or not had_passed_over):
             self.passed_over_at = self.clock()
@@ -223,7 +222,7 @@
             self.current_at, self.current_by = current_at, source
         for change in new:
             try:
-                self._apply(change, source)
+                self._apply(change, source, changes.grace_period)
             except Exception as error:
                 # The replica has this change, so that it does not come again; those
                 # after it must not be lost.
@@ -301,7 +300,14 @@
         )
         self.endpoints.start_grace_period()
 
-    def _apply(self, change: Change, source: str) -> None:
+    def _apply(self, change: Change, source: str, grace_period: float) -> None:
+        """Apply a change to what depends on its kind.
+
+        Parameters
+        ----------
+        grace_period : float
+            Seconds that are left of the grace period of the daemon that sent it.
+        """
         kind = record_kind(change.key)
         if kind is None or kind.configuration:
             return
@@ -312,7 +318,18 @@
                 self._apply_versions_record(kind.versions, exists=False)
             if kind.evacuated_zone is not None:
                 self.endpoints.restore(kind.evacuated_zone)
-            self._apply_removal(kind.endpoint, kind.daemon, source)
+            if kind.endpoint is not None:
+                self.log.write(
+                    "endpoint_entry_removed",
+                    endpoint=kind.endpoint,
+                    source=source,
+                    seconds_kept=round(
+                        max(grace_period, self.endpoints.grace_period_left()), 3
+                    ),
+                )
+                self.endpoints.remove(kind.endpoint, grace_period=grace_period)
+            elif kind.daemon is not None:
+                self._remove_daemon(kind.daemon)
             return
         decoded = decode_record(change.key, change.value)
         if decoded.is_error():
@@ -521,17 +538,15 @@
         for callback in self.on_versions_record:
             callback(service, exists)
 
-    def _apply_removal(
-        self, endpoint: str | None, daemon: str | None, source: str
-    ) -> None:
-        if endpoint is not None:
-            self.log.write("endpoint_entry_removed", endpoint=endpoint, source=source)
-            self.endpoints.remove(endpoint)
-        elif daemon is not None and daemon in self.daemons:
-            if self.daemons[daemon].leaving:
-                del self.daemons[daemon]
-            else:
-                self.departed[daemon] = self.endpoints.now()
+    def _remove_daemon(self, name: str) -> None:
+        """Remove a daemon at once if it has left, else some time after its entry."""
+        daemon = self.daemons.get(name)
+        if daemon is None:
+            return
+        if daemon.leaving:
+            del self.daemons[name]
+        else:
+            self.departed[name] = self.endpoints.now()
 
     def _log_unreadable(self, change: Change, reason: str, source: str) -> None:
         """Log an item that cannot be decoded; if it is an endpoint, remove it."""
--- a/currantdyke/directory/endpoints.py
+++ b/currantdyke/directory/endpoints.py
@@ -30,9 +30,10 @@
     ----------
     now : callable
         Returns the monotonic time in seconds.
-    lapsed : set of str
-        Instances whose entries were removed in the grace period after a store outage;
-        they stay in use until it ends.
+    lapsed : dict of str to float
+        Instances whose entries were removed when that may have been due to a store
+        outage, and the time until which each stays in use; a later grace period does
+        not extend it.
     marked_leaving : OrderedDict of str to int
         Start of the lifetime of each endpoint that says that it is leaving, whatever
         its entry says, by instance.
@@ -48,7 +49,7 @@
     now: Callable[[], float]
     known: dict[str, Endpoint] = attrs.field(factory=dict)
     by_service: dict[str, dict[str, Endpoint]] = attrs.field(factory=dict)
-    lapsed: set[str] = attrs.field(factory=set)
+    lapsed: dict[str, float] = attrs.field(factory=dict)
     marked_leaving: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -100,7 +101,7 @@
     def announce(self, endpoint: Endpoint) -> None:
         """Add or update an endpoint."""
         previous = self.known.get(endpoint.instance)
-        self.lapsed.discard(endpoint.instance)
+        self.lapsed.pop(endpoint.instance, None)
         # Before the watchers, which may send requests to the endpoint.
         for callback in self.on_entry:
             callback(endpoint)
@@ -123,34 +124,39 @@
         self._add(attrs.evolve(endpoint, leaving=True))
         return True
 
-    def remove(self, instance: str) -> None:
-        """Remove an endpoint; in the grace period, only mark it as lapsed."""
+    def remove(self, instance: str, *, grace_period: float = 0.0) -> None:
+        """Remove an endpoint; in a grace period, only mark it as lapsed.
+
+        Parameters
+        ----------
+        grace_period : float
+            Seconds that are left of the grace period of the daemon that told of the
+            removal.
+        """
         if instance not in self.known:
             return
-        if self.now() < self.grace_period_end:
-            self.lapsed.add(instance)
+        now = self.now()
+        kept_until = max(self.grace_period_end, now + grace_period)
+        if now < kept_until:
+            self.lapsed.setdefault(instance, kept_until)
             return
         self._delete(instance)
 
     def start_grace_period(self) -> None:
         """Start the grace period in which lapsed entries may reappear."""
-        self.extend_grace_period(GRACE_PERIOD_SECONDS)
-
-    def extend_grace_period(self, seconds: float) -> None:
-        """Let the grace period last for this time from now, or longer if it does."""
-        self.grace_period_end = max(self.grace_period_end, self.now() + seconds)
+        self.grace_period_end = self.now() + GRACE_PERIOD_SECONDS
 
     def grace_period_left(self) -> float:
-        """Return the seconds until the grace period ends, or 0."""
-        return max(0.0, self.grace_period_end - self.now())
+        """Return the seconds for which removals may be of lapsed entries, or 0."""
+        end = max([self.grace_period_end, *self.lapsed.values()])
+        return max(0.0, end - self.now())
 
     def drop_lapsed(self) -> list[str]:
         """Remove the endpoints that did not reappear in the grace period."""
-        if not self.lapsed or self.now() < self.grace_period_end:
-            return []
-        dropped = sorted(self.lapsed)
-        self.lapsed.clear()
+        now = self.now()
+        dropped = sorted(name for name, until in self.lapsed.items() if until <= now)
         for instance in dropped:
+            del self.lapsed[instance]
             self._delete(instance)
         return dropped
 
--- a/currantdyke/directory/follow.py
+++ b/currantdyke/directory/follow.py
@@ -17,9 +17,11 @@
 from currantdyke.directory.ranking import MAX_READERS
 from currantdyke.directory.replica import ChangeSet
 from currantdyke.platform.store import (
+    Change,
     HistoryGoneError,
     StoreClient,
     StoreUnavailableError,
+    WatchCutError,
 )
 
 __all__ = ["Follower"]
@@ -58,6 +60,11 @@
 MAX_PAUSE_SECONDS = 2.0
 # Interval of checks whether a value that a peer has offered has arrived.
 FETCH_CHECK_SECONDS = 0.05
+# An entry lapses three heartbeats after its last write, of which one may have passed
+# when the store became unavailable.
+LAPSE_HEARTBEATS = 2
+# Interval between log lines about watches that the store has cut.
+CUT_LOG_INTERVAL_SECONDS = 60.0
 # Retry interval for an unavailable store in a large fleet; peers pass on the changes
 # that other daemons receive.
 STORE_RETRY_SECONDS = 1.5
@@ -92,6 +99,13 @@
         the last read.
     relay_behind : bool
         Whether the relay that answered last was behind.
+    heartbeat : float
+        Interval at which endpoints write their entries, in seconds.
+    watch_cut : bool
+        Whether the store has cut the last watch; the next read does not wait, and shows
+        whether the store is available.
+    watches_cut : int
+        Number of watches that the store has cut.
     watching : bool
         Whether only changes are read; if not, the next read lists all items.
     reading : CancelScope or None
@@ -117,6 +131,7 @@
     store: StoreClient
     log: DecisionLog
     reads_per_second: float
+    heartbeat: float
     ask_peer: Callable[[Position], Awaitable[ChangeSet | None]]
     ask_relay: Callable[[Position], Awaitable[ChangeSet | None]]
     ask_peer_once: Callable[[Position], Awaitable[ChangeSet | None]] = attrs.field(
@@ -129,6 +144,9 @@
     random_source: random.Random = attrs.field(factory=random.Random)
     answered_at: float = -1.0
     lost_since: float | None = None
+    watch_cut: bool = False
+    watches_cut: int = 0
+    cut_logged_at: float = -CUT_LOG_INTERVAL_SECONDS
     watching: bool = False
     relay_behind: bool = False
     reading: anyio.CancelScope | None = None
@@ -187,6 +205,8 @@
                     self.list_at = started + self._list_delay()
                     self._record_answer()
                     continue
+            except WatchCutError as error:
+                self._record_cut(str(error))
             except StoreUnavailableError as error:
                 self._record_outage(str(error))
             elapsed = anyio.current_time() - started
@@ -240,18 +260,30 @@
     async def _read_store(self) -> ChangeSet:
         # Peers may have told of an era that this connection has not seen yet.
         self.store.era = max(self.store.era, self.directory.era)
-        is_snapshot = not self.watching
-        if is_snapshot:
-            changes, position = await self.store.list_all()
+        if not self.watching:
+            return _change_set(await self.store.list_all(), is_snapshot=True)
+        after = self.directory.replica.position
+        if self.watch_cut:
+            return await self._read_after_cut(after)
+        return _change_set(await self.store.watch(after, WATCH_TIMEOUT_SECONDS))
+
+    async def _read_after_cut(self, after: Position) -> ChangeSet:
+        """Read the changes after a position without a watch that waits.
+
+        If the store answers, but ends even a watch that has changes to return, all
+        items are listed.
+        """
+        position = await self.store.read_position()
+        if position == after:
+            answer = _change_set(([], position))
         else:
-            after = self.directory.replica.position
-            changes, position = await self.store.watch(after, WATCH_TIMEOUT_SECONDS)
-        return ChangeSet(
-            changes=tuple(changes),
-            revision=position.revision,
-            era=position.era,
-            is_snapshot=is_snapshot,
-        )
+            try:
+                answer = _change_set(await self.store.watch(after, 0.0))
+            except WatchCutError as error:
+                self._record_cut(str(error))
+                answer = _change_set(await self.store.list_all(), is_snapshot=True)
+        self.watch_cut = False
+        return answer
 
     def _list_delay(self) -> float:
         """Return the seconds for which relays are asked before all items are listed.
@@ -279,9 +311,39 @@
         if self.lost_since is None:
             return
         outage = max(0.0, self.answered_at - self.lost_since)
+        self._start_grace_period(age)
         self.lost_since = None
-        self.directory.endpoints.start_grace_period()
-        self.log.write("store_regained", seconds_away=round(outage, 3))
+        self.log.write(
+            "store_regained",
+            seconds_away=round(outage, 3),
+            grace_period=round(self.directory.endpoints.grace_period_left(), 3),
+        )
+
+    def _start_grace_period(self, age: float) -> None:
+        """Start the grace period if entries may have lapsed in a store outage.
+
+        They may if neither this daemon nor one that told it has read the store for as
+        long as it takes them to. Endpoints that could write meanwhile have done so.
+
+        Parameters
+        ----------
+        age : float
+            Of the state that is known after the outage, in seconds.
+        """
+        if self.lost_since is None:
+            return
+        seconds_unread = self.directory.age - age
+        if seconds_unread >= LAPSE_HEARTBEATS * self.heartbeat:
+            self.directory.endpoints.start_grace_period()
+
+    def _record_cut(self, reason: str) -> None:
+        """Record that the store has cut a waiting watch, which it may at any time."""
+        self.watch_cut = True
+        self.watches_cut += 1
+        now = anyio.current_time()
+        if now >= self.cut_logged_at + CUT_LOG_INTERVAL_SECONDS:
+            self.cut_logged_at = now
+            self.log.write("store_watch_cut", reason=reason, count=self.watches_cut)
 
     def _record_relay(self, age: float, *, behind: bool) -> None:
         """Log that a relay is behind, unless the one before was."""
@@ -349,6 +411,8 @@
             # would not show which configurations were written up to it.
             return True
         self._record_told(changes)
+        if changes.position >= self.directory.replica.position:
+            self._start_grace_period(changes.age)
         new = self.directory.apply(changes, source="peer")
         if new:
             self.log.write(
@@ -419,3 +483,16 @@
             self.peers_first_until = anyio.current_time() + PREFER_PEERS_SECONDS
             self.log.write("store_read_overtaken", seconds=seconds)
             self.reading.cancel()
+
+
+def _change_set(
+    answer: tuple[list[Change], Position], *, is_snapshot: bool = False
+) -> ChangeSet:
+    """Return what the store answered as changes to apply."""
+    changes, position = answer
+    return ChangeSet(
+        changes=tuple(changes),
+        revision=position.revision,
+        era=position.era,
+        is_snapshot=is_snapshot,
+    )
--- a/currantdyke/emulator/store.py
+++ b/currantdyke/emulator/store.py
@@ -15,6 +15,8 @@
 __all__ = ["StoreCopy", "StoreEmulator"]
 
 PAGE_ITEMS = 50
+# In place of a status, if the connection is to end without an answer.
+CUT = 0
 # Parts in which a slow store delivers an answer.
 PART_BYTES = 10_000
 
@@ -40,6 +42,8 @@
         Addresses of the clients that the fault affects; all clients if empty.
     bytes_per_second : float
         Pace at which each answer is delivered.
+    cut_watches_after : float
+        Seconds after which a watch that still waits for a change is cut.
     compacted_revision : int
         Changes up to this revision are no longer available to watches.
     era : int
@@ -63,6 +67,7 @@
     fault: str = ""
     affected_hosts: set[str] = attrs.field(factory=set)
     bytes_per_second: float = math.inf
+    cut_watches_after: float = math.inf
     calls: collections.Counter = attrs.field(factory=collections.Counter)
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -166,8 +171,8 @@
             )
         )
         status, document = await self._dispatch(request, query)
-        if era != self.era:
-            # The store was away meanwhile, so that its connections are gone.
+        if era != self.era or status == CUT:
+            # If the store was away meanwhile, its connections are gone.
             await reply.reset()
             return
         body = msgspec.json.encode(document)
@@ -237,9 +242,12 @@
 
     async def _watch(self, query: dict) -> tuple[int, dict]:
         after = int(query["after"])
-        with anyio.move_on_after(int(query["wait_ms"]) / 1_000):
+        wait = int(query["wait_ms"]) / 1_000
+        with anyio.move_on_after(min(wait, self.cut_watches_after)):
             while self.revision == after:
                 await self.changed.wait()
+        if self.revision == after and wait > self.cut_watches_after:
+            return CUT, {}
         if not self.compacted_revision <= after <= self.revision:
             return 410, {}
         events = [event for event in self.history if event["revision"] > after]
--- a/currantdyke/gateway/daemon.py
+++ b/currantdyke/gateway/daemon.py
@@ -187,6 +187,7 @@
             store=self.store,
             log=log,
             reads_per_second=settings.store.reads_per_second,
+            heartbeat=settings.heartbeat,
             ask_peer=self.peers.ask_changes,
             ask_peer_once=self.peers.ask_changes_once,
             ask_relay=self.peers.ask_relay,
@@ -571,6 +572,7 @@
         metrics.crash_events.set(self.crashes.table.total_events)
         metrics.crash_groups.set(len(self.crashes.table.groups))
         metrics.crash_refusals.set(self.crashes.table.total_refused)
+        metrics.watches_cut.set(self.follower.watches_cut)
         metrics.store_bytes.set(sum(client.received_bytes for client in stores))
         metrics.changes_seconds.set(self.peers.changes.seconds)
         metrics.internal_errors.set(self.log.internal_errors)
@@ -623,6 +625,7 @@
         self.peers.seed_ips = settings.seed_ips
         self.directory.configuration_delay = settings.configuration_delay
         self.follower.reads_per_second = settings.store.reads_per_second
+        self.follower.heartbeat = settings.heartbeat
         stores = (self.store, self.registration.store, self.crashes.recorder.store)
         for client in stores:
             client.use(settings.store.address)
--- a/currantdyke/gateway/metrics.py
+++ b/currantdyke/gateway/metrics.py
@@ -72,6 +72,9 @@
         self.store_age = self.gauge(
             "store_age_seconds", "Seconds since the store last answered"
         )
+        self.watches_cut = self.gauge(
+            "store_watches_cut", "Waiting watches that the store has cut"
+        )
         self.store_bytes = self.gauge(
             "store_bytes", "Bytes received in answers of the store"
         )
--- a/currantdyke/gateway/reload.py
+++ b/currantdyke/gateway/reload.py
@@ -15,6 +15,7 @@
 RELOADABLE_FIELDS = frozenset(
     (
         "grace",
+        "heartbeat",
         "retry_ratio",
         "retry_window",
         "retry_slack",
--- a/currantdyke/gateway/settings.py
+++ b/currantdyke/gateway/settings.py
@@ -29,6 +29,8 @@
     configuration_delay : float
         Time after which each daemon must follow a configuration that the store has
         acknowledged.
+    heartbeat : float
+        Interval at which endpoints write their entries.
     retry_ratio, retry_window, retry_slack : float
         Limits on the retries that all daemons together may send to a service: a share
         of its requests, the window in seconds, and a number per window in addition.
@@ -48,6 +50,7 @@
     seed_ips: tuple[str, ...]
     grace: float
     configuration_delay: float
+    heartbeat: float
     retry_ratio: float
     retry_window: float
     retry_slack: float
--- a/currantdyke/platform/settings.py
+++ b/currantdyke/platform/settings.py
@@ -60,6 +60,7 @@
         ),
         grace=float(bounds.get("grace_s", 8)),
         configuration_delay=float(bounds.get("config_apply_ms", 2_000)) / 1_000,
+        heartbeat=_seconds(document.get("heartbeat_ms"), 1_200),
         retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
         retry_window=float(bounds.get("retry_window_s", 10)),
         retry_slack=float(bounds.get("retry_budget_slack", 0)),
--- a/currantdyke/platform/store.py
+++ b/currantdyke/platform/store.py
@@ -32,6 +32,7 @@
     "LeaseEndedError",
     "StoreClient",
     "StoreUnavailableError",
+    "WatchCutError",
 ]
 
 # Limit on the time without progress: until the head of the answer has arrived, and
@@ -45,6 +46,10 @@
 # A page holds at most 1 MB, to which base64 adds a third.
 MAX_ANSWER_BYTES = 8_000_000
 ERA_HEADER = b"store-era"
+# No item has a key that begins with it.
+UNUSED_PREFIX = "unused/"
+# What an exchange lacks while its request is written and its answer has not begun.
+NO_ANSWER = "no answer"
 # Frames between daemons hold eras of this size.
 MAX_ERA = 2**32 - 1
 
@@ -53,6 +58,18 @@
     """The store did not answer or rejected the call, which may have taken effect."""
 
 
+class WatchCutError(StoreUnavailableError):
+    """The connection of a watch ended before anything of its answer had arrived.
+
+    The store may do that at any time while a watch waits; `StoreClient.read_position`
+    shows whether it is available.
+    """
+
+
+class _NotAnsweredError(StoreUnavailableError):
+    """The connection ended before anything of the answer had arrived."""
+
+
 class _AnswerTooLargeError(StoreUnavailableError):
     """The answer exceeds ``MAX_ANSWER_BYTES``."""
 
@@ -277,6 +294,8 @@
         HistoryGoneError
             If the store no longer has them, has returned from a copy since the era of
             the position, or they exceed ``MAX_ANSWER_BYTES``.
+        WatchCutError
+            If its connection ended without an answer.
         StoreUnavailableError
             If the store did not answer.
         """
@@ -286,6 +305,8 @@
         )
         try:
             answer = await self._call("GET", target, extra_timeout=wait)
+        except _NotAnsweredError as error:
+            raise WatchCutError(str(error)) from error
         except _AnswerTooLargeError as error:
             # The same changes are in the answer to the next watch; a list has only the
             # last value of each item.
@@ -295,6 +316,17 @@
         changes = [_decode_change(event, self.era) for event in answer["events"]]
         return changes, Position(self.era, answer["at"])
 
+    async def read_position(self) -> Position:
+        """Return the position of the last change, by a call that does not wait.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the store did not answer.
+        """
+        page = await self._call("GET", f"/api/kv-range?prefix={quote(UNUSED_PREFIX)}")
+        return Position(self.era, page["at"])
+
     async def grant_lease(self, ttl: float) -> tuple[Lease, float]:
         """Create a lease; return it and the seconds until it ends if not renewed."""
         body = {"ttl_ms": int(ttl * 1_000)}
@@ -438,8 +470,13 @@
             if scope.cancelled_caught:
                 raise TimeoutError
             complete = True
-        except (TimeoutError, OSError, ConnectionLostError) as error:
+        except TimeoutError as error:
             raise StoreUnavailableError(transfer.describe_failure(error)) from error
+        except (OSError, ConnectionLostError) as error:
+            reason = transfer.describe_failure(error)
+            if transfer.awaiting == NO_ANSWER:
+                raise _NotAnsweredError(reason) from error
+            raise StoreUnavailableError(reason) from error
         except MessageTooLargeError as error:
             raise _AnswerTooLargeError(str(error)) from error
         except h11.ProtocolError as error:
@@ -456,7 +493,7 @@
         self, transfer: _Transfer, method: str, target: str, body: dict | None
     ) -> tuple[int, bytes]:
         connection = await self._get_connection()
-        transfer.awaiting = "no answer"
+        transfer.awaiting = NO_ANSWER
         data = b"" if body is None else msgspec.json.encode(body)
         headers = [
             (b"host", f"{self.host}:{self.port}".encode()),
@@ -469,7 +506,13 @@
             h11.Data(data=data),
             h11.EndOfMessage(),
         )
-        response = await connection.next_event()
+        try:
+            response = await connection.next_event()
+        except h11.RemoteProtocolError as error:
+            if connection.state.trailing_data == (b"", True):
+                # An orderly close before the first byte of an answer.
+                raise ConnectionLostError("the store closed the connection") from error
+            raise
         if not isinstance(response, h11.Response):
             raise ConnectionLostError("the store closed the connection")
         self._record_era(response)
--- a/currantdyke/platform/tests/test_adapter.py
+++ b/currantdyke/platform/tests/test_adapter.py
@@ -255,6 +255,9 @@
         self.assertEqual(settings.caller_address, "10.1.0.41:1")
         self.assertEqual((settings.retry_window, settings.grace), (10.0, 8.0))
         self.assertEqual(settings.seed_ips, ("10.2.0.25",))
+        self.assertEqual(settings.heartbeat, 1.2)
+        settings = self.read_text(f"{SETTINGS}\nheartbeat_ms: 900\n").ok
+        self.assertEqual(settings.heartbeat, 0.9)
 
     def test_settings_error_names_the_location_and_the_remedy(self):
         for text, part in (
--- a/currantdyke/platform/tests/test_store.py
+++ b/currantdyke/platform/tests/test_store.py
@@ -14,6 +14,7 @@
     LeaseEndedError,
     StoreClient,
     StoreUnavailableError,
+    WatchCutError,
 )
 from currantdyke.platform.tests.builders import (
     ScriptedStream,
@@ -92,6 +93,38 @@
         self.assertEqual(run_virtual(call), "no connection after 0.00 s: refused")
 
 
+class TestCutWatch(unittest.TestCase):
+    # Guards against a watch that is cut and passes for an outage (review case 14).
+    @run_on_sockets
+    async def test_cut_of_a_watch_is_told_from_an_outage(self):
+        store = StoreEmulator(cut_watches_after=0.05)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(store.run)
+            client = StoreClient(address=store.address)
+            position = await client.read_position()
+            with self.assertRaises(WatchCutError):
+                await client.watch(position, WATCH_WAIT_SECONDS)
+            self.assertEqual(await client.watch(position, 0.0), ([], position))
+            store.put("a", {})
+            later = await client.read_position()
+            self.assertEqual(later.revision, position.revision + 1)
+            store.fault = "busy"
+            with self.assertRaises(StoreUnavailableError) as caught:
+                await client.watch(later, WATCH_WAIT_SECONDS)
+            self.assertNotIsInstance(caught.exception, WatchCutError)
+            await client.close()
+            tasks.cancel_scope.cancel()
+
+    # Guards against an orderly close that passes for a malformed answer.
+    def test_orderly_close_cuts_a_watch_and_part_of_an_answer_does_not(self):
+        for part, is_cut in ((b"", True), (b"HTTP", False), (b"\0\r\n\r\n", False)):
+            with self.subTest(part=part):
+                parts = [(0.1, part), (0.1, b"")]
+                _, error, _ = run_virtual(run_call, parts, watch)
+                self.assertIsInstance(error, StoreUnavailableError)
+                self.assertEqual(isinstance(error, WatchCutError), is_cut)
+
+
 class TestSlowAnswer(unittest.TestCase):
     # Guards against a large configuration that never arrives over a slow link.
     def test_large_answer_that_keeps_arriving_is_read_to_its_end(self):
--- a/currantdyke/testing/change_fleet.py
+++ b/currantdyke/testing/change_fleet.py
@@ -288,6 +288,7 @@
                 store=store,
                 log=log,
                 reads_per_second=2_000.0,
+                heartbeat=1.2,
                 ask_peer=daemon_peers.ask_changes,
                 ask_peer_once=daemon_peers.ask_changes_once,
                 ask_relay=daemon_peers.ask_relay,
--- a/currantdyke/testing/gateways.py
+++ b/currantdyke/testing/gateways.py
@@ -147,6 +147,7 @@
         seed_ips=seeds,
         grace=8.0,
         configuration_delay=2.0,
+        heartbeat=1.2,
         retry_ratio=0.2,
         retry_window=10.0,
         retry_slack=100.0,
