Soak a second version beside a lost gateway, and removals beside a disturbed store

The pattern `versions` has two versions from its first second on, and what a disruption of the store does to an endpoint that leaves was never judged, as bounds start anew after it; cut watches did not occur.

Change: `second-version` begins with one version; callers hold their streams at one gateway, which is frozen, killed, or both, about when a second version starts. Rule LOST judges the streams that it had. `removals` removes the entries of endpoints that serve on, while watches are cut, or the store is away for moments or until all entries lapse. Rule DRAIN judges by the store's acknowledgement while it is stable, and by each gateway's own reading of a removal whatever the store does.

--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -13,6 +13,8 @@
     "FAULTS",
     "GATEWAY_FAULTS",
     "inject_faults",
+    "kill_gateway",
+    "pause_gateway",
     "replace_endpoint",
     "stop_gateway",
 ]
@@ -47,7 +49,11 @@
 
 
 async def _kill_gateway(world, rng: random.Random) -> None:
-    gateway: SupervisedGateway = rng.choice(world.gateways)
+    await kill_gateway(world, rng.choice(world.gateways))
+
+
+async def kill_gateway(world, gateway: SupervisedGateway) -> None:
+    """Kill a gateway, and wait until its next process is ready."""
     async with gateway.signal_lock:
         world.checker.record_disruption(gateway)
         gateway.send_signal(signal.SIGKILL)
@@ -56,11 +62,15 @@
 
 
 async def _pause_gateway(world, rng: random.Random) -> None:
-    gateway: SupervisedGateway = rng.choice(world.gateways)
+    await pause_gateway(world, rng.choice(world.gateways), _draw_duration(rng))
+
+
+async def pause_gateway(world, gateway: SupervisedGateway, seconds: float) -> None:
+    """Let a gateway stand still for a time."""
     async with gateway.signal_lock:
         world.checker.record_disruption(gateway)
         gateway.send_signal(signal.SIGSTOP)
-        await anyio.sleep(_draw_duration(rng))
+        await anyio.sleep(seconds)
         gateway.send_signal(signal.SIGCONT)
         world.checker.record_disruption(gateway)
 
--- a/currantdyke/soak/patterns.py
+++ b/currantdyke/soak/patterns.py
@@ -47,6 +47,20 @@
     crash_violations,
     start_engines,
 )
+from currantdyke.soak.removals import (
+    disturb_store,
+    keep_entries,
+    removal_violations,
+    remove_endpoints,
+    start_removable,
+)
+from currantdyke.soak.second_version import (
+    FAULTS_OF_OTHERS,
+    hold_streams,
+    lose_first_gateway,
+    lost_stream_violations,
+    start_first_version,
+)
 from currantdyke.soak.states import change_states, state_violations
 from currantdyke.soak.versions import (
     change_versions,
@@ -65,11 +79,14 @@
 # Callers abandon a stream after two seconds without an event.
 MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS = 0.5, 1.8
 UNDELIMITED_SHARE = 0.3
-# Callers that resume streams elsewhere.
+# Callers that resume streams elsewhere, and those that hold them at one gateway.
 STREAM_CALLERS = 10
+HOLDING_CALLERS = 48
 # Half of 10 Mbit/s, and what may be left of it.
 SLOW_BYTES_PER_SECOND = 625_000.0
 BUSY_BYTES_PER_SECOND = 60_000.0
+# Longer than a stream that is held, with the gap after which it is resumed.
+STREAM_DEADLINE_SECONDS = 10.0
 # Longer than any time-out of the routes.
 SILENT_DEADLINE_SECONDS = 10.0
 
@@ -284,6 +301,28 @@
         route_stages=False,
         find_violations=version_violations,
     ),
+    "second-version": Pattern(
+        endpoints=ENDPOINTS[:1],
+        start_endpoints=start_first_version,
+        faults=FAULTS_OF_OTHERS,
+        choose_request=choose_plain,
+        activities=(lose_first_gateway, *[hold_streams] * HOLDING_CALLERS),
+        think_seconds=0.5,
+        fault_series=1,
+        route_stages=False,
+        find_violations=lost_stream_violations,
+        deadline_seconds=STREAM_DEADLINE_SECONDS,
+        timeout_seconds=STREAM_DEADLINE_SECONDS,
+    ),
+    "removals": Pattern(
+        start_endpoints=start_removable,
+        faults={name: FAULTS[name] for name in ("pause a gateway", "stop a gateway")},
+        choose_request=choose_plain,
+        activities=(disturb_store, keep_entries, remove_endpoints),
+        fault_series=1,
+        route_stages=False,
+        find_violations=removal_violations,
+    ),
     "crashing-part": Pattern(
         start_endpoints=start_engines,
         faults=GATEWAY_FAULTS,
--- a/currantdyke/soak/planted.py
+++ b/currantdyke/soak/planted.py
@@ -29,6 +29,7 @@
     ResponseMetadata,
 )
 from currantdyke.platform.store import StoreClient
+from currantdyke.streamversions.client import FleetStreamVersions
 from currantdyke.tunnels.client import TunnelClient
 
 __all__ = ["PLANTED"]
@@ -240,6 +241,37 @@
     )
 
 
+def _keep_streams_to_itself() -> None:
+    FleetStreamVersions._back_up = (  # type: ignore[method-assign]
+        lambda self, service, streams: None
+    )
+
+
+def _renew_grace_periods() -> None:
+    """Take each failed read for an outage, and extend what it lets go on."""
+
+    def drop_together(self: EndpointTable) -> list[str]:
+        if self.now() < self.grace_period_end:
+            return []
+        dropped = sorted(self.lapsed)
+        self.lapsed.clear()
+        for instance in dropped:
+            self._delete(instance)
+        return dropped
+
+    Follower._record_cut = Follower._record_outage  # type: ignore[method-assign]
+    Follower._start_grace_period = (  # type: ignore[method-assign]
+        lambda self, age: self.directory.endpoints.start_grace_period()
+    )
+    EndpointTable.drop_lapsed = drop_together  # type: ignore[method-assign]
+
+
+def _start_no_grace_period() -> None:
+    Follower._start_grace_period = (  # type: ignore[method-assign]
+        lambda self, age: None
+    )
+
+
 # Fault injectors by the guarantee that each violates.
 PLANTED: dict[str, Callable[[], None]] = {
     "once": _repeat_attempts,
@@ -262,5 +294,8 @@
     "eras": _ignore_eras,
     "validity": _accept_invalid_configurations,
     "documents": _reject_odd_documents,
+    "backups": _keep_streams_to_itself,
+    "removals": _renew_grace_periods,
+    "lapsed": _start_no_grace_period,
     "newest-known": _tell_changes_only,
 }
--- a/currantdyke/soak/versions.py
+++ b/currantdyke/soak/versions.py
@@ -16,8 +16,11 @@
     "StreamRecord",
     "change_versions",
     "read_stream",
-    "start_versions",
     "resume_streams",
+    "served_versions",
+    "start_engine",
+    "start_versions",
+    "stream_headers",
     "version_violations",
     "versions_of",
 ]
@@ -25,6 +28,7 @@
 VERSIONS = ("v1", "v1.2")
 ENGINES_PER_VERSION = 2
 EVENTS = 5
+EVENT_SECONDS = 0.05
 MARK_PATTERN = re.compile(rb"data: \d+ (\S+)\n")
 ID_PATTERN = re.compile(rb"id: (\d+)\n")
 # Bounds of the users: this many streams may hold events of two versions; of so many
@@ -94,10 +98,13 @@
     CallerAnswer or None
         None if the connection was lost before an answer.
     """
-    headers = caller_headers(attempt_id, key=FIRST_KEY, streams=True)
-    headers["x-prefix-hash"] = f"{prompt}:{prompt_tokens},cd:40"
-    if last_id:
-        headers |= {"last-event-id": str(last_id), "resumes": resumes}
+    headers = stream_headers(
+        attempt_id,
+        last_id=last_id,
+        resumes=resumes,
+        prompt=prompt,
+        prompt_tokens=prompt_tokens,
+    )
     caller = Caller(address=address)
     try:
         await caller.send("POST", "/stream/", headers=headers)
@@ -109,14 +116,28 @@
         await caller.close()
 
 
+def stream_headers(
+    attempt_id: str, *, last_id: int, resumes: str, prompt: str, prompt_tokens: int
+) -> dict[str, str]:
+    """Return the headers of a request for a stream; see `read_stream`."""
+    headers = caller_headers(attempt_id, key=FIRST_KEY, streams=True)
+    headers["x-prefix-hash"] = f"{prompt}:{prompt_tokens},cd:40"
+    if last_id:
+        headers |= {"last-event-id": str(last_id), "resumes": resumes}
+    return headers
+
+
 async def start_versions(world) -> None:
     """Start the engines of the first versions."""
     for version in VERSIONS:
         for _ in range(ENGINES_PER_VERSION):
-            await _start_engine(world, version)
+            await start_engine(world, version)
 
 
-async def _start_engine(world, version: str) -> None:
+async def start_engine(
+    world, version: str, *, event_seconds: float = EVENT_SECONDS, slots: int = 8
+) -> None:
+    """Start an engine of a version, and announce it."""
     number = next(world.instance_numbers)
     engine = EngineEmulator(
         instance=f"engine-{number}",
@@ -124,7 +145,8 @@
         version=version,
         marks_events=True,
         events=EVENTS,
-        event_seconds=0.05,
+        event_seconds=event_seconds,
+        slots=slots,
     )
     world.observe(engine)
     world.endpoints[engine.instance] = engine
@@ -142,7 +164,7 @@
         if rng.random() < 0.3:
             number += 1
             version = f"v{number}"
-        await _start_engine(world, version)
+        await start_engine(world, version)
         world.checker.record_event(f"an engine of {version} starts")
         leaving = rng.choice(sorted(world.endpoints))
         world.tasks.start_soon(_remove_engine, world, leaving, rng.random() < 0.4)
@@ -180,7 +202,7 @@
         gateway: SupervisedGateway = rng.choice(world.gateways)
         before, last_id = record.body, record.last_id
         in_touch = world.is_in_touch(gateway)
-        served = _served_versions(world)
+        served = served_versions(world)
         answer = await read_stream(
             gateway.address,
             attempt_id,
@@ -195,14 +217,14 @@
             if record.last_id and not first_attempt:
                 first_attempt = attempt_id
         bound = versions_of(before)
-        counts = in_touch and bound <= served & _served_versions(world)
+        counts = in_touch and bound <= served & served_versions(world)
         record.tries.append((bool(last_id), counts, record.body != before))
         if record.last_id == EVENTS:
             world.checker.counts["streams completed"] += 1
             return
 
 
-def _served_versions(world) -> set[str]:
+def served_versions(world) -> set[str]:
     """Return the versions of which two engines serve."""
     versions = [engine.version for engine in world.endpoints.values()]
     return {version for version in versions if versions.count(version) >= 2}
--- a/currantdyke/soak/world.py
+++ b/currantdyke/soak/world.py
@@ -64,6 +64,8 @@
         The limits that endpoints named.
     streams : list of StreamRecord
         Streams whose callers resume them elsewhere.
+    lost_streams : list of StreamRecord
+        Those that were in progress at a gateway that was lost on purpose.
     cold_times : list of ColdTime
         When endpoints were cold.
     pauses : list of StatedPause
@@ -74,6 +76,10 @@
         When gateways were cut off from the endpoints.
     evacuations : list of Evacuation
         When availability zones were evacuated.
+    removals : dict of str to float
+        When the entry of each endpoint that left without a word was removed.
+    outages : list of (float, float)
+        When the store was away, in runs that judge by it.
     isolated : set of str
         Names of the gateways that do not reach the store, or are paused.
     replacement_lock : Lock
@@ -90,11 +96,14 @@
     arrivals: list = attrs.field(factory=list)
     limits: list = attrs.field(factory=list)
     streams: list = attrs.field(factory=list)
+    lost_streams: list = attrs.field(factory=list)
     cold_times: list = attrs.field(factory=list)
     pauses: list = attrs.field(factory=list)
     fragile_periods: list = attrs.field(factory=list)
     cuts: list = attrs.field(factory=list)
     evacuations: list = attrs.field(factory=list)
+    removals: dict[str, float] = attrs.field(factory=dict)
+    outages: list = attrs.field(factory=list)
     isolated: set[str] = attrs.field(factory=set)
     crashes: CrashObservations = attrs.field(factory=CrashObservations)
     attempts: list = attrs.field(factory=list)
