Let a removal that is read after a long outage count from the end of the grace period

It can't tell it from the entries that lapsed in the outage, and the users' page says of these that one "that is still missing after that time", two seconds from the return, "is to be treated as gone". So the case is allowed, and such a removal counts from then; all other bounds stay.

--- a/currantdyke/soak/removals.py
+++ b/currantdyke/soak/removals.py
@@ -5,7 +5,6 @@
 endpoints lapse.
 """
 
-import itertools
 import json
 import math
 import random
@@ -27,12 +26,10 @@
 SERVICE = "plain"
 ENDPOINTS = 4
 HEARTBEAT_SECONDS = 1.2
-# Often enough that all entries are back in time after an outage.
-WRITE_SECONDS = 0.4
 LAPSE_SECONDS = 3 * HEARTBEAT_SECONDS
-REMOVAL_INTERVAL_SECONDS = (0.3, 1.5)
-CUT_AFTER_SECONDS = (0.05, 0.4)
-CUT_PERIOD_SECONDS = (2.0, 4.0)
+REMOVAL_INTERVAL_SECONDS = (0.3, 1.0)
+CUT_AFTER_SECONDS = (0.02, 0.2)
+CUT_PERIOD_SECONDS = (4.0, 7.0)
 MOMENT_SECONDS = (0.1, 0.4)
 MOMENT_INTERVAL_SECONDS = (0.5, 1.2)
 MAX_MOMENTS = 4
@@ -63,15 +60,17 @@
 
 
 async def keep_entries(world, rng: random.Random) -> None:
-    """Write the entries regularly, unless the store is away or has just returned."""
-    for sequence in itertools.count(1):
-        if world.finished:
-            return
+    """Write the entries at heartbeats, unless the store is away or just returned."""
+    while not world.finished:
         if not (world.store.fault or _is_returning(world)):
-            for instance, endpoint in list(world.endpoints.items()):
-                entry = endpoint.entry() | {"sequence": sequence}
-                world.store.announce(instance, entry)
-        await anyio.sleep(WRITE_SECONDS)
+            _write_entries(world)
+        await anyio.sleep(HEARTBEAT_SECONDS)
+
+
+def _write_entries(world) -> None:
+    for instance, endpoint in world.endpoints.items():
+        entry = endpoint.entry() | {"sequence": world.store.revision}
+        world.store.announce(instance, entry)
 
 
 async def remove_endpoints(world, rng: random.Random) -> None:
@@ -129,6 +128,8 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(lapse)
         await _be_away(world, rng, seconds)
+    await anyio.sleep(BACK_AFTER_SECONDS)
+    _write_entries(world)
     await anyio.sleep(RETURN_SECONDS)
 
 
@@ -152,7 +153,9 @@
     """Return the requests that came too late after a removal was acknowledged.
 
     A gateway that has read a removal is bound by it whatever the store does; one in
-    touch is bound by the store's acknowledgement, if the store was stable.
+    touch is bound by the store's acknowledgement, if the store was stable. An entry
+    whose removal is read after a long outage may have lapsed in it, and is gone if it
+    is still missing two seconds after the store's return.
     """
     read_at = _removals_read(world)
     late = []
@@ -161,7 +164,7 @@
         removed_at = world.removals.get(instance)
         if removed_at is None or _is_near_long_outage(world, removed_at):
             continue
-        bounds = [read_at.get((instance, host), math.inf)]
+        bounds = [_gone_at(world, read_at.get((instance, host), math.inf))]
         if fields["host_in_touch"] and _is_stable(world, removed_at):
             bounds.append(removed_at)
         if at > min(bounds) + MAX_LEAVING_DELAY_SECONDS:
@@ -187,6 +190,16 @@
     return read_at
 
 
+def _gone_at(world, read_at: float) -> float:
+    """Return when an endpoint is gone for a gateway that has read its removal."""
+    ends = [
+        ended + RETURN_SECONDS
+        for started, ended in _long_outages(world)
+        if started < read_at < ended + RETURN_SECONDS
+    ]
+    return max(ends, default=read_at)
+
+
 def _is_near_long_outage(world, at: float) -> bool:
     """Return whether an entry may have lapsed, as far as gateways can know."""
     return any(
