Let both soak patterns with versions try streams by one function

Cause: `second_version.py` repeated from `versions.py` how a stream is begun or resumed and what is recorded of each try, `removals.py` held the same span of time twice, and the length of a pause stood in two modules.

Change: `try_stream` serves both patterns, which differ in the choice of the gateway and in how events are read; the attempt that brought the first event is part of the record. `_is_near_long_outage` asks `_gone_at`, and `draw_duration` is shared. No bound, check or draw is changed.

Measured: lint and types, the five tests of both new patterns (the planted faults are found), two of `versions` and the 18 of the soak itself pass, side by side. The product is unchanged.

--- a/currantdyke/soak/faults.py
+++ b/currantdyke/soak/faults.py
@@ -12,6 +12,7 @@
 __all__ = [
     "FAULTS",
     "GATEWAY_FAULTS",
+    "draw_duration",
     "inject_faults",
     "kill_gateway",
     "pause_gateway",
@@ -44,7 +45,8 @@
         world.checker.record_event(f"end: {name}")
 
 
-def _draw_duration(rng: random.Random) -> float:
+def draw_duration(rng: random.Random) -> float:
+    """Return how long a fault lasts, in seconds."""
     return rng.uniform(0.1, MAX_FAULT_SECONDS)
 
 
@@ -62,7 +64,7 @@
 
 
 async def _pause_gateway(world, rng: random.Random) -> None:
-    await pause_gateway(world, rng.choice(world.gateways), _draw_duration(rng))
+    await pause_gateway(world, rng.choice(world.gateways), draw_duration(rng))
 
 
 async def pause_gateway(world, gateway: SupervisedGateway, seconds: float) -> None:
@@ -93,7 +95,7 @@
 async def _disrupt_store(world, rng: random.Random) -> None:
     world.checker.record_disruption()
     world.store.fault = rng.choice(STORE_FAULTS)
-    await anyio.sleep(_draw_duration(rng))
+    await anyio.sleep(draw_duration(rng))
     world.store.fault = ""
     world.checker.record_disruption()
 
@@ -140,7 +142,7 @@
     proxy = world.proxies[rng.choice(plain)]
     world.checker.record_unplanned()
     proxy.set_mode(Mode.RESET_ANSWERS)
-    await anyio.sleep(_draw_duration(rng))
+    await anyio.sleep(draw_duration(rng))
     proxy.set_mode(Mode.PASS)
     world.checker.record_unplanned()
 
@@ -153,7 +155,7 @@
     mode = rng.choice(FAULT_MODES)
     for proxy in proxies:
         proxy.set_mode(mode)
-    await anyio.sleep(_draw_duration(rng))
+    await anyio.sleep(draw_duration(rng))
     for proxy in proxies:
         proxy.set_mode(Mode.PASS)
 
--- a/currantdyke/soak/removals.py
+++ b/currantdyke/soak/removals.py
@@ -190,21 +190,19 @@
     return read_at
 
 
-def _gone_at(world, read_at: float) -> float:
-    """Return when an endpoint is gone for a gateway that has read its removal."""
+def _gone_at(world, at: float) -> float:
+    """Return when an endpoint is gone whose removal was read at a time."""
     ends = [
         ended + RETURN_SECONDS
         for started, ended in _long_outages(world)
-        if started < read_at < ended + RETURN_SECONDS
+        if started < at < ended + RETURN_SECONDS
     ]
-    return max(ends, default=read_at)
+    return max(ends, default=at)
 
 
 def _is_near_long_outage(world, at: float) -> bool:
     """Return whether an entry may have lapsed, as far as gateways can know."""
-    return any(
-        started < at < ended + RETURN_SECONDS for started, ended in _long_outages(world)
-    )
+    return _gone_at(world, at) > at
 
 
 def _is_stable(world, at: float) -> bool:
--- a/currantdyke/soak/second_version.py
+++ b/currantdyke/soak/second_version.py
@@ -3,7 +3,6 @@
 Their callers stay until the gateway falls silent, and then resume them at the others.
 """
 
-import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -13,18 +12,17 @@
 
 from currantdyke.emulator import Caller
 from currantdyke.soak.callers import CONNECTION_ERRORS
-from currantdyke.soak.faults import kill_gateway, pause_gateway
+from currantdyke.soak.faults import draw_duration, kill_gateway, pause_gateway
 from currantdyke.soak.versions import (
     EVENTS,
     MIN_RESUMED,
     MIN_SHARE,
     VERSIONS,
     StreamRecord,
-    served_versions,
     start_engine,
     stream_headers,
+    try_stream,
     version_violations,
-    versions_of,
 )
 
 __all__ = [
@@ -47,14 +45,13 @@
 LOST_AFTER_SECONDS = (2.5, 3.5)
 # When the second version starts, from the moment at which the gateway is lost.
 MIN_OFFSET_SECONDS, MAX_OFFSET_SECONDS = -0.7, 1.6
-# Longest pause of another gateway, and longest time without a fault of one.
-MAX_PAUSE_SECONDS, MAX_QUIET_SECONDS = 2.0, 3.0
+# Longest time without a fault of another gateway.
+MAX_QUIET_SECONDS = 3.0
 # Each engine has room for the streams of all callers.
 SLOTS = 64
 PROMPTS = 16
 PROMPT_TOKENS = 60
 THINK_SECONDS = 0.3
-ATTEMPT_NUMBERS = itertools.count(1)
 
 
 async def start_first_version(world) -> None:
@@ -105,8 +102,7 @@
 
 
 async def _pause_another(world, rng: random.Random) -> None:
-    seconds = rng.uniform(0.1, MAX_PAUSE_SECONDS)
-    await pause_gateway(world, rng.choice(world.gateways[1:]), seconds)
+    await pause_gateway(world, rng.choice(world.gateways[1:]), draw_duration(rng))
 
 
 async def _kill_another(world, rng: random.Random) -> None:
@@ -137,34 +133,25 @@
 
 
 async def _hold_stream(world, record: StreamRecord, rng: random.Random) -> None:
-    first_attempt = ""
     prompt = f"{rng.randrange(PROMPTS):x}"
-    first, others = world.gateways[0], world.gateways[1:]
-    for _ in range(MAX_TRIES):
-        last_id = record.last_id
-        is_lost = last_id or first.signal_lock.locked()
-        gateway = rng.choice(others) if is_lost else first
-        attempt_id = f"h{next(ATTEMPT_NUMBERS)}"
-        in_touch = world.is_in_touch(gateway)
-        bound, served = versions_of(record.body), served_versions(world)
+
+    async def read(address: str, attempt_id: str, last_id: int, resumes: str) -> bytes:
         headers = stream_headers(
             attempt_id,
             last_id=last_id,
-            resumes=first_attempt,
+            resumes=resumes,
             prompt=prompt,
             prompt_tokens=PROMPT_TOKENS,
         )
         headers["x-deadline-ms"] = str(int(1_000 * world.pattern.deadline_seconds))
-        events = await _read_until_silent(gateway.address, headers)
-        record.body += events
-        if events and not first_attempt:
-            first_attempt = attempt_id
-        counts = in_touch and bound <= served & served_versions(world)
-        record.tries.append((bool(last_id), counts, bool(events)))
-        if record.last_id == EVENTS:
-            world.checker.counts["streams completed"] += 1
-            return
-        if world.finished:
+        return await _read_until_silent(address, headers)
+
+    first, others = world.gateways[0], world.gateways[1:]
+    for _ in range(MAX_TRIES):
+        is_lost = record.last_id or first.signal_lock.locked()
+        gateway = rng.choice(others) if is_lost else first
+        await try_stream(world, record, gateway, read)
+        if record.last_id == EVENTS or world.finished:
             return
 
 
--- a/currantdyke/soak/versions.py
+++ b/currantdyke/soak/versions.py
@@ -3,6 +3,8 @@
 import itertools
 import random
 import re
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 import attrs
@@ -17,10 +19,10 @@
     "change_versions",
     "read_stream",
     "resume_streams",
-    "served_versions",
     "start_engine",
     "start_versions",
     "stream_headers",
+    "try_stream",
     "version_violations",
     "versions_of",
 ]
@@ -46,6 +48,8 @@
 THINK_SECONDS = 0.1
 STREAM_NUMBERS = itertools.count(1)
 
+ReadEvents = Callable[[str, str, int, str], Awaitable[bytes]]
+
 
 @attrs.define(kw_only=True)
 class StreamRecord:
@@ -55,12 +59,15 @@
     ----------
     body : bytes
         The events of all tries.
+    first_attempt : str
+        The attempt that brought the first event; empty before.
     tries : list of (bool, bool, bool)
         For each try, whether it resumes the stream, whether the bounds on its gateway
         held and two engines of the version served, and whether it brought events.
     """
 
     body: bytes = b""
+    first_attempt: str = ""
     tries: list[tuple[bool, bool, bool]] = attrs.field(factory=list)
 
     @property
@@ -135,7 +142,7 @@
 
 
 async def start_engine(
-    world, version: str, *, event_seconds: float = EVENT_SECONDS, slots: int = 8
+    world, version: str, *, event_seconds: float = EVENT_SECONDS, **settings: Any
 ) -> None:
     """Start an engine of a version, and announce it."""
     number = next(world.instance_numbers)
@@ -146,7 +153,7 @@
         marks_events=True,
         events=EVENTS,
         event_seconds=event_seconds,
-        slots=slots,
+        **settings,
     )
     world.observe(engine)
     world.endpoints[engine.instance] = engine
@@ -194,37 +201,53 @@
 
 
 async def _run_stream(world, record: StreamRecord, rng: random.Random) -> None:
-    first_attempt = ""
     prompt = f"{rng.randrange(PROMPTS):x}"
     prompt_tokens = rng.choice(PROMPT_TOKENS)
-    for _ in range(MAX_TRIES):
-        attempt_id = f"v{next(STREAM_NUMBERS)}"
-        gateway: SupervisedGateway = rng.choice(world.gateways)
-        before, last_id = record.body, record.last_id
-        in_touch = world.is_in_touch(gateway)
-        served = served_versions(world)
+
+    async def read(address: str, attempt_id: str, last_id: int, resumes: str) -> bytes:
         answer = await read_stream(
-            gateway.address,
+            address,
             attempt_id,
             count=rng.randint(1, EVENTS),
             last_id=last_id,
-            resumes=first_attempt,
+            resumes=resumes,
             prompt=prompt,
             prompt_tokens=prompt_tokens,
         )
-        if answer is not None and answer.status == 200:
-            record.body += answer.body
-            if record.last_id and not first_attempt:
-                first_attempt = attempt_id
-        bound = versions_of(before)
-        counts = in_touch and bound <= served & served_versions(world)
-        record.tries.append((bool(last_id), counts, record.body != before))
+        return answer.body if answer is not None and answer.status == 200 else b""
+
+    for _ in range(MAX_TRIES):
+        await try_stream(world, record, rng.choice(world.gateways), read)
         if record.last_id == EVENTS:
-            world.checker.counts["streams completed"] += 1
             return
 
 
-def served_versions(world) -> set[str]:
+async def try_stream(
+    world, record: StreamRecord, gateway: SupervisedGateway, read: ReadEvents
+) -> None:
+    """Begin a stream at a gateway, or resume it there, and record what it brought.
+
+    Parameters
+    ----------
+    read : callable
+        Sends the request to an address, with an attempt id, the id of the last event
+        and the attempt that brought the first one; returns the events that arrive.
+    """
+    attempt_id = f"v{next(STREAM_NUMBERS)}"
+    bound, last_id = versions_of(record.body), record.last_id
+    in_touch = world.is_in_touch(gateway)
+    served = _served_versions(world)
+    events = await read(gateway.address, attempt_id, last_id, record.first_attempt)
+    record.body += events
+    if record.last_id and not record.first_attempt:
+        record.first_attempt = attempt_id
+    counts = in_touch and bound <= served & _served_versions(world)
+    record.tries.append((bool(last_id), counts, bool(events)))
+    if record.last_id == EVENTS:
+        world.checker.counts["streams completed"] += 1
+
+
+def _served_versions(world) -> set[str]:
     """Return the versions of which two engines serve."""
     versions = [engine.version for engine in world.endpoints.values()]
     return {version for version in versions if versions.count(version) >= 2}
